Lay out the workspace: declared objects, decision logic, wire, platform clients, stand-ins

Cause: the repository is empty. Change: crates for the declared objects and their whole-change check, the decision logic without sockets or clocks, tarpc messages, platform clients in the DynamoDB, S3 and EndpointSlice formats, shared process parts, and stand-ins. Nothing is measured yet.

--- /dev/null
+++ b/crates/decide/src/balance/mod.rs
@@ -0,0 +1,11 @@
+//! Choice of a backend server for a request.
+
+mod candidate;
+mod choose;
+mod health;
+mod subset;
+
+pub use candidate::{Candidate, LoadReport};
+pub use choose::{Choice, choose};
+pub use health::{Health, HealthLimits};
+pub use subset::choose_subset;
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decision logic of clementinehub.
+//!
+//! Nothing in this crate opens a socket, reads a clock or draws a random
+//! number: times and seeds are arguments, and whatever reaches out is a trait
+//! that the caller implements. Any driver can step it, tests included.
+
+pub mod admission;
+pub mod balance;
+pub mod circuit;
+pub mod gate;
+pub mod ids;
+pub mod operation;
+pub mod outcome;
+pub mod publish;
+pub mod quarantine;
+pub mod retry;
+pub mod stage;
--- /dev/null
+++ b/crates/decide/src/operation/life.rs
@@ -0,0 +1,85 @@
+//! The life cycle of an operation, as types.
+
+use super::{ClaimRow, ClaimState, Gates, RunReply};
+use crate::gate::WorkTag;
+use crate::ids::{AgentRef, WorkId};
+use crate::operation::BodyDigest;
+
+/// The operation has no claim under its token yet.
+#[derive(Debug)]
+pub struct Unclaimed;
+
+/// The operation's token stands in the table service and was not sent.
+#[derive(Debug)]
+pub struct Claimed;
+
+/// The operation was sent to the agent. Nothing sends it again.
+#[derive(Debug)]
+pub struct Sent {
+    reply: RunReply,
+}
+
+/// One attempt to run an operation under one token.
+///
+/// Only `Operation<Claimed>` can be sent, and sending consumes it.
+#[derive(Debug)]
+pub struct Operation<S> {
+    row: ClaimRow,
+    state: S,
+}
+
+impl<S> Operation<S> {
+    /// The row that claims the operation for this attempt.
+    pub const fn row(&self) -> &ClaimRow {
+        &self.row
+    }
+
+    /// The token of this attempt.
+    pub const fn token(&self) -> WorkId {
+        self.row.token
+    }
+
+    /// The agent of this attempt.
+    pub const fn agent(&self) -> &AgentRef {
+        &self.row.agent
+    }
+
+    const fn tag(&self) -> WorkTag {
+        self.row.tag()
+    }
+}
+
+impl Operation<Unclaimed> {
+    /// An attempt under a fresh token.
+    pub const fn new(digest: BodyDigest, token: WorkId, agent: AgentRef) -> Self {
+        let row = ClaimRow { digest, token, agent, state: ClaimState::Held };
+        Self { row, state: Unclaimed }
+    }
+
+    /// Notes that the row stands in the table service.
+    #[must_use]
+    pub fn claimed(self) -> Operation<Claimed> {
+        Operation { row: self.row, state: Claimed }
+    }
+}
+
+impl Operation<Claimed> {
+    /// Sends the operation to its agent, once.
+    pub async fn send(self, gates: &impl Gates) -> Operation<Sent> {
+        let tag = self.tag();
+        let reply = gates.run(&self.row.agent, tag).await;
+        Operation { row: self.row, state: Sent { reply } }
+    }
+}
+
+impl Operation<Sent> {
+    /// The agent's reply.
+    pub const fn reply(&self) -> &RunReply {
+        &self.state.reply
+    }
+
+    /// The row that records a final state of the operation.
+    pub fn recorded(&self, state: ClaimState) -> ClaimRow {
+        ClaimRow { state, ..self.row.clone() }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/outcome/error_kind.rs
@@ -0,0 +1,151 @@
+//! The closed list of error kinds and the answer to each.
+
+use clementine_objects::Millis;
+use serde::{Deserialize, Serialize};
+
+use super::Outcome;
+
+/// Every kind of error that a caller can be answered with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request is not well-formed.
+    InvalidRequest,
+    /// The bearer token is absent or selects no workspace.
+    InvalidToken,
+    /// The workspace may not use the model or route.
+    NotPermitted,
+    /// No route or model of that name exists.
+    NotFound,
+    /// A header, the body or the prompt is larger than allowed.
+    TooLarge,
+    /// A request that may not be repeated came without an idempotency key.
+    KeyMissing,
+    /// The idempotency key was used with another request before.
+    KeyReused,
+    /// The workspace is over one of its limits.
+    LimitReached,
+    /// No backend server can answer within the deadline.
+    Overloaded,
+    /// No backend server that could run the request is known.
+    NoBackend,
+    /// The table service does not answer, so that no claim can be made.
+    StoreUnavailable,
+    /// The deadline passed before the request was run.
+    DeadlineBeforeRun,
+    /// The process is shutting down.
+    ShuttingDown,
+    /// The request has crashed backend servers.
+    Quarantined,
+    /// The backend server failed while it ran the request.
+    BackendFailed,
+    /// The connection to the backend server was lost during the request.
+    BackendLost,
+    /// The agent that holds the request can't be reached.
+    AgentUnreachable,
+    /// The agent that held the request has been replaced.
+    AgentReplaced,
+    /// The deadline passed while the request ran.
+    DeadlineWhileRunning,
+}
+
+/// How a kind of error is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerRule {
+    /// HTTP status code.
+    pub status: u16,
+    /// Value of the `type` field of the JSON error.
+    pub error_type: &'static str,
+    /// What the answer says about the work.
+    pub outcome: Outcome,
+    /// When to ask again, where that helps and the sender knows no better.
+    pub retry_after: Option<Millis>,
+}
+
+const SOON: Option<Millis> = Some(Millis(1_000));
+const LATER: Option<Millis> = Some(Millis(5_000));
+
+const fn rule(
+    status: u16,
+    error_type: &'static str,
+    outcome: Outcome,
+    retry_after: Option<Millis>,
+) -> AnswerRule {
+    AnswerRule { status, error_type, outcome, retry_after }
+}
+
+impl ErrorKind {
+    /// All kinds, for tests and documentation.
+    pub const ALL: [Self; 19] = [
+        Self::InvalidRequest,
+        Self::InvalidToken,
+        Self::NotPermitted,
+        Self::NotFound,
+        Self::TooLarge,
+        Self::KeyMissing,
+        Self::KeyReused,
+        Self::LimitReached,
+        Self::Overloaded,
+        Self::NoBackend,
+        Self::StoreUnavailable,
+        Self::DeadlineBeforeRun,
+        Self::ShuttingDown,
+        Self::Quarantined,
+        Self::BackendFailed,
+        Self::BackendLost,
+        Self::AgentUnreachable,
+        Self::AgentReplaced,
+        Self::DeadlineWhileRunning,
+    ];
+
+    /// The table from kind to answer.
+    pub const fn rule(self) -> AnswerRule {
+        use Outcome::{NotRun, Ran, Unknown};
+        match self {
+            Self::InvalidRequest => rule(400, "invalid_request_error", NotRun, None),
+            Self::InvalidToken => rule(401, "authentication_error", NotRun, None),
+            Self::NotPermitted => rule(403, "permission_error", NotRun, None),
+            Self::NotFound => rule(404, "not_found_error", NotRun, None),
+            Self::TooLarge => rule(413, "invalid_request_error", NotRun, None),
+            Self::KeyMissing => rule(400, "idempotency_error", NotRun, None),
+            Self::KeyReused => rule(422, "idempotency_error", NotRun, None),
+            Self::LimitReached => rule(429, "rate_limit_error", NotRun, SOON),
+            Self::Overloaded => rule(503, "overloaded_error", NotRun, SOON),
+            Self::NoBackend => rule(503, "overloaded_error", NotRun, SOON),
+            Self::StoreUnavailable => rule(503, "unavailable_error", NotRun, LATER),
+            Self::DeadlineBeforeRun => rule(504, "timeout_error", NotRun, SOON),
+            Self::ShuttingDown => rule(503, "unavailable_error", NotRun, SOON),
+            Self::Quarantined => rule(422, "quarantine_error", Unknown, None),
+            Self::BackendFailed => rule(502, "backend_error", Ran, None),
+            Self::BackendLost => rule(502, "backend_error", Unknown, None),
+            Self::AgentUnreachable => rule(503, "unavailable_error", Unknown, LATER),
+            Self::AgentReplaced => rule(502, "backend_error", Unknown, None),
+            Self::DeadlineWhileRunning => rule(504, "timeout_error", Unknown, LATER),
+        }
+    }
+
+    /// Value of the `code` field of the JSON error.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::InvalidRequest => "invalid_request",
+            Self::InvalidToken => "invalid_token",
+            Self::NotPermitted => "not_permitted",
+            Self::NotFound => "not_found",
+            Self::TooLarge => "too_large",
+            Self::KeyMissing => "idempotency_key_missing",
+            Self::KeyReused => "idempotency_key_reused",
+            Self::LimitReached => "limit_reached",
+            Self::Overloaded => "overloaded",
+            Self::NoBackend => "no_backend",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::DeadlineBeforeRun => "deadline_before_run",
+            Self::ShuttingDown => "shutting_down",
+            Self::Quarantined => "quarantined",
+            Self::BackendFailed => "backend_failed",
+            Self::BackendLost => "backend_lost",
+            Self::AgentUnreachable => "agent_unreachable",
+            Self::AgentReplaced => "agent_replaced",
+            Self::DeadlineWhileRunning => "deadline_while_running",
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/publish/mod.rs
@@ -0,0 +1,9 @@
+//! Publication of configuration changes by compare-and-set on the head row.
+
+mod driver;
+mod error;
+mod ports;
+
+pub use driver::{Publication, Published, publish};
+pub use error::PublishError;
+pub use ports::{AppendReply, ConfigHead, ConfigStore};
--- /dev/null
+++ b/crates/decide/src/quarantine/fingerprint.rs
@@ -0,0 +1,31 @@
+//! Identity of a request by content.
+
+use std::fmt;
+
+use clementine_objects::WorkspaceName;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+/// XXH3-128 of a request's workspace, path and body. Repetitions of a request
+/// share it whatever their request ids and entries are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Fingerprint of a request.
+    pub fn of_request(workspace: &WorkspaceName, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(workspace.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(path.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(body);
+        Self(hasher.digest128())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/retry/mod.rs
@@ -0,0 +1,5 @@
+//! The budget of retries.
+
+mod budget;
+
+pub use budget::{RetryBudget, RetryBudgetLimits};
--- /dev/null
+++ b/crates/e2e/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/objects/src/kinds/layer_range.rs
@@ -0,0 +1,61 @@
+//! A range of model layers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use snafu::Snafu;
+
+/// Layers `first..=last` of a model, counted from 0 and written `0-15`.
+///
+/// Invariant: `first <= last`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct LayerRange {
+    first: u32,
+    last: u32,
+}
+
+/// A text that is not a layer range.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("`{text}` is not a layer range: write it like `0-15`"))]
+pub struct LayerRangeError {
+    text: CompactString,
+}
+
+impl LayerRange {
+    /// The range `first..=last`, or `None` when `first > last`.
+    pub const fn new(first: u32, last: u32) -> Option<Self> {
+        if first <= last { Some(Self { first, last }) } else { None }
+    }
+
+    /// First layer of the range.
+    pub const fn first(self) -> u32 {
+        self.first
+    }
+
+    /// Last layer of the range, inclusive.
+    pub const fn last(self) -> u32 {
+        self.last
+    }
+}
+
+impl fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.first, self.last)
+    }
+}
+
+impl FromStr for LayerRange {
+    type Err = LayerRangeError;
+
+    fn from_str(text: &str) -> Result<Self, LayerRangeError> {
+        let parse = || {
+            let (first, last) = text.split_once('-')?;
+            Self::new(first.trim().parse().ok()?, last.trim().parse().ok()?)
+        };
+        parse().ok_or_else(|| LayerRangeError { text: text.into() })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/objects/mod.rs
@@ -0,0 +1,81 @@
+//! The object store.
+
+use std::rc::Rc;
+
+use awc::Client;
+use awc::http::StatusCode;
+use bytes::Bytes;
+use clementine_decide::operation::StoreFault;
+use compact_str::CompactString;
+
+use crate::http::Guard;
+
+/// Largest object that is read, in bytes.
+const OBJECT_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// An object store. Each call tries once.
+#[expect(async_fn_in_trait, reason = "processes are single-threaded")]
+pub trait ObjectStore {
+    /// Reads an object; `None` when there is none of that name.
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, StoreFault>;
+
+    /// Stores an object in place of one of the same name.
+    async fn put(&self, name: &str, content: Bytes) -> Result<(), StoreFault>;
+}
+
+/// A bucket of an S3-compatible store, addressed by path.
+#[derive(Clone)]
+pub struct S3Objects {
+    client: Client,
+    bucket_url: CompactString,
+    guard: Rc<Guard>,
+}
+
+impl std::fmt::Debug for S3Objects {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("S3Objects").field("bucket_url", &self.bucket_url).finish_non_exhaustive()
+    }
+}
+
+impl S3Objects {
+    /// A bucket at a URL such as `http://10.0.0.1:9000/clementine`.
+    pub fn new(client: Client, bucket_url: &str, guard: Rc<Guard>) -> Self {
+        Self { client, bucket_url: bucket_url.trim_end_matches('/').into(), guard }
+    }
+
+    /// The guard of the calls.
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    fn url(&self, name: &str) -> String {
+        format!("{}/{name}", self.bucket_url)
+    }
+}
+
+impl ObjectStore for S3Objects {
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, StoreFault> {
+        let call = async {
+            let request = self.client.get(self.url(name)).timeout(self.guard.call_time());
+            let mut response = request.send().await.map_err(|_| StoreFault::NoEffect)?;
+            match response.status() {
+                StatusCode::OK => {
+                    let body = response.body().limit(OBJECT_MAX_BYTES).await;
+                    body.map(Some).map_err(|_| StoreFault::NoEffect)
+                }
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => Err(StoreFault::NoEffect),
+            }
+        };
+        self.guard.call(call).await
+    }
+
+    async fn put(&self, name: &str, content: Bytes) -> Result<(), StoreFault> {
+        let call = async {
+            let request = self.client.put(self.url(name)).timeout(self.guard.call_time());
+            let response = request.send_body(content).await.map_err(|_| StoreFault::Unclear)?;
+            if response.status().is_success() { Ok(()) } else { Err(StoreFault::Unclear) }
+        };
+        self.guard.call(call).await
+    }
+}
--- /dev/null
+++ b/crates/process/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! The administration address: health, metrics and the state dump.
+
+mod server;
+
+pub use server::{AdminHandler, AdminProcess, serve_admin};
--- /dev/null
+++ b/crates/process/src/admin/server.rs
@@ -0,0 +1,117 @@
+//! Serves the administration address.
+
+use std::pin::Pin;
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage as _, Request, Response, StatusCode};
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+use spdlog::{error, info};
+use tokio::task::spawn_local;
+
+use crate::http::{HttpLimits, bind_reusable, json_response, serve_http, text_response};
+use crate::metrics::Metrics;
+use crate::settings::AdminSettings;
+use crate::shutdown::Drain;
+
+/// Answers the administration requests of one kind of process.
+pub type AdminHandler =
+    Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Option<Response<BoxBody>>>>>>;
+
+/// What the administration address shows of a process.
+pub trait AdminProcess {
+    /// Why the process is not ready, or `None` when it is.
+    fn not_ready(&self) -> Option<String>;
+
+    /// Complete dump of the process's state, without secrets.
+    fn state(&self) -> Value;
+}
+
+/// The administration address can't be served.
+#[derive(Debug, Snafu)]
+#[snafu(display("the administration address {listen} can't be bound: {source}"))]
+pub struct AdminError {
+    listen: std::net::SocketAddr,
+    source: std::io::Error,
+}
+
+/// Starts to serve the administration address and returns the bound address.
+/// It is served until the process ends, through a drain too.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn serve_admin<P: AdminProcess + 'static>(
+    settings: &AdminSettings,
+    metrics: Metrics,
+    process: Rc<P>,
+    handler: Option<AdminHandler>,
+) -> Result<std::net::SocketAddr, AdminError> {
+    let listen = settings.listen;
+    let listener = bind_reusable(listen).context(AdminSnafu { listen })?;
+    let address = listener.local_addr().context(AdminSnafu { listen })?;
+    let token = settings.token.clone();
+    let admin = Rc::new(Admin { metrics, process, handler });
+    spawn_local(async move {
+        let serve = serve_http(listener, HttpLimits::default(), Drain::default(), move |req| {
+            let authorization = req.headers().get("authorization").and_then(|v| v.to_str().ok());
+            let admitted =
+                token.as_ref().is_none_or(|t| t.admits(authorization.unwrap_or_default()));
+            let admin = Rc::clone(&admin);
+            async move { admin.answer(req, admitted).await }
+        });
+        if let Err(error) = serve.await {
+            error!("admin: {}", error);
+        }
+    });
+    info!("admin: listening on {}", address);
+    Ok(address)
+}
+
+struct Admin<P> {
+    metrics: Metrics,
+    process: Rc<P>,
+    handler: Option<AdminHandler>,
+}
+
+impl<P: AdminProcess> Admin<P> {
+    async fn answer(&self, req: Request, admitted: bool) -> Response<BoxBody> {
+        let path = req.path().to_owned();
+        if path == "/healthz" {
+            return text_response(StatusCode::OK, "ok\n");
+        }
+        if path == "/readyz" {
+            return self.readiness();
+        }
+        if !admitted {
+            return text_response(StatusCode::UNAUTHORIZED, "a valid administration token is needed\n");
+        }
+        match path.as_str() {
+            "/metrics" => self.metrics_text(),
+            "/state" => json_response(StatusCode::OK, &self.process.state()),
+            _ => self.extra(req).await,
+        }
+    }
+
+    fn readiness(&self) -> Response<BoxBody> {
+        match self.process.not_ready() {
+            None => text_response(StatusCode::OK, "ready\n"),
+            Some(reason) => text_response(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+        }
+    }
+
+    fn metrics_text(&self) -> Response<BoxBody> {
+        let mut response = Response::build(StatusCode::OK);
+        response.insert_header(("content-type", "text/plain; version=0.0.4"));
+        response.body(self.metrics.text()).map_into_boxed_body()
+    }
+
+    async fn extra(&self, req: Request) -> Response<BoxBody> {
+        let answer = match &self.handler {
+            Some(handler) => handler(req).await,
+            None => None,
+        };
+        answer.unwrap_or_else(|| text_response(StatusCode::NOT_FOUND, "no such page\n"))
+    }
+}
--- /dev/null
+++ b/crates/process/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP serving over `actix-http`.
+
+mod body;
+mod listener;
+mod respond;
+mod serve;
+
+pub use body::{BodyFault, read_body};
+pub use listener::bind_reusable;
+pub use respond::{json_response, text_response};
+pub use serve::{HttpLimits, serve_http};
--- /dev/null
+++ b/crates/process/src/http/serve.rs
@@ -0,0 +1,107 @@
+//! Serves HTTP/1 on this thread.
+
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use clementine_objects::Millis;
+use snafu::Snafu;
+use spdlog::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+use crate::shutdown::Drain;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpLimits {
+    /// Connections open at a time.
+    pub connections: usize,
+    /// Time in which the head of a request has to arrive.
+    pub head_time: Millis,
+    /// Time for which an idle connection is kept.
+    pub keep_alive: Millis,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self { connections: 16_384, head_time: Millis(10_000), keep_alive: Millis(75_000) }
+    }
+}
+
+/// The HTTP service could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("the HTTP service can't be set up"))]
+pub struct ServeError;
+
+/// Accepts connections and answers requests until the drain starts; then
+/// stops accepting, lets requests in progress end and closes connections.
+///
+/// # Errors
+///
+/// Fails when the service can't be set up.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    drain: Drain,
+    handler: H,
+) -> Result<(), ServeError>
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let handler = Rc::new(handler);
+    let drain_signal = drain.clone();
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(limits.keep_alive.duration()))
+        .client_request_timeout(limits.head_time.duration())
+        .graceful_shutdown_signal(move || {
+            let drain = drain_signal.clone();
+            async move { drain.started().await }
+        })
+        .h1(fn_service(move |req: Request| {
+            let response = handler(req);
+            async move { Ok::<_, Infallible>(response.await) }
+        }))
+        .tcp();
+    let service = factory.new_service(()).await.map_err(|()| ServeError)?;
+    let service = Rc::new(service);
+    let connections = Drain::default();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = drain.started() => return Ok(()),
+        };
+        let Some(stream) = prepare(accepted).await else { continue };
+        if connections.in_progress() >= limits.connections {
+            warn!("http: connection refused, {} are open", limits.connections);
+            continue;
+        }
+        let service = Rc::clone(&service);
+        let open = connections.enter();
+        spawn_local(async move {
+            if let Err(error) = service.call(stream).await {
+                debug!("http: connection ended: {}", error);
+            }
+            drop(open);
+        });
+    }
+}
+
+async fn prepare(accepted: io::Result<(TcpStream, std::net::SocketAddr)>) -> Option<TcpStream> {
+    match accepted {
+        Ok((stream, _)) => stream.set_nodelay(true).ok().map(|()| stream),
+        Err(error) => {
+            warn!("http: accept failed: {}", error);
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/src/logging/start.rs
@@ -0,0 +1,39 @@
+//! Sets up the process's logger.
+
+use std::sync::Arc;
+
+use snafu::{ResultExt, Snafu};
+use spdlog::formatter::{FullFormatter, JsonFormatter};
+use spdlog::sink::{StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+
+use super::LogFormat;
+
+/// The logger could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("the log can't be set up: {source}"))]
+pub struct LoggingError {
+    source: spdlog::Error,
+}
+
+/// Sends the process's log to standard error.
+///
+/// # Errors
+///
+/// Fails when the logging library refuses the set-up.
+pub fn start_logging(format: LogFormat, level: Level) -> Result<(), LoggingError> {
+    let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
+    let sink = match format {
+        LogFormat::Text => builder.formatter(FullFormatter::new()).build(),
+        LogFormat::Json => builder.formatter(JsonFormatter::new()).build(),
+    };
+    let sink = sink.context(LoggingSnafu)?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .context(LoggingSnafu)?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- /dev/null
+++ b/crates/process/src/shutdown/drain.rs
@@ -0,0 +1,72 @@
+//! Work in progress and the wait for its end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+/// Counts work in progress and lets a drain wait until there is none.
+#[derive(Debug, Clone, Default)]
+pub struct Drain {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    draining: Cell<bool>,
+    in_progress: Cell<usize>,
+    started: Notify,
+    ended: Notify,
+}
+
+/// One piece of work in progress, until dropped.
+#[derive(Debug)]
+pub struct InProgress {
+    shared: Rc<Shared>,
+}
+
+impl Drain {
+    /// Starts the drain.
+    pub fn start(&self) {
+        self.shared.draining.set(true);
+        self.shared.started.notify_waiters();
+        self.shared.ended.notify_waiters();
+    }
+
+    /// Whether the drain has started.
+    pub fn is_draining(&self) -> bool {
+        self.shared.draining.get()
+    }
+
+    /// Pieces of work in progress.
+    pub fn in_progress(&self) -> usize {
+        self.shared.in_progress.get()
+    }
+
+    /// Counts a piece of work until the guard is dropped.
+    pub fn enter(&self) -> InProgress {
+        self.shared.in_progress.set(self.in_progress() + 1);
+        InProgress { shared: Rc::clone(&self.shared) }
+    }
+
+    /// Waits until the drain has started.
+    pub async fn started(&self) {
+        while !self.is_draining() {
+            self.shared.started.notified().await;
+        }
+    }
+
+    /// Waits until no work is in progress.
+    pub async fn idle(&self) {
+        while self.in_progress() > 0 {
+            self.shared.ended.notified().await;
+        }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.shared.in_progress.set(self.shared.in_progress.get() - 1);
+        self.shared.ended.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/process/src/shutdown/mod.rs
@@ -0,0 +1,7 @@
+//! Shutdown: the first signal drains, the second ends the process.
+
+mod drain;
+mod signals;
+
+pub use drain::{Drain, InProgress};
+pub use signals::watch_signals;
--- /dev/null
+++ b/crates/standin/src/commands/engine.rs
@@ -0,0 +1,61 @@
+//! `clementine-standin engine`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clap::{ArgMatches, Command};
+use clementine_objects::{LayerRange, Millis};
+use clementine_process::settings::{SettingsReader, setting};
+
+use crate::engine::{Engine, EngineSettings};
+use crate::error::StandinError;
+use crate::web;
+
+/// Name of the command.
+pub(crate) const NAME: &str = "engine";
+
+const USAGE: &str = "\
+Serves the OpenAI-compatible completion endpoints, and `POST
+/v1/stages/forward` for an engine that holds a range of layers. Every token is
+a function of the prompt and its index, so that answers can be checked.
+`GET /record` lists the steps that ran.";
+
+#[derive(Debug)]
+struct Args {
+    listen: SocketAddr,
+    engine: EngineSettings,
+}
+
+/// The command's flags.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Model engine")
+        .long_about(USAGE)
+        .arg(setting("listen", "ADDRESS", "Address to listen on"))
+        .arg(setting("token-time", "DURATION", "Time of one token [default: 0ms]"))
+        .arg(setting("layers", "FIRST-LAST", "Layers that the engine holds [default: all]"))
+        .arg(setting("model-layers", "COUNT", "Layers of the whole model [default: 32]"))
+        .arg(setting("crash-on", "TEXT", "Abort when a prompt holds this text"))
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), StandinError> {
+    let mut reader = SettingsReader::new(matches);
+    let listen = reader.required("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let model_layers = reader.or("model-layers", 32_u32);
+    let whole = LayerRange::new(0, model_layers.saturating_sub(1));
+    let layers = reader.optional("layers").or(whole);
+    reader.require(layers.is_some(), "model-layers", "must be at least 1");
+    let engine = EngineSettings {
+        token_time: reader.or("token-time", Millis(0)),
+        layers,
+        model_layers,
+        crash_on: reader.optional("crash-on"),
+    };
+    let args = reader.finish(Args { listen, engine })?;
+    let engine = Rc::new(Engine::new(args.engine));
+    web::serve(args.listen, move |req| {
+        let engine = Rc::clone(&engine);
+        async move { engine.answer(req).await }
+    })
+}
--- /dev/null
+++ b/crates/standin/src/commands/platform.rs
@@ -0,0 +1,46 @@
+//! `clementine-standin platform`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clap::{ArgMatches, Command};
+use clementine_process::settings::{SettingsReader, setting};
+
+use crate::error::StandinError;
+use crate::platform::Platform;
+use crate::web;
+
+/// Name of the command.
+pub(crate) const NAME: &str = "platform";
+
+const USAGE: &str = "\
+Serves a table service (DynamoDB JSON format) at `/`, an object store (S3 path
+style) under `/objects`, and an instance list (EndpointSliceList) at
+`/instances`. `PUT /instances` replaces the list; `POST /faults` takes
+{\"table\": MODE, \"objects\": MODE, \"instances\": MODE} with the modes up,
+unavailable, hang, lose-answers and slow; `GET /counts` counts the calls.";
+
+#[derive(Debug)]
+struct Args {
+    listen: SocketAddr,
+}
+
+/// The command's flags.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Table service, object store and instance list")
+        .long_about(USAGE)
+        .arg(setting("listen", "ADDRESS", "Address to listen on"))
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), StandinError> {
+    let mut reader = SettingsReader::new(matches);
+    let listen = reader.required("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let args = reader.finish(Args { listen })?;
+    let platform = Rc::new(Platform::default());
+    web::serve(args.listen, move |req| {
+        let platform = Rc::clone(&platform);
+        async move { platform.answer(req).await }
+    })
+}
--- /dev/null
+++ b/crates/standin/src/engine/completion.rs
@@ -0,0 +1,111 @@
+//! Completion requests in the OpenAI-compatible format.
+
+use serde_json::{Value, json};
+
+use super::words::{count_tokens, prompt_digest, token};
+
+/// Tokens generated when a request names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// The two completion endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Endpoint {
+    Chat,
+    Text,
+}
+
+/// A parsed completion request.
+#[derive(Debug, Clone)]
+pub(crate) struct Completion {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) id: String,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) stream: bool,
+    /// Index of the first token to generate; not 0 when an answer is continued.
+    pub(crate) first: u32,
+    /// Index after the last token to generate.
+    pub(crate) end: u32,
+}
+
+impl Completion {
+    /// Reads a request; says what is wrong with it otherwise.
+    pub(crate) fn parse(endpoint: Endpoint, id: &str, body: &Value) -> Result<Self, &'static str> {
+        let (prompt, partial) = match endpoint {
+            Endpoint::Chat => chat_prompt(body)?,
+            Endpoint::Text => {
+                (body["prompt"].as_str().ok_or("`prompt` must be a text")?.to_owned(), String::new())
+            }
+        };
+        let first = count_tokens(&partial);
+        let max_tokens = body["max_tokens"].as_u64().map_or(DEFAULT_MAX_TOKENS, |n| n as u32);
+        Ok(Self {
+            endpoint,
+            id: format!("chatcmpl-{id}"),
+            model: body["model"].as_str().unwrap_or_default().to_owned(),
+            prompt,
+            stream: body["stream"].as_bool().unwrap_or(false),
+            first,
+            end: first + max_tokens,
+        })
+    }
+
+    /// Token of an index.
+    pub(crate) fn token(&self, index: u32) -> String {
+        token(prompt_digest(&self.prompt), index)
+    }
+
+    /// The event of one token, or of the end when there is no token.
+    pub(crate) fn event(&self, token: Option<&str>) -> String {
+        let finish = if token.is_some() { Value::Null } else { "length".into() };
+        let choice = match self.endpoint {
+            Endpoint::Chat => {
+                let delta = token.map_or(json!({}), |text| json!({ "content": text }));
+                json!({ "index": 0, "delta": delta, "finish_reason": finish })
+            }
+            Endpoint::Text => {
+                json!({ "index": 0, "text": token.unwrap_or_default(), "finish_reason": finish })
+            }
+        };
+        let object = match self.endpoint {
+            Endpoint::Chat => "chat.completion.chunk",
+            Endpoint::Text => "text_completion",
+        };
+        let event = json!({
+            "id": self.id, "object": object, "created": 0, "model": self.model, "choices": [choice],
+        });
+        format!("data: {event}\n\n")
+    }
+
+    /// The whole answer.
+    pub(crate) fn whole(&self) -> Value {
+        let text: String = (self.first..self.end).map(|index| self.token(index)).collect();
+        let (object, choice) = match self.endpoint {
+            Endpoint::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0, "finish_reason": "length",
+                    "message": { "role": "assistant", "content": text },
+                }),
+            ),
+            Endpoint::Text => (
+                "text_completion",
+                json!({ "index": 0, "finish_reason": "length", "text": text }),
+            ),
+        };
+        json!({
+            "id": self.id, "object": object, "created": 0, "model": self.model, "choices": [choice],
+            "usage": { "completion_tokens": self.end - self.first },
+        })
+    }
+}
+
+/// Last user message, and the partial answer when one is to be continued.
+fn chat_prompt(body: &Value) -> Result<(String, String), &'static str> {
+    let messages = body["messages"].as_array().ok_or("`messages` must be a list")?;
+    let content = |m: &Value| m["content"].as_str().unwrap_or_default().to_owned();
+    let user = messages.iter().rfind(|m| m["role"] == "user").ok_or("no user message")?;
+    let last = messages.last().ok_or("no message")?;
+    let continued = body["continue_final_message"] == true && last["role"] == "assistant";
+    Ok((content(user), if continued { content(last) } else { String::new() }))
+}
--- /dev/null
+++ b/crates/standin/src/platform/objects.rs
@@ -0,0 +1,30 @@
+//! Object store, S3 path style.
+
+use std::collections::HashMap;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Response, StatusCode};
+use bytes::Bytes;
+
+/// Stored objects by path.
+#[derive(Debug, Default)]
+pub(crate) struct Objects {
+    objects: HashMap<String, Bytes>,
+}
+
+impl Objects {
+    /// Answers a request for one object.
+    pub(crate) fn answer(&mut self, method: &Method, path: &str, body: Bytes) -> Response<BoxBody> {
+        match *method {
+            Method::PUT => {
+                self.objects.insert(path.to_owned(), body);
+                Response::build(StatusCode::OK).finish().map_into_boxed_body()
+            }
+            Method::GET => match self.objects.get(path) {
+                Some(content) => Response::ok().set_body(content.clone()).map_into_boxed_body(),
+                None => Response::not_found(),
+            },
+            _ => Response::build(StatusCode::METHOD_NOT_ALLOWED).finish().map_into_boxed_body(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/router.rs
@@ -0,0 +1,97 @@
+//! Requests to the platform.
+
+use std::cell::{Cell, RefCell};
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
+use clementine_process::http::json_response;
+use serde_json::{Value, json};
+
+use super::faults::{FaultOrder, Mode, SLOW};
+use super::objects::Objects;
+use super::table::Table;
+use crate::web::{error_response, json_body, raw_body};
+
+/// The platform's services in one process.
+#[derive(Debug, Default)]
+pub(crate) struct Platform {
+    table: RefCell<Table>,
+    objects: RefCell<Objects>,
+    instances: RefCell<Value>,
+    table_mode: Cell<Mode>,
+    objects_mode: Cell<Mode>,
+    instances_mode: Cell<Mode>,
+    counts: RefCell<std::collections::BTreeMap<String, u64>>,
+}
+
+impl Platform {
+    /// Answers one request.
+    pub(crate) async fn answer(&self, mut req: Request) -> Response<BoxBody> {
+        let path = req.path().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::POST, "/") => self.table_call(req).await,
+            (Method::POST, "/faults") => self.order_faults(&json_body(&mut req).await),
+            (Method::GET, "/counts") => json_response(StatusCode::OK, &*self.counts.borrow()),
+            (Method::PUT, "/instances") => {
+                *self.instances.borrow_mut() = json_body(&mut req).await;
+                json_response(StatusCode::OK, &json!({}))
+            }
+            (Method::GET, "/instances") => self.list_instances().await,
+            (method, path) if path.starts_with("/objects/") => {
+                self.count(&format!("objects {method}"));
+                let body = raw_body(&mut req).await;
+                let answer = || self.objects.borrow_mut().answer(&method, path, body);
+                under_mode(self.objects_mode.get(), answer).await
+            }
+            _ => error_response(StatusCode::NOT_FOUND, "no such service"),
+        }
+    }
+
+    async fn table_call(&self, mut req: Request) -> Response<BoxBody> {
+        let target = req.headers().get("x-amz-target").and_then(|v| v.to_str().ok());
+        let operation = target.and_then(|t| t.rsplit('.').next()).unwrap_or_default().to_owned();
+        self.count(&operation);
+        let body = json_body(&mut req).await;
+        let answer = || {
+            let (status, body) = self.table.borrow_mut().answer(&operation, &body);
+            json_response(StatusCode::from_u16(status).unwrap_or_default(), &body)
+        };
+        under_mode(self.table_mode.get(), answer).await
+    }
+
+    async fn list_instances(&self) -> Response<BoxBody> {
+        self.count("instances");
+        let answer = || json_response(StatusCode::OK, &*self.instances.borrow());
+        under_mode(self.instances_mode.get(), answer).await
+    }
+
+    fn order_faults(&self, order: &Value) -> Response<BoxBody> {
+        let Ok(order) = serde_json::from_value::<FaultOrder>(order.clone()) else {
+            return error_response(StatusCode::BAD_REQUEST, "unknown fault");
+        };
+        self.table_mode.set(order.table.unwrap_or(self.table_mode.get()));
+        self.objects_mode.set(order.objects.unwrap_or(self.objects_mode.get()));
+        self.instances_mode.set(order.instances.unwrap_or(self.instances_mode.get()));
+        json_response(StatusCode::OK, &json!({}))
+    }
+
+    fn count(&self, call: &str) {
+        *self.counts.borrow_mut().entry(call.to_owned()).or_default() += 1;
+    }
+}
+
+async fn under_mode(mode: Mode, answer: impl FnOnce() -> Response<BoxBody>) -> Response<BoxBody> {
+    match mode {
+        Mode::Up => answer(),
+        Mode::Unavailable => error_response(StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
+        Mode::Hang => std::future::pending().await,
+        Mode::LoseAnswers => {
+            drop(answer());
+            error_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer is lost")
+        }
+        Mode::Slow => {
+            tokio::time::sleep(SLOW).await;
+            answer()
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,93 @@
+//! Stand-in of a plain service.
+
+use std::cell::{Cell, RefCell};
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::PathBuf;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
+use clementine_objects::Millis;
+use clementine_process::http::json_response;
+use serde::Serialize;
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::error::{RecordSnafu, StandinError};
+use crate::web::{error_response, raw_body};
+
+/// Settings of the service.
+#[derive(Debug)]
+pub(crate) struct ServiceSettings {
+    pub(crate) record: Option<PathBuf>,
+    pub(crate) answer_time: Millis,
+}
+
+/// An operation that ran.
+#[derive(Debug, Serialize)]
+struct OperationRecord<'a> {
+    key: &'a str,
+    path: &'a str,
+    body: &'a str,
+}
+
+/// A service whose operations must not run twice.
+#[derive(Debug)]
+pub(crate) struct OrderService {
+    settings: ServiceSettings,
+    record: Option<RefCell<File>>,
+    operations: Cell<u64>,
+}
+
+impl OrderService {
+    /// Opens the record file.
+    pub(crate) fn open(settings: ServiceSettings) -> Result<Self, StandinError> {
+        let record = match &settings.record {
+            Some(path) => {
+                let file = OpenOptions::new().create(true).append(true).open(path);
+                Some(RefCell::new(file.context(RecordSnafu)?))
+            }
+            None => None,
+        };
+        Ok(Self { settings, record, operations: Cell::new(0) })
+    }
+
+    /// Answers one request.
+    pub(crate) async fn answer(&self, mut req: Request) -> Response<BoxBody> {
+        let path = req.uri().to_string();
+        if req.method() == Method::GET {
+            self.pause().await;
+            return json_response(StatusCode::OK, &json!({ "path": path, "stock": 12 }));
+        }
+        let key = req.headers().get("idempotency-key").and_then(|v| v.to_str().ok());
+        let key = key.unwrap_or_default().to_owned();
+        let body = String::from_utf8_lossy(&raw_body(&mut req).await).into_owned();
+        crash_if(&body, "crash-before");
+        let stored = self.store(&OperationRecord { key: &key, path: &path, body: &body });
+        if stored.is_err() {
+            return error_response(StatusCode::INTERNAL_SERVER_ERROR, "the record can't be written");
+        }
+        crash_if(&body, "crash-after");
+        self.pause().await;
+        json_response(StatusCode::OK, &json!({ "operation": self.operations.get(), "key": key }))
+    }
+
+    fn store(&self, operation: &OperationRecord<'_>) -> std::io::Result<()> {
+        self.operations.set(self.operations.get() + 1);
+        let Some(record) = &self.record else { return Ok(()) };
+        let line = serde_json::to_string(operation)?;
+        record.borrow_mut().write_all(format!("{line}\n").as_bytes())
+    }
+
+    async fn pause(&self) {
+        if self.settings.answer_time.0 > 0 {
+            tokio::time::sleep(self.settings.answer_time.duration()).await;
+        }
+    }
+}
+
+fn crash_if(body: &str, trigger: &str) {
+    if body.contains(trigger) {
+        std::process::abort();
+    }
+}
--- /dev/null
+++ b/crates/wire/src/transport/mod.rs
@@ -0,0 +1,8 @@
+//! tarpc over one byte stream.
+
+mod client;
+mod codec;
+mod server;
+
+pub use client::agent_client;
+pub use server::serve_agent;
