--- /dev/null
+++ b/crates/agent/src/answers/buffer.rs
@@ -0,0 +1,166 @@
+//! One answer and its readers.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clementine_decide::ids::Tick;
+use clementine_objects::Repeat;
+use clementine_wire::{AnswerEnd, AnswerHead, Progress, ReadReply};
+use tokio::sync::Notify;
+
+/// One answer: its head, its chunks and how it ended.
+#[derive(Debug)]
+pub(crate) struct AnswerBuffer {
+    repeat: Repeat,
+    limit_bytes: usize,
+    state: RefCell<State>,
+    written: Notify,
+    read: Notify,
+}
+
+/// Invariants: `chunks` holds the chunks `dropped..dropped + chunks.len()`;
+/// `bytes` is their total length; nothing is added after `end`.
+#[derive(Debug, Default)]
+struct State {
+    head: Option<AnswerHead>,
+    dropped: u32,
+    chunks: VecDeque<Bytes>,
+    bytes: usize,
+    end: Option<AnswerEnd>,
+    ended: Option<Tick>,
+    cancelled: bool,
+}
+
+impl AnswerBuffer {
+    /// An empty buffer of at most `limit_bytes`.
+    pub(crate) fn new(repeat: Repeat, limit_bytes: usize) -> Rc<Self> {
+        Rc::new(Self {
+            repeat,
+            limit_bytes,
+            state: RefCell::default(),
+            written: Notify::new(),
+            read: Notify::new(),
+        })
+    }
+
+    /// Whether the answer's request may be run again.
+    pub(crate) const fn repeat(&self) -> Repeat {
+        self.repeat
+    }
+
+    /// Bytes held.
+    pub(crate) fn bytes(&self) -> usize {
+        self.state.borrow().bytes
+    }
+
+    /// When the answer ended.
+    pub(crate) fn ended(&self) -> Option<Tick> {
+        self.state.borrow().ended
+    }
+
+    /// Whether the caller has given the request up.
+    pub(crate) fn is_cancelled(&self) -> bool {
+        self.state.borrow().cancelled
+    }
+
+    /// Notes that the caller has given the request up.
+    pub(crate) fn cancel(&self) {
+        self.state.borrow_mut().cancelled = true;
+        self.written.notify_waiters();
+        self.read.notify_waiters();
+    }
+
+    /// Waits until the caller has given the request up.
+    pub(crate) async fn cancelled(&self) {
+        while !self.is_cancelled() {
+            self.read.notified().await;
+        }
+    }
+
+    /// Sets status and headers.
+    pub(crate) fn set_head(&self, head: AnswerHead) {
+        self.state.borrow_mut().head = Some(head);
+        self.written.notify_waiters();
+    }
+
+    /// Adds a chunk. Waits while the reader of a repeatable request is behind
+    /// by more than the buffer holds; an answer that must be kept whole ends
+    /// as too large instead, and false is returned.
+    pub(crate) async fn push(&self, chunk: Bytes, now: Tick) -> bool {
+        while self.is_full(chunk.len()) {
+            if self.repeat == Repeat::Never {
+                self.finish(AnswerEnd::TooLarge, now);
+                return false;
+            }
+            if self.is_cancelled() {
+                return false;
+            }
+            self.read.notified().await;
+        }
+        let mut state = self.state.borrow_mut();
+        state.bytes += chunk.len();
+        state.chunks.push_back(chunk);
+        drop(state);
+        self.written.notify_waiters();
+        true
+    }
+
+    /// Ends the answer, unless it has ended.
+    pub(crate) fn finish(&self, end: AnswerEnd, now: Tick) {
+        let mut state = self.state.borrow_mut();
+        if state.end.is_none() {
+            state.end = Some(end);
+            state.ended = Some(now);
+        }
+        drop(state);
+        self.written.notify_waiters();
+        self.read.notify_waiters();
+    }
+
+    /// Progress from an offset on. The chunks before it are dropped when the
+    /// request may be run again.
+    pub(crate) fn read(&self, offset: u32) -> ReadReply {
+        if self.repeat == Repeat::Safe {
+            self.drop_before(offset);
+        }
+        let state = self.state.borrow();
+        let Some(skip) = offset.checked_sub(state.dropped) else { return ReadReply::NotHeld };
+        ReadReply::Progress(Progress {
+            head: if offset == 0 { state.head.clone() } else { None },
+            chunks: state.chunks.iter().skip(skip as usize).cloned().collect(),
+            end: state.end,
+        })
+    }
+
+    /// Waits until there is progress after an offset, the head included when
+    /// the offset is 0.
+    pub(crate) async fn changed(&self, offset: u32) {
+        while !self.has_progress(offset) {
+            self.written.notified().await;
+        }
+    }
+
+    fn has_progress(&self, offset: u32) -> bool {
+        let state = self.state.borrow();
+        let written = state.dropped + u32::try_from(state.chunks.len()).unwrap_or(u32::MAX);
+        written > offset || state.end.is_some() || state.cancelled
+    }
+
+    fn is_full(&self, more: usize) -> bool {
+        let state = self.state.borrow();
+        state.bytes > 0 && state.bytes + more > self.limit_bytes
+    }
+
+    fn drop_before(&self, offset: u32) {
+        let mut state = self.state.borrow_mut();
+        while state.dropped < offset {
+            let Some(chunk) = state.chunks.pop_front() else { break };
+            state.bytes -= chunk.len();
+            state.dropped += 1;
+        }
+        drop(state);
+        self.read.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/backend/mod.rs
@@ -0,0 +1,9 @@
+//! Calls to the backend server.
+
+mod call;
+mod client;
+mod events;
+mod headers;
+
+pub(crate) use call::{CallEnd, call_backend};
+pub(crate) use client::BackendClient;
--- /dev/null
+++ b/crates/agent/src/core/job.rs
@@ -0,0 +1,26 @@
+//! Work that the gate has accepted.
+
+use std::rc::Rc;
+
+use clementine_decide::gate::RunPermit;
+use clementine_decide::ids::Tick;
+use clementine_process::shutdown::InProgress;
+use clementine_wire::RunOrder;
+
+use crate::answers::AnswerBuffer;
+
+/// Work that the gate has accepted and that was not given to the backend
+/// server yet.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// The order.
+    pub(crate) order: RunOrder,
+    /// The right to run it.
+    pub(crate) permit: RunPermit,
+    /// Its answer.
+    pub(crate) answer: Rc<AnswerBuffer>,
+    /// Time by which the answer has to be there.
+    pub(crate) deadline: Tick,
+    /// Keeps a drain waiting until the job has ended.
+    pub(crate) _in_progress: InProgress,
+}
--- /dev/null
+++ b/crates/agent/src/core/mod.rs
@@ -0,0 +1,11 @@
+//! The agent's state and the path of a request through it.
+
+mod health;
+mod job;
+mod metrics;
+mod state;
+mod work;
+
+pub(crate) use job::Job;
+pub(crate) use metrics::AgentMetrics;
+pub(crate) use state::Core;
--- /dev/null
+++ b/crates/agent/src/core/state.rs
@@ -0,0 +1,221 @@
+//! The agent's state.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clementine_decide::admission::{Admission, AdmissionLimits};
+use clementine_decide::balance::LoadReport;
+use clementine_decide::config::{ConfigUpdate, HeldConfig};
+use clementine_decide::gate::Gate;
+use clementine_decide::ids::{AgentRef, IncarnationId};
+use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
+use clementine_decide::stage::StageLimits;
+use clementine_objects::{Repeat, Revision};
+use clementine_process::admin::AdminProcess;
+use clementine_process::clock::Clock;
+use clementine_process::shutdown::Drain;
+use clementine_wire::{AgentDescription, AgentNews, AgentState};
+use opentelemetry::metrics::Meter;
+use serde_json::{Value, json};
+use spdlog::{info, warn};
+
+use super::{AgentMetrics, Job};
+use crate::answers::{Shelf, ShelfLimits};
+use crate::backend::BackendClient;
+use crate::settings::AgentSettings;
+use crate::stages::StageRunner;
+
+/// Slots before the pool's declaration is known.
+const SLOTS_UNCONFIGURED: usize = 1;
+
+/// The agent's state.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(super) settings: AgentSettings,
+    pub(super) clock: Clock,
+    pub(super) backend: BackendClient,
+    /// Gate of operations that may run once only.
+    pub(super) once: RefCell<Gate>,
+    /// Gate of requests that may be run again under another work id.
+    pub(super) repeatable: RefCell<Gate>,
+    pub(super) admission: RefCell<Admission<Job>>,
+    pub(super) shelf: RefCell<Shelf>,
+    pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) suspects_running: Cell<u32>,
+    pub(super) backend_up: Cell<bool>,
+    pub(super) drain: Drain,
+    pub(super) metrics: AgentMetrics,
+    address: SocketAddr,
+    incarnation: IncarnationId,
+    config: RefCell<HeldConfig>,
+    stages: Rc<StageRunner>,
+}
+
+impl Core {
+    /// The state of an agent that listens on an address.
+    pub(crate) fn new(
+        settings: AgentSettings,
+        address: SocketAddr,
+        drain: Drain,
+        meter: &Meter,
+    ) -> Rc<Self> {
+        let incarnation = IncarnationId(rand::random());
+        let limits = AdmissionLimits { slots: SLOTS_UNCONFIGURED, queue: settings.queue };
+        let shelf = ShelfLimits {
+            answer_bytes: settings.answer_bytes,
+            total_bytes: settings.total_bytes,
+            keep_repeatable: settings.keep_repeatable,
+            keep_once: settings.keep_once,
+        };
+        let backend = BackendClient::new(&settings.backend);
+        let clock = Clock::start();
+        let stage_limits =
+            StageLimits { requests: settings.stage_requests, output_size: settings.stage_bytes };
+        Rc::new(Self {
+            clock,
+            once: RefCell::new(Gate::new(incarnation, settings.gate_records)),
+            repeatable: RefCell::new(Gate::new(incarnation, settings.gate_records)),
+            admission: RefCell::new(Admission::new(limits)),
+            shelf: RefCell::new(Shelf::new(shelf)),
+            quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
+            suspects_running: Cell::new(0),
+            backend_up: Cell::new(false),
+            drain,
+            metrics: AgentMetrics::new(meter),
+            address,
+            incarnation,
+            config: RefCell::default(),
+            stages: StageRunner::new(backend.clone(), clock, stage_limits),
+            backend,
+            settings,
+        })
+    }
+
+    /// The stages of split models.
+    pub(crate) const fn stages(&self) -> &Rc<StageRunner> {
+        &self.stages
+    }
+
+    /// The agent as claims name it now.
+    pub(crate) fn agent_ref(&self) -> AgentRef {
+        let epoch = self.once.borrow().epoch();
+        AgentRef { address: self.address, incarnation: self.incarnation, epoch }
+    }
+
+    /// The agent's description of itself.
+    pub(crate) fn describe(&self) -> AgentDescription {
+        AgentDescription {
+            pool: self.settings.pool.clone(),
+            domain: self.settings.domain.clone(),
+            news: self.news(),
+        }
+    }
+
+    /// What changes about the agent.
+    pub(crate) fn news(&self) -> AgentNews {
+        AgentNews {
+            agent: self.agent_ref(),
+            state: self.state(),
+            load: self.load(),
+            revision: self.config.borrow().revision(),
+        }
+    }
+
+    /// Takes an update of the configuration and returns the revision held.
+    pub(crate) fn configure(self: &Rc<Self>, update: &ConfigUpdate) -> Revision {
+        let taken = self.config.borrow_mut().take_update(update);
+        let revision = self.config.borrow().revision();
+        match taken {
+            Ok(true) => {
+                info!("config: revision {} is in force", revision);
+                self.apply_config();
+            }
+            Ok(false) => {}
+            Err(error) => warn!("config: update refused: {}", error),
+        }
+        revision
+    }
+
+    /// What a process at a revision has to learn.
+    pub(crate) fn config_since(&self, revision: Revision) -> ConfigUpdate {
+        self.config.borrow().update_since(revision)
+    }
+
+    /// The gate of requests of a kind.
+    pub(super) const fn gate(&self, repeat: Repeat) -> &RefCell<Gate> {
+        match repeat {
+            Repeat::Safe => &self.repeatable,
+            Repeat::Never => &self.once,
+        }
+    }
+
+    fn apply_config(self: &Rc<Self>) {
+        let Some(snapshot) = self.config.borrow().snapshot() else { return };
+        let Some(pool) = snapshot.catalog.pool(&self.settings.pool) else { return };
+        let slots = usize::try_from(pool.concurrency).unwrap_or(usize::MAX);
+        let limits = AdmissionLimits { slots, queue: self.settings.queue };
+        let started = self.admission.borrow_mut().set_limits(limits);
+        self.start_all(started);
+    }
+
+    fn state(&self) -> AgentState {
+        if self.drain.is_draining() {
+            AgentState::Leaving
+        } else if self.backend_up.get() {
+            AgentState::Ready
+        } else {
+            AgentState::Starting
+        }
+    }
+
+    fn load(&self) -> LoadReport {
+        let admission = self.admission.borrow();
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        LoadReport {
+            running: count(admission.running()),
+            queued: count(admission.queued()),
+            slots: count(admission.slots()),
+            service_time: admission.service_time(),
+        }
+    }
+}
+
+impl AdminProcess for Core {
+    fn not_ready(&self) -> Option<String> {
+        match self.state() {
+            AgentState::Ready => None,
+            AgentState::Starting => Some("the backend server accepts no connections".to_owned()),
+            AgentState::Leaving => Some("leaving".to_owned()),
+        }
+    }
+
+    fn state(&self) -> Value {
+        let shelf = self.shelf.borrow();
+        json!({
+            "process": "clementine-agent",
+            "version": env!("CARGO_PKG_VERSION"),
+            "description": self.describe(),
+            "backend": self.settings.backend,
+            "in_progress": self.drain.in_progress(),
+            "gate": {
+                "epoch": self.once.borrow().epoch(),
+                "once_records": self.once.borrow().len(),
+                "repeatable_records": self.repeatable.borrow().len(),
+                "records_limit": 2 * self.settings.gate_records,
+            },
+            "answers": {
+                "count": shelf.len(),
+                "bytes": shelf.bytes(),
+                "bytes_limit": self.settings.total_bytes,
+            },
+            "quarantine": self.quarantine.borrow().len(),
+            "stages": {
+                "requests": self.stages.len(),
+                "requests_limit": self.settings.stage_requests,
+                "output_bytes": self.stages.output_bytes(),
+                "output_bytes_limit": self.settings.stage_bytes,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/agent/src/core/work.rs
@@ -0,0 +1,246 @@
+//! The path of a request through the agent.
+
+use std::rc::Rc;
+
+use clementine_decide::admission::{Offer, Urgency};
+use clementine_decide::gate::{AcceptVerdict, AttachVerdict, RunPermit, WorkTag};
+use clementine_decide::ids::{Tick, WorkId};
+use clementine_objects::{Millis, Repeat};
+use clementine_wire::{
+    AnswerEnd, AttachStart, NotRunReason, Progress, ReadOrder, ReadReply, RunOrder, RunRefusal,
+    RunStart,
+};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::{Core, Job};
+use crate::answers::AnswerBuffer;
+use crate::backend::{CallEnd, call_backend};
+use crate::stages::run_chain;
+
+/// Longest wait for the first progress of accepted work.
+const FIRST_PROGRESS_WAIT: Millis = Millis(200);
+
+/// Pause that a refused suspect is told, while another one runs here.
+const SUSPECT_PAUSE: Millis = Millis(100);
+
+/// Pause between sweeps of what is kept.
+const SWEEP_PAUSE: Millis = Millis(1_000);
+
+impl Core {
+    /// Decides on an order, runs it when admitted and returns its first
+    /// progress.
+    pub(crate) async fn run(self: &Rc<Self>, order: RunOrder) -> RunStart {
+        let (work, repeat) = (order.tag.work, order.repeat);
+        let verdict = self.gate(repeat).borrow_mut().accept(&order.tag);
+        match verdict {
+            AcceptVerdict::Run(permit) => {
+                if let Err(refusal) = self.admit(order, permit) {
+                    return RunStart::Refused(refusal, self.news());
+                }
+            }
+            AcceptVerdict::Accepted => {}
+            AcceptVerdict::Sealed | AcceptVerdict::NotCurrent => {
+                let refusal = self.refusal(NotRunReason::NotCurrent, None);
+                return RunStart::Refused(refusal, self.news());
+            }
+        }
+        match self.read(ReadOrder { work, offset: 0, wait: FIRST_PROGRESS_WAIT }).await {
+            ReadReply::Progress(progress) => RunStart::Started(progress, self.news()),
+            ReadReply::NotHeld => {
+                let lost = Progress { end: Some(AnswerEnd::BackendLost), ..Progress::default() };
+                RunStart::Started(lost, self.news())
+            }
+        }
+    }
+
+    /// Progress of work from an offset on.
+    pub(crate) async fn read(&self, order: ReadOrder) -> ReadReply {
+        let Some(answer) = self.shelf.borrow().get(order.work) else { return ReadReply::NotHeld };
+        let _ = timeout(order.wait.duration(), answer.changed(order.offset)).await;
+        answer.read(order.offset)
+    }
+
+    /// Attaches to an operation, sealing it where it was not accepted.
+    pub(crate) fn attach(&self, tag: &WorkTag) -> AttachStart {
+        match self.once.borrow_mut().attach(tag) {
+            AttachVerdict::Accepted if self.shelf.borrow().get(tag.work).is_some() => {
+                AttachStart::Accepted
+            }
+            AttachVerdict::Accepted | AttachVerdict::Forgotten => AttachStart::Forgotten,
+            AttachVerdict::Sealed => AttachStart::Sealed,
+            AttachVerdict::OtherIncarnation => AttachStart::OtherIncarnation,
+        }
+    }
+
+    /// Gives up work: waiting work never runs, running work that may be run
+    /// again is broken off.
+    pub(crate) fn cancel(&self, work: WorkId) {
+        let waiting = self.admission.borrow_mut().take(work);
+        if let Some(job) = waiting {
+            self.end_unrun(job, NotRunReason::Cancelled);
+            return;
+        }
+        if let Some(answer) = self.shelf.borrow().get(work) {
+            answer.cancel();
+        }
+    }
+
+    /// Starts jobs that have got a slot.
+    pub(super) fn start_all(self: &Rc<Self>, jobs: Vec<Job>) {
+        for job in jobs {
+            let core = Rc::clone(self);
+            spawn_local(async move { core.execute(job).await });
+        }
+    }
+
+    /// Sweeps kept answers and requests of split models for ever.
+    pub(crate) async fn sweep(self: Rc<Self>) {
+        loop {
+            sleep(SWEEP_PAUSE.duration()).await;
+            self.shelf.borrow_mut().sweep(self.clock.now());
+            self.stages().sweep();
+        }
+    }
+
+    fn admit(self: &Rc<Self>, order: RunOrder, permit: RunPermit) -> Result<(), RunRefusal> {
+        if let Some(refusal) = self.precheck(&order) {
+            self.gate(order.repeat).borrow_mut().withdraw(permit);
+            return Err(refusal);
+        }
+        let now = self.clock.now();
+        let (work, repeat) = (order.tag.work, order.repeat);
+        let urgency = Urgency { level: order.level, deadline: now.after(order.time_left) };
+        let answer = self.shelf.borrow_mut().open(work, repeat);
+        let _in_progress = self.drain.enter();
+        let job = Job { order, permit, answer, deadline: urgency.deadline, _in_progress };
+        let offer = self.admission.borrow_mut().offer(work, job, urgency, now);
+        match offer {
+            Offer::Start(job) => self.start_all(vec![job]),
+            Offer::Queued => self.expire_at(urgency.deadline),
+            Offer::Refused(refused) => {
+                self.shelf.borrow_mut().close(work);
+                self.gate(repeat).borrow_mut().withdraw(refused.item.permit);
+                return Err(self.refusal(NotRunReason::Overloaded, Some(refused.retry_after)));
+            }
+        }
+        Ok(())
+    }
+
+    fn precheck(&self, order: &RunOrder) -> Option<RunRefusal> {
+        if self.drain.is_draining() {
+            return Some(self.refusal(NotRunReason::Leaving, None));
+        }
+        let now = self.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.learn(order.fingerprint, order.crashes, now);
+        if quarantine.is_quarantined(order.fingerprint, now) {
+            return Some(self.refusal(NotRunReason::Quarantined, None));
+        }
+        let suspect = quarantine.must_run_alone(order.fingerprint, now);
+        if suspect && self.suspects_running.get() > 0 {
+            return Some(self.refusal(NotRunReason::Overloaded, Some(SUSPECT_PAUSE)));
+        }
+        (!self.backend_up.get()).then(|| self.refusal(NotRunReason::BackendDown, None))
+    }
+
+    fn refusal(&self, reason: NotRunReason, retry_after: Option<Millis>) -> RunRefusal {
+        self.metrics.count_refusal(reason_label(reason));
+        RunRefusal { reason, retry_after }
+    }
+
+    fn expire_at(self: &Rc<Self>, deadline: Tick) {
+        let core = Rc::clone(self);
+        spawn_local(async move {
+            sleep(deadline.since(core.clock.now()).duration()).await;
+            let expired = core.admission.borrow_mut().take_expired(core.clock.now());
+            for job in expired {
+                core.end_unrun(job, NotRunReason::DeadlinePassed);
+            }
+        });
+    }
+
+    async fn execute(self: &Rc<Self>, job: Job) {
+        let started = self.clock.now();
+        let fingerprint = job.order.fingerprint;
+        let suspect = self.quarantine.borrow().must_run_alone(fingerprint, started);
+        self.suspects_running.update(|n| n + u32::from(suspect));
+        let end = self.call(&job).await;
+        self.suspects_running.update(|n| n - u32::from(suspect));
+        let took = self.clock.now().since(started);
+        let freed = match end {
+            CallEnd::NeverSent => {
+                self.note_backend_down();
+                self.end_unrun(job, NotRunReason::BackendDown);
+                self.admission.borrow_mut().release()
+            }
+            CallEnd::Sent(end) => {
+                self.note_end(&job, end);
+                job.answer.finish(end, self.clock.now());
+                self.admission.borrow_mut().finish(took)
+            }
+        };
+        self.start_all(freed);
+    }
+
+    /// Runs a job until it ends, its time is over or its caller gives it up.
+    async fn call(self: &Rc<Self>, job: &Job) -> CallEnd {
+        let time_left = job.deadline.since(self.clock.now());
+        let may_break_off = job.order.repeat == Repeat::Safe;
+        let limit = if may_break_off { time_left } else { self.settings.operation_limit };
+        tokio::select! {
+            end = self.send(&job.order, &job.answer) => end,
+            () = sleep(limit.duration()) => CallEnd::Sent(AnswerEnd::DeadlinePassed),
+            () = job.answer.cancelled(), if may_break_off => CallEnd::Sent(AnswerEnd::Cancelled),
+        }
+    }
+
+    async fn send(self: &Rc<Self>, order: &RunOrder, answer: &AnswerBuffer) -> CallEnd {
+        match &order.split {
+            None => call_backend(&self.backend, order, answer, &self.clock).await,
+            Some(plan) => run_chain(self.stages(), order, plan, answer, &self.clock).await,
+        }
+    }
+
+    fn note_end(&self, job: &Job, end: AnswerEnd) {
+        self.metrics.count_run(end_label(end));
+        let mut quarantine = self.quarantine.borrow_mut();
+        match end {
+            AnswerEnd::BackendLost if job.order.split.is_none() => {
+                quarantine.note_crash(job.order.fingerprint, self.clock.now());
+            }
+            AnswerEnd::Complete => quarantine.note_success(job.order.fingerprint),
+            _ => {}
+        }
+    }
+
+    fn end_unrun(&self, job: Job, reason: NotRunReason) {
+        let refusal = self.refusal(reason, None);
+        self.gate(job.order.repeat).borrow_mut().withdraw(job.permit);
+        let end = AnswerEnd::NotRun { reason: refusal.reason, retry_after: refusal.retry_after };
+        job.answer.finish(end, self.clock.now());
+    }
+}
+
+const fn reason_label(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::Overloaded => "overloaded",
+        NotRunReason::DeadlinePassed => "deadline_passed",
+        NotRunReason::Leaving => "leaving",
+        NotRunReason::NotCurrent => "not_current",
+        NotRunReason::BackendDown => "backend_down",
+        NotRunReason::Quarantined => "quarantined",
+        NotRunReason::Cancelled => "cancelled",
+    }
+}
+
+const fn end_label(end: AnswerEnd) -> &'static str {
+    match end {
+        AnswerEnd::Complete => "complete",
+        AnswerEnd::NotRun { .. } => "not_run",
+        AnswerEnd::BackendLost => "backend_lost",
+        AnswerEnd::DeadlinePassed => "deadline_passed",
+        AnswerEnd::Cancelled => "cancelled",
+        AnswerEnd::TooLarge => "too_large",
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,1 +1,23 @@
-fn main() {}
+//! The agent: the one gate to the backend server beside it.
+
+mod answers;
+mod backend;
+mod core;
+mod error;
+mod run;
+mod service;
+mod settings;
+mod stages;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = settings::command().get_matches();
+    match settings::AgentSettings::read(&matches).map_err(Into::into).and_then(run::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("clementine-agent: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/service/mod.rs
@@ -0,0 +1,66 @@
+//! The agent's service for entries and other agents.
+
+use std::rc::Rc;
+
+use clementine_decide::config::ConfigUpdate;
+use clementine_decide::gate::WorkTag;
+use clementine_decide::ids::WorkId;
+use clementine_objects::Revision;
+use clementine_wire::{
+    Agent, AgentDescription, AttachStart, ReadOrder, ReadReply, RunOrder, RunStart, StageOrder,
+    StageReply,
+};
+use tarpc::context::Context;
+
+use crate::core::Core;
+
+/// Serves the agent's calls.
+#[derive(Debug, Clone)]
+pub(crate) struct AgentService {
+    core: Rc<Core>,
+}
+
+impl AgentService {
+    /// The service of an agent.
+    pub(crate) const fn new(core: Rc<Core>) -> Self {
+        Self { core }
+    }
+}
+
+impl Agent for AgentService {
+    async fn describe(self, _: Context) -> AgentDescription {
+        self.core.describe()
+    }
+
+    async fn run(self, _: Context, order: RunOrder) -> RunStart {
+        self.core.run(order).await
+    }
+
+    async fn read(self, _: Context, order: ReadOrder) -> ReadReply {
+        self.core.read(order).await
+    }
+
+    async fn attach(self, _: Context, tag: WorkTag) -> AttachStart {
+        self.core.attach(&tag)
+    }
+
+    async fn cancel(self, _: Context, work: WorkId) {
+        self.core.cancel(work);
+    }
+
+    async fn configure(self, _: Context, update: ConfigUpdate) -> Revision {
+        self.core.configure(&update)
+    }
+
+    async fn config_since(self, _: Context, revision: Revision) -> ConfigUpdate {
+        self.core.config_since(revision)
+    }
+
+    async fn stage(self, _: Context, order: StageOrder) -> StageReply {
+        self.core.stages().step(order).await
+    }
+
+    async fn close_stage(self, _: Context, work: WorkId) {
+        self.core.stages().close(work);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/stages/completion.rs
@@ -0,0 +1,98 @@
+//! Completion requests of split models, in the OpenAI-compatible format.
+
+use bytes::Bytes;
+use clementine_wire::{AnswerHead, Header, RunOrder};
+use serde_json::{Value, json};
+
+/// Tokens generated when a request names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// A completion request whose model is split.
+#[derive(Debug, Clone)]
+pub(super) struct SplitCompletion {
+    id: String,
+    model: String,
+    chat: bool,
+    /// Whether the answer is streamed.
+    pub(super) stream: bool,
+    /// Text from which the first stage starts.
+    pub(super) prompt: String,
+    /// Tokens to generate.
+    pub(super) max_tokens: u32,
+}
+
+impl SplitCompletion {
+    /// Reads a request that the entry has checked.
+    pub(super) fn parse(order: &RunOrder) -> Option<Self> {
+        let body: Value = serde_json::from_slice(&order.body).ok()?;
+        let chat = order.path.ends_with("/chat/completions");
+        let prompt = if chat { chat_prompt(&body)? } else { body["prompt"].as_str()?.to_owned() };
+        let max_tokens = body["max_tokens"].as_u64();
+        Some(Self {
+            id: format!("chatcmpl-{}", order.request),
+            model: body["model"].as_str()?.to_owned(),
+            chat,
+            stream: body["stream"].as_bool().unwrap_or(false),
+            prompt,
+            max_tokens: max_tokens.map_or(DEFAULT_MAX_TOKENS, |n| n as u32),
+        })
+    }
+
+    /// Status and headers of the answer.
+    pub(super) fn head(&self) -> AnswerHead {
+        let value = if self.stream { "text/event-stream" } else { "application/json" };
+        let content_type =
+            Header { name: "content-type".into(), value: Bytes::from_static(value.as_bytes()) };
+        AnswerHead { status: 200, headers: vec![content_type] }
+    }
+
+    /// The event of one token.
+    pub(super) fn token_event(&self, token: &str) -> Bytes {
+        self.event(if self.chat { json!({ "content": token }) } else { token.into() }, Value::Null)
+    }
+
+    /// The last events.
+    pub(super) fn end_events(&self) -> Bytes {
+        let empty = if self.chat { json!({}) } else { "".into() };
+        let last = self.event(empty, "length".into());
+        [&last[..], b"data: [DONE]\n\n"].concat().into()
+    }
+
+    /// The whole answer.
+    pub(super) fn whole(&self, text: &str) -> Bytes {
+        let choice = if self.chat {
+            let message = json!({ "role": "assistant", "content": text });
+            json!({ "index": 0, "finish_reason": "length", "message": message })
+        } else {
+            json!({ "index": 0, "finish_reason": "length", "text": text })
+        };
+        let whole = json!({
+            "id": self.id,
+            "object": if self.chat { "chat.completion" } else { "text_completion" },
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+            "usage": { "completion_tokens": self.max_tokens },
+        });
+        whole.to_string().into_bytes().into()
+    }
+
+    fn event(&self, content: Value, finish: Value) -> Bytes {
+        let field = if self.chat { "delta" } else { "text" };
+        let event = json!({
+            "id": self.id,
+            "object": if self.chat { "chat.completion.chunk" } else { "text_completion" },
+            "created": 0,
+            "model": self.model,
+            "choices": [{ "index": 0, field: content, "finish_reason": finish }],
+        });
+        format!("data: {event}\n\n").into_bytes().into()
+    }
+}
+
+/// The last user message.
+fn chat_prompt(body: &Value) -> Option<String> {
+    let messages = body["messages"].as_array()?;
+    let user = messages.iter().rfind(|message| message["role"] == "user")?;
+    user["content"].as_str().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/agent/src/stages/runner.rs
@@ -0,0 +1,149 @@
+//! Runs the steps of this agent's stage.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use clementine_decide::ids::WorkId;
+use clementine_decide::stage::{StageEpoch, StageGate, StageInput, StageLimits, StageVerdict};
+use clementine_objects::Millis;
+use clementine_process::clock::Clock;
+use clementine_wire::{AgentLink, LinkLimits, StageOrder, StageReply};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use super::engine;
+use crate::backend::BackendClient;
+
+/// Time after which an unused request is forgotten.
+const UNUSED_LIMIT: Millis = Millis(60_000);
+
+/// The next stage's agent in use for a request.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct HopChoice {
+    /// Index among the agents of the next stage.
+    pub(super) target: usize,
+    /// Epoch of the request there.
+    pub(super) epoch: StageEpoch,
+}
+
+/// Runs the steps of this agent's stage.
+#[derive(Debug)]
+pub(crate) struct StageRunner {
+    engine: BackendClient,
+    clock: Clock,
+    gate: RefCell<StageGate<Bytes>>,
+    hops: RefCell<HashMap<WorkId, HopChoice>>,
+    links: RefCell<HashMap<SocketAddr, Rc<AgentLink>>>,
+    completed: Notify,
+}
+
+impl StageRunner {
+    /// A stage at an engine.
+    pub(crate) fn new(engine: BackendClient, clock: Clock, limits: StageLimits) -> Rc<Self> {
+        Rc::new(Self {
+            engine,
+            clock,
+            gate: RefCell::new(StageGate::new(limits)),
+            hops: RefCell::default(),
+            links: RefCell::default(),
+            completed: Notify::new(),
+        })
+    }
+
+    /// Requests that the stage holds.
+    pub(crate) fn len(&self) -> usize {
+        self.gate.borrow().len()
+    }
+
+    /// Bytes of the outputs that the stage holds.
+    pub(crate) fn output_bytes(&self) -> usize {
+        self.gate.borrow().output_size()
+    }
+
+    /// Runs one step here, unless it has run, and at the stages after this
+    /// one.
+    pub(crate) async fn step(self: &Rc<Self>, order: StageOrder) -> StageReply {
+        let output = match self.output(order.input, &order.activation).await {
+            Ok(output) => output,
+            Err(reply) => return reply,
+        };
+        if order.rebuild {
+            return StageReply::Rebuilt;
+        }
+        self.pass_on(order.input, output, &order.stages).await
+    }
+
+    /// Ends a request.
+    pub(crate) fn close(&self, work: WorkId) {
+        self.gate.borrow_mut().close(work, self.clock.now());
+        self.hops.borrow_mut().remove(&work);
+    }
+
+    /// Forgets requests that are not used any more.
+    pub(crate) fn sweep(&self) {
+        let swept = self.gate.borrow_mut().sweep(UNUSED_LIMIT, self.clock.now());
+        let mut hops = self.hops.borrow_mut();
+        for work in swept {
+            hops.remove(&work);
+        }
+    }
+
+    /// The link to another agent.
+    pub(super) fn link(&self, address: SocketAddr) -> Rc<AgentLink> {
+        let mut links = self.links.borrow_mut();
+        let new = || Rc::new(AgentLink::new(address, LinkLimits::default()));
+        Rc::clone(links.entry(address).or_insert_with(new))
+    }
+
+    /// The next stage's agent in use for a request.
+    pub(super) fn hop(&self, work: WorkId) -> HopChoice {
+        self.hops.borrow().get(&work).copied().unwrap_or_default()
+    }
+
+    /// Changes the next stage's agent in use for a request.
+    pub(super) fn set_hop(&self, work: WorkId, hop: HopChoice) {
+        self.hops.borrow_mut().insert(work, hop);
+    }
+
+    /// The kept output of a step.
+    pub(super) fn kept(&self, input: StageInput) -> Option<Bytes> {
+        self.gate.borrow().output(input.work, input.token)
+    }
+
+    /// The output of a step: of the engine, or of the earlier run.
+    async fn output(
+        self: &Rc<Self>,
+        input: StageInput,
+        activation: &Bytes,
+    ) -> Result<Bytes, StageReply> {
+        loop {
+            let verdict = self.gate.borrow_mut().offer(input, self.clock.now());
+            match verdict {
+                StageVerdict::Run => self.start(input, activation.clone()),
+                StageVerdict::Running => {}
+                StageVerdict::Ran(output) => return Ok(output),
+                StageVerdict::Gap { expected } => return Err(StageReply::Gap { expected }),
+                StageVerdict::Replaced { open } => return Err(StageReply::Replaced { open }),
+                StageVerdict::Lost | StageVerdict::Closed | StageVerdict::Full => {
+                    return Err(StageReply::Failed);
+                }
+            }
+            self.completed.notified().await;
+        }
+    }
+
+    /// Runs a step at the engine, to its end even when the caller is gone.
+    fn start(self: &Rc<Self>, input: StageInput, activation: Bytes) {
+        let runner = Rc::clone(self);
+        spawn_local(async move {
+            match engine::forward(&runner.engine, input, &activation).await {
+                Some(output) => drop(runner.gate.borrow_mut().complete(input, output)),
+                None => runner.gate.borrow_mut().abandon(input),
+            }
+            runner.completed.notify_waiters();
+        });
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/apply.rs
@@ -0,0 +1,99 @@
+//! `clementinectl apply`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clementine_objects::{Change, Revision, Snapshot};
+
+use super::change;
+use crate::error::CliError;
+use crate::files::DeclaredObjects;
+use crate::server::ServerClient;
+
+/// Name of the command.
+pub(super) const NAME: &str = "apply";
+
+const USAGE: &str = "\
+Stores the objects of YAML files, all or none. The whole configuration is
+checked first. With `--revision`, restores the objects of an earlier revision
+as a new one.
+
+Usage:
+    clementinectl apply -f FILE... [--dry-run]
+    clementinectl apply --revision N [--dry-run]";
+
+#[derive(Debug)]
+struct Args {
+    files: Vec<PathBuf>,
+    revision: Option<Revision>,
+    dry_run: bool,
+    author: String,
+}
+
+/// The command's flags.
+pub(super) fn command() -> Command {
+    let files = Arg::new("file")
+        .short('f')
+        .long("file")
+        .value_name("FILE")
+        .help("YAML file, `-` for standard input")
+        .num_args(1..)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
+        .required_unless_present("revision");
+    let revision = Arg::new("revision")
+        .long("revision")
+        .value_name("N")
+        .help("Revision whose objects are restored")
+        .value_parser(value_parser!(u64))
+        .conflicts_with("file");
+    Command::new(NAME)
+        .about("Store objects")
+        .long_about(USAGE)
+        .arg(files)
+        .arg(revision)
+        .arg(change::dry_run_arg())
+        .arg(change::author_arg())
+}
+
+/// Runs the command.
+pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let args = Args {
+        files: matches.get_many("file").into_iter().flatten().cloned().collect(),
+        revision: matches.get_one("revision").copied().map(Revision),
+        dry_run: matches.get_flag("dry-run"),
+        author: matches.get_one("author").cloned().unwrap_or_default(),
+    };
+    let declared = DeclaredObjects::read(&args.files)?;
+    let stored = client.objects().await?;
+    let catalog = stored.catalog();
+    let wanted = match args.revision {
+        Some(revision) => Change::between(&catalog, &restored(client, revision).await?.catalog),
+        None => Change { puts: declared.objects.clone(), deletes: Vec::new() },
+    };
+    let effective = Change::between(&catalog, &catalog.with(&wanted));
+    change::check(&catalog, &effective, &declared)?;
+    change::print(&catalog, &effective);
+    if args.dry_run {
+        println!("checked against revision {}, nothing published", stored.revision);
+        return Ok(ExitCode::SUCCESS);
+    }
+    change::publish(client, stored.revision, &args.author, &effective, &declared).await?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// The configuration at an earlier revision, rebuilt from the history.
+async fn restored(client: &ServerClient, revision: Revision) -> Result<Snapshot, CliError> {
+    let mut snapshot = Snapshot::default();
+    for record in client.history().await? {
+        if record.revision > revision {
+            break;
+        }
+        snapshot = snapshot.advance(&record)?;
+    }
+    if snapshot.revision == revision {
+        return Ok(snapshot);
+    }
+    Err(CliError::NotFound { object: format!("revision {revision}") })
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/change.rs
@@ -0,0 +1,70 @@
+//! What the commands that change objects share.
+
+use clap::Arg;
+use clementine_objects::{Catalog, Change, Revision, check_catalog};
+
+use crate::error::CliError;
+use crate::files::DeclaredObjects;
+use crate::server::{ChangeOutcome, ServerClient};
+
+/// The flag that names the author of a change.
+pub(super) fn author_arg() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .help("Who makes the change")
+        .env("USER")
+        .default_value("operator")
+}
+
+/// The flag that checks a change without publishing it.
+pub(super) fn dry_run_arg() -> Arg {
+    Arg::new("dry-run")
+        .long("dry-run")
+        .help("Check the change and publish nothing")
+        .action(clap::ArgAction::SetTrue)
+}
+
+/// Checks a change against a catalog; reports all faults with their files.
+pub(super) fn check(
+    catalog: &Catalog,
+    change: &Change,
+    declared: &DeclaredObjects,
+) -> Result<(), CliError> {
+    let faults = check_catalog(&catalog.with(change));
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(CliError::Faulty { faults: faults.iter().map(|fault| declared.locate(fault)).collect() })
+}
+
+/// Publishes a change and says what became of it.
+pub(super) async fn publish(
+    client: &ServerClient,
+    base: Revision,
+    author: &str,
+    change: &Change,
+    declared: &DeclaredObjects,
+) -> Result<(), CliError> {
+    match client.publish(base, author, change).await? {
+        ChangeOutcome::Accepted(revision) => println!("accepted as revision {revision}"),
+        ChangeOutcome::Empty => println!("nothing to change"),
+        ChangeOutcome::Faulty(faults) => {
+            let faults = faults.iter().map(|fault| declared.locate(fault)).collect();
+            return Err(CliError::Faulty { faults });
+        }
+    }
+    Ok(())
+}
+
+/// Lists the objects that a change stores and deletes.
+pub(super) fn print(catalog: &Catalog, change: &Change) {
+    for object in &change.puts {
+        let reference = object.reference();
+        let known = catalog.object(reference.kind, &reference.name).is_some();
+        println!("{} {reference}", if known { "~" } else { "+" });
+    }
+    for reference in &change.deletes {
+        println!("- {reference}");
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/delete.rs
@@ -0,0 +1,67 @@
+//! `clementinectl delete`.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use clementine_objects::{Change, ObjectKind, ObjectRef};
+
+use super::change;
+use crate::error::CliError;
+use crate::files::DeclaredObjects;
+use crate::server::ServerClient;
+
+/// Name of the command.
+pub(super) const NAME: &str = "delete";
+
+const USAGE: &str = "\
+Deletes one object. It is refused while another object refers to it.
+
+Usage:
+    clementinectl delete KIND NAME [--dry-run]";
+
+#[derive(Debug)]
+struct Args {
+    object: ObjectRef,
+    dry_run: bool,
+    author: String,
+}
+
+/// The command's flags.
+pub(super) fn command() -> Command {
+    let kind = Arg::new("kind")
+        .value_name("KIND")
+        .help("pool, route, model, workspace or priority")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<ObjectKind>());
+    Command::new(NAME)
+        .about("Delete an object")
+        .long_about(USAGE)
+        .arg(kind)
+        .arg(Arg::new("name").value_name("NAME").help("Name of the object").required(true))
+        .arg(change::dry_run_arg())
+        .arg(change::author_arg())
+}
+
+/// Runs the command.
+pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let kind = matches.get_one("kind").copied().unwrap_or(ObjectKind::Pool);
+    let name: String = matches.get_one("name").cloned().unwrap_or_default();
+    let args = Args {
+        object: ObjectRef { kind, name: name.into() },
+        dry_run: matches.get_flag("dry-run"),
+        author: matches.get_one("author").cloned().unwrap_or_default(),
+    };
+    let stored = client.objects().await?;
+    let catalog = stored.catalog();
+    if catalog.object(args.object.kind, &args.object.name).is_none() {
+        return Err(CliError::NotFound { object: args.object.to_string() });
+    }
+    let deletion = Change { puts: Vec::new(), deletes: vec![args.object] };
+    let declared = DeclaredObjects::default();
+    change::check(&catalog, &deletion, &declared)?;
+    change::print(&catalog, &deletion);
+    if !args.dry_run {
+        change::publish(client, stored.revision, &args.author, &deletion, &declared).await?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/diff.rs
@@ -0,0 +1,73 @@
+//! `clementinectl diff`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clementine_objects::{Change, Object};
+
+use crate::error::CliError;
+use crate::files::DeclaredObjects;
+use crate::server::ServerClient;
+
+/// Name of the command.
+pub(super) const NAME: &str = "diff";
+
+const USAGE: &str = "\
+Shows what `apply` would change. Exits with 1 when there are differences.
+
+Usage:
+    clementinectl diff -f FILE...";
+
+#[derive(Debug)]
+struct Args {
+    files: Vec<PathBuf>,
+}
+
+/// The command's flags.
+pub(super) fn command() -> Command {
+    let files = Arg::new("file")
+        .short('f')
+        .long("file")
+        .value_name("FILE")
+        .help("YAML file, `-` for standard input")
+        .num_args(1..)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
+        .required(true);
+    Command::new(NAME).about("Show what apply would change").long_about(USAGE).arg(files)
+}
+
+/// Runs the command.
+pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let args = Args { files: matches.get_many("file").into_iter().flatten().cloned().collect() };
+    let declared = DeclaredObjects::read(&args.files)?;
+    let catalog = client.objects().await?.catalog();
+    let wanted = Change { puts: declared.objects, deletes: Vec::new() };
+    let change = Change::between(&catalog, &catalog.with(&wanted));
+    for object in &change.puts {
+        let reference = object.reference();
+        println!("{reference}");
+        let before = catalog.object(reference.kind, &reference.name);
+        print_lines(before.as_ref(), object)?;
+    }
+    Ok(if change.puts.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+/// Prints the lines that one form of an object has and the other has not.
+fn print_lines(before: Option<&Object>, after: &Object) -> Result<(), CliError> {
+    let before = before.map(yaml).transpose()?.unwrap_or_default();
+    let after = yaml(after)?;
+    let only_in = |text: &str, line: &str| !text.lines().any(|other| other == line);
+    for line in before.lines().filter(|line| only_in(&after, line)) {
+        println!("  - {line}");
+    }
+    for line in after.lines().filter(|line| only_in(&before, line)) {
+        println!("  + {line}");
+    }
+    Ok(())
+}
+
+fn yaml(object: &Object) -> Result<String, CliError> {
+    serde_yaml_ng::to_string(object).map_err(|error| CliError::Write { message: error.to_string() })
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/dump.rs
@@ -0,0 +1,35 @@
+//! `clementinectl dump`.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+
+use crate::error::CliError;
+use crate::server::ServerClient;
+
+/// Name of the command.
+pub(super) const NAME: &str = "dump";
+
+const USAGE: &str = "\
+Prints the state of one process as JSON.
+
+Usage:
+    clementinectl dump ADDRESS";
+
+/// The command's flags.
+pub(super) fn command() -> Command {
+    let address = Arg::new("address")
+        .value_name("ADDRESS")
+        .help("Administration address of an entry or agent")
+        .required(true);
+    Command::new(NAME).about("Print the state of a process").long_about(USAGE).arg(address)
+}
+
+/// Runs the command.
+pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let address: String = matches.get_one("address").cloned().unwrap_or_default();
+    let state = client.dump(&address).await?;
+    let text = serde_json::to_string_pretty(&state);
+    println!("{}", text.map_err(|error| CliError::Write { message: error.to_string() })?);
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/get.rs
@@ -0,0 +1,96 @@
+//! `clementinectl get`.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use clementine_objects::{Object, ObjectKind};
+
+use crate::error::CliError;
+use crate::server::ServerClient;
+
+/// Name of the command.
+pub(super) const NAME: &str = "get";
+
+const USAGE: &str = "\
+Shows the objects in force.
+
+Usage:
+    clementinectl get KIND [NAME] [-o table|yaml|json]";
+
+#[derive(Debug)]
+struct Args {
+    kind: ObjectKind,
+    name: Option<String>,
+    output: String,
+}
+
+/// The command's flags.
+pub(super) fn command() -> Command {
+    let kind = Arg::new("kind")
+        .value_name("KIND")
+        .help("pool, route, model, workspace or priority")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<ObjectKind>());
+    let output = Arg::new("output")
+        .short('o')
+        .long("output")
+        .value_name("FORMAT")
+        .value_parser(["table", "yaml", "json"])
+        .default_value("table");
+    Command::new(NAME)
+        .about("Show the objects in force")
+        .long_about(USAGE)
+        .arg(kind)
+        .arg(Arg::new("name").value_name("NAME").help("Name of one object"))
+        .arg(output)
+}
+
+/// Runs the command.
+pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let args = Args {
+        kind: matches.get_one("kind").copied().unwrap_or(ObjectKind::Pool),
+        name: matches.get_one("name").cloned(),
+        output: matches.get_one("output").cloned().unwrap_or_default(),
+    };
+    let catalog = client.objects().await?.catalog();
+    let objects: Vec<Object> = match &args.name {
+        None => catalog.objects().into_iter().filter(|o| o.kind() == args.kind).collect(),
+        Some(name) => {
+            let object = format!("{} `{name}`", args.kind);
+            vec![catalog.object(args.kind, name).ok_or(CliError::NotFound { object })?]
+        }
+    };
+    match args.output.as_str() {
+        "yaml" => print_yaml(&objects)?,
+        "json" => println!("{}", json(&objects)?),
+        _ => print_table(&objects)?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_yaml(objects: &[Object]) -> Result<(), CliError> {
+    for object in objects {
+        let text = serde_yaml_ng::to_string(object);
+        print!("---\n{}", text.map_err(|error| CliError::Write { message: error.to_string() })?);
+    }
+    Ok(())
+}
+
+fn json(value: &impl serde::Serialize) -> Result<String, CliError> {
+    let text = serde_json::to_string_pretty(value);
+    text.map_err(|error| CliError::Write { message: error.to_string() })
+}
+
+/// One line for each object: its name, then its other fields.
+fn print_table(objects: &[Object]) -> Result<(), CliError> {
+    let width = objects.iter().map(|object| object.name().len()).max().unwrap_or(0);
+    for object in objects {
+        let value = serde_json::to_value(object);
+        let value = value.map_err(|error| CliError::Write { message: error.to_string() })?;
+        let fields = value.as_object().into_iter().flatten();
+        let fields = fields.filter(|(field, _)| *field != "kind" && *field != "name");
+        let columns: Vec<_> = fields.map(|(field, value)| format!("{field}={value}")).collect();
+        println!("{:width$}  {}", object.name(), columns.join(" "));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/mod.rs
@@ -0,0 +1,63 @@
+//! The commands, one file each.
+
+mod apply;
+mod change;
+mod completions;
+mod delete;
+mod diff;
+mod dump;
+mod get;
+mod history;
+mod watch;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::error::CliError;
+use crate::server::{ServerClient, ServerConfig};
+
+const USAGE: &str = "\
+Declares objects to clementinehub and watches them take effect.
+
+Exit codes: 0 done; 1 `diff` found differences; 2 unusable arguments or files;
+3 faulty objects; 4 a rival change; 5 no server answered; 6 it is not known
+whether the change was accepted; 7 no such object; 8 not in force in time.";
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("clementinectl")
+        .about("Operates clementinehub")
+        .long_about(USAGE)
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(ServerConfig::args())
+        .subcommand(apply::command())
+        .subcommand(diff::command())
+        .subcommand(get::command())
+        .subcommand(delete::command())
+        .subcommand(history::command())
+        .subcommand(watch::command())
+        .subcommand(dump::command())
+        .subcommand(completions::command())
+}
+
+/// Runs the command that was given.
+pub(crate) fn dispatch(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let config = ServerConfig::from_matches(matches);
+    actix_rt::System::new().block_on(async move {
+        let client = ServerClient::new(config);
+        match matches.subcommand() {
+            Some((apply::NAME, args)) => apply::run(&client, args).await,
+            Some((diff::NAME, args)) => diff::run(&client, args).await,
+            Some((get::NAME, args)) => get::run(&client, args).await,
+            Some((delete::NAME, args)) => delete::run(&client, args).await,
+            Some((history::NAME, args)) => history::run(&client, args).await,
+            Some((watch::NAME, args)) => watch::run(&client, args).await,
+            Some((dump::NAME, args)) => dump::run(&client, args).await,
+            Some((completions::NAME, args)) => Ok(completions::run(args)),
+            _ => Ok(ExitCode::FAILURE),
+        }
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/files/mod.rs
@@ -0,0 +1,76 @@
+//! Objects in YAML files.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use clementine_objects::{Fault, Object, ObjectRef};
+use serde::Deserialize;
+use serde_yaml_ng::{Deserializer, Value};
+use snafu::ResultExt;
+
+use crate::error::{CliError, FileSnafu};
+
+/// Objects read from files, with the file of each.
+#[derive(Debug, Default)]
+pub(crate) struct DeclaredObjects {
+    /// The objects in the order of the files.
+    pub(crate) objects: Vec<Object>,
+    files: BTreeMap<ObjectRef, PathBuf>,
+}
+
+impl DeclaredObjects {
+    /// Reads all documents of all files; `-` is standard input.
+    ///
+    /// All faulty documents are reported together.
+    pub(crate) fn read(paths: &[PathBuf]) -> Result<Self, CliError> {
+        let mut declared = Self::default();
+        let mut faults = Vec::new();
+        for path in paths {
+            let text = read_text(path)?;
+            for (index, document) in Deserializer::from_str(&text).enumerate() {
+                if let Err(message) = declared.take(path, document) {
+                    faults.push(format!("{}: document {}: {message}", path.display(), index + 1));
+                }
+            }
+        }
+        if faults.is_empty() { Ok(declared) } else { Err(CliError::Faulty { faults }) }
+    }
+
+    /// A fault with the file of its object in front, when it came from one.
+    pub(crate) fn locate(&self, fault: &Fault) -> String {
+        match self.files.get(&fault.object) {
+            Some(path) => format!("{}: {fault}", path.display()),
+            None => fault.to_string(),
+        }
+    }
+
+    fn take(&mut self, path: &Path, document: Deserializer<'_>) -> Result<(), String> {
+        let value = Value::deserialize(document).map_err(|error| error.to_string())?;
+        if value.is_null() {
+            return Ok(());
+        }
+        let label = label(&value);
+        let object: Object =
+            serde_yaml_ng::from_value(value).map_err(|error| format!("{label}: {error}"))?;
+        let reference = object.reference();
+        if let Some(other) = self.files.get(&reference) {
+            return Err(format!("{reference} stands in {} too", other.display()));
+        }
+        self.files.insert(reference, path.to_owned());
+        self.objects.push(object);
+        Ok(())
+    }
+}
+
+fn read_text(path: &Path) -> Result<String, CliError> {
+    if path == Path::new("-") {
+        return std::io::read_to_string(std::io::stdin()).context(FileSnafu { path });
+    }
+    std::fs::read_to_string(path).context(FileSnafu { path })
+}
+
+/// Kind and name of a document as far as they can be read.
+fn label(value: &Value) -> String {
+    let text = |field: &str| value.get(field).and_then(Value::as_str).unwrap_or("?").to_owned();
+    format!("{} `{}`", text("kind"), text("name"))
+}
--- /dev/null
+++ b/crates/ctl/src/server/client.rs
@@ -0,0 +1,221 @@
+//! Calls to the administration API.
+
+use std::net::SocketAddr;
+
+use awc::http::StatusCode;
+use awc::{Client, ClientRequest};
+use clementine_objects::{
+    Catalog, Change, ChangeConflict, ChangeId, ChangeRecord, Fault, Object, Revision,
+};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::ServerConfig;
+use crate::error::CliError;
+
+/// Largest answer, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// The objects in force at a server.
+#[derive(Debug, Deserialize)]
+pub(crate) struct StoredObjects {
+    /// Their revision.
+    pub(crate) revision: Revision,
+    objects: Vec<Object>,
+}
+
+impl StoredObjects {
+    /// The objects as a catalog.
+    pub(crate) fn catalog(&self) -> Catalog {
+        let mut catalog = Catalog::default();
+        self.objects.iter().cloned().for_each(|object| catalog.put(object));
+        catalog
+    }
+}
+
+/// The revision at one agent.
+#[derive(Debug, Deserialize)]
+pub(crate) struct AgentRevision {
+    /// Address of the agent.
+    pub(crate) address: SocketAddr,
+    /// Its revision, if it has said so.
+    pub(crate) revision: Option<Revision>,
+}
+
+/// The revisions at an entry and the agents that it knows.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Revisions {
+    /// Revision of the entry.
+    pub(crate) entry: Revision,
+    /// Revisions of the agents.
+    pub(crate) agents: Vec<AgentRevision>,
+}
+
+#[derive(Debug, Serialize)]
+struct ChangeRequest<'a> {
+    id: ChangeId,
+    base: Revision,
+    author: &'a str,
+    change: &'a Change,
+}
+
+#[derive(Debug, Deserialize)]
+struct Accepted {
+    revision: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct Refused {
+    code: String,
+    message: String,
+    #[serde(default)]
+    faults: Vec<Fault>,
+    conflict: Option<ChangeConflict>,
+}
+
+/// What became of a change.
+#[derive(Debug)]
+pub(crate) enum ChangeOutcome {
+    /// Accepted as this revision.
+    Accepted(Revision),
+    /// The change does nothing.
+    Empty,
+    /// The whole would have these faults.
+    Faulty(Vec<Fault>),
+}
+
+/// Calls the administration API of entries.
+pub(crate) struct ServerClient {
+    config: ServerConfig,
+    client: Client,
+}
+
+impl ServerClient {
+    /// A client of the configured servers.
+    pub(crate) fn new(config: ServerConfig) -> Self {
+        Self { client: Client::builder().disable_redirects().finish(), config }
+    }
+
+    /// The objects in force at the first server that answers.
+    pub(crate) async fn objects(&self) -> Result<StoredObjects, CliError> {
+        self.get_from_any("/v1/objects").await
+    }
+
+    /// The history at the first server that answers.
+    pub(crate) async fn history(&self) -> Result<Vec<ChangeRecord>, CliError> {
+        self.get_from_any("/v1/history").await
+    }
+
+    /// The revisions that each server knows of.
+    pub(crate) async fn revisions(&self) -> Result<Vec<Revisions>, CliError> {
+        let mut all = Vec::new();
+        for server in &self.config.servers {
+            all.push(self.get(server, "/v1/revisions").await?);
+        }
+        Ok(all)
+    }
+
+    /// The state dump of a process.
+    pub(crate) async fn dump(&self, address: &str) -> Result<Value, CliError> {
+        self.get(address, "/state").await
+    }
+
+    /// Publishes a change at the first server that answers. A change whose
+    /// answer is lost is sent again under the same identity.
+    pub(crate) async fn publish(
+        &self,
+        base: Revision,
+        author: &str,
+        change: &Change,
+    ) -> Result<ChangeOutcome, CliError> {
+        let id = ChangeId(rand::random());
+        let request = ChangeRequest { id, base, author, change };
+        let mut last = unavailable("", "no server is configured");
+        for server in &self.config.servers {
+            match self.post_change(server, &request).await {
+                Err(error @ (CliError::Unavailable { .. } | CliError::Unclear { .. })) => {
+                    last = error;
+                }
+                settled => return settled,
+            }
+        }
+        Err(last)
+    }
+
+    async fn post_change(
+        &self,
+        server: &str,
+        request: &ChangeRequest<'_>,
+    ) -> Result<ChangeOutcome, CliError> {
+        let post = self.authorized(self.client.post(url(server, "/v1/changes")));
+        let mut response = match post.send_json(request).await {
+            Ok(response) => response,
+            Err(error) => return Err(unavailable(server, &error.to_string())),
+        };
+        let status = response.status();
+        let body = response.body().limit(ANSWER_MAX_BYTES).await;
+        let body = body.map_err(|_| CliError::Unclear { id: request.id })?;
+        if status == StatusCode::OK
+            && let Ok(accepted) = serde_json::from_slice::<Accepted>(&body)
+        {
+            return Ok(ChangeOutcome::Accepted(accepted.revision));
+        }
+        let refused: Refused = parse(server, &body)?;
+        match refused.code.as_str() {
+            "empty" => Ok(ChangeOutcome::Empty),
+            "faulty" => Ok(ChangeOutcome::Faulty(refused.faults)),
+            "conflict" => {
+                let message = refused.conflict.map_or(refused.message, |c| c.to_string());
+                Err(CliError::Conflict { message })
+            }
+            "unclear" => Err(CliError::Unclear { id: request.id }),
+            _ => Err(unavailable(server, &refused.message)),
+        }
+    }
+
+    async fn get_from_any<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        let mut last = unavailable("", "no server is configured");
+        for server in &self.config.servers {
+            match self.get(server, path).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, server: &str, path: &str) -> Result<T, CliError> {
+        let request = self.authorized(self.client.get(url(server, path)));
+        let mut response =
+            request.send().await.map_err(|error| unavailable(server, &error.to_string()))?;
+        let status = response.status();
+        let body = response.body().limit(ANSWER_MAX_BYTES).await;
+        let body = body.map_err(|error| unavailable(server, &error.to_string()))?;
+        if status != StatusCode::OK {
+            return Err(unavailable(server, String::from_utf8_lossy(&body).trim()));
+        }
+        parse(server, &body)
+    }
+
+    fn authorized(&self, request: ClientRequest) -> ClientRequest {
+        let request = request.timeout(self.config.call_time);
+        match &self.config.token {
+            Some(token) => request.bearer_auth(token),
+            None => request,
+        }
+    }
+}
+
+fn url(server: &str, path: &str) -> String {
+    format!("http://{server}{path}")
+}
+
+fn parse<T: DeserializeOwned>(server: &str, body: &[u8]) -> Result<T, CliError> {
+    serde_json::from_slice(body)
+        .map_err(|error| CliError::Answer { server: server.to_owned(), message: error.to_string() })
+}
+
+fn unavailable(server: &str, message: &str) -> CliError {
+    CliError::Unavailable { server: server.to_owned(), message: message.to_owned() }
+}
--- a/crates/decide/src/admission/queue.rs
+++ b/crates/decide/src/admission/queue.rs
@@ -77,6 +77,11 @@
         self.running
     }
 
+    /// Pieces of work that may run at a time.
+    pub const fn slots(&self) -> usize {
+        self.limits.slots
+    }
+
     /// Pieces of work that wait.
     pub fn queued(&self) -> usize {
         self.waiting.len()
--- a/crates/decide/src/balance/choose.rs
+++ b/crates/decide/src/balance/choose.rs
@@ -31,14 +31,14 @@
 /// Suspected candidates and failure domains of earlier failures are passed
 /// over while others remain.
 pub fn choose(candidates: &[Candidate], avoid: &Choice, rng: &mut impl Rng) -> Option<AgentRef> {
-    let untried: Vec<_> =
-        candidates.iter().filter(|c| !avoid.tried.contains(&c.agent)).collect();
+    let untried: Vec<_> = candidates.iter().filter(|c| !avoid.tried.contains(&c.agent)).collect();
     let suspected = untried.iter().filter(|c| c.suspected).count() as f64;
     let panic = suspected > PANIC_SHARE * untried.len() as f64;
     let healthy = narrow(untried, |c| panic || !c.suspected);
     let spread = narrow(healthy, |c| !avoid.failed_domains.contains(&c.domain));
     let drawn = spread.sample(rng, COMPARED);
-    let best = drawn.map(|c| (expected_delay_us(c), rng.random::<u32>(), c)).min_by_key(|d| (d.0, d.1));
+    let best =
+        drawn.map(|c| (expected_delay_us(c), rng.random::<u32>(), c)).min_by_key(|d| (d.0, d.1));
     best.map(|(_, _, candidate)| candidate.agent)
 }
 
@@ -51,7 +51,8 @@
     if kept.is_empty() { candidates } else { kept }
 }
 
-fn expected_delay_us(candidate: &Candidate) -> u64 {
+/// Delay that a request is expected to meet at a candidate, in µs.
+pub(crate) fn expected_delay_us(candidate: &Candidate) -> u64 {
     let load = &candidate.load;
     let reported = u64::from(load.running + load.queued);
     let in_progress = reported.max(u64::from(candidate.outstanding));
--- a/crates/decide/src/gate/records.rs
+++ b/crates/decide/src/gate/records.rs
@@ -98,7 +98,8 @@
     /// sealed work. The permit shows that it was not run.
     pub fn withdraw(&mut self, permit: RunPermit) {
         let work = permit.work();
-        let held_in = if self.current.contains_key(&work) { &mut self.current } else { &mut self.previous };
+        let held_in =
+            if self.current.contains_key(&work) { &mut self.current } else { &mut self.previous };
         if let Some(record) = held_in.get_mut(&work) {
             *record = Record::Sealed;
         }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod balance;
 pub mod circuit;
+pub mod config;
 pub mod gate;
 pub mod ids;
 pub mod operation;
--- a/crates/decide/src/publish/driver.rs
+++ b/crates/decide/src/publish/driver.rs
@@ -1,8 +1,6 @@
 //! Drives one change from the operator to its acceptance.
 
-use clementine_objects::{
-    Change, ChangeId, ChangeRecord, Revision, Snapshot, check_catalog,
-};
+use clementine_objects::{Change, ChangeId, ChangeRecord, Revision, Snapshot, check_catalog};
 use compact_str::CompactString;
 
 use super::{AppendReply, ConfigStore, PublishError};
--- a/crates/decide/src/quarantine/ledger.rs
+++ b/crates/decide/src/quarantine/ledger.rs
@@ -60,6 +60,13 @@
         suspicion.last_crash = now;
     }
 
+    /// Takes in the count of crashes that another process has seen.
+    pub fn learn(&mut self, request: Fingerprint, crashes: u32, now: Tick) {
+        while self.crashes(request, now) < crashes {
+            self.note_crash(request, now);
+        }
+    }
+
     /// Notes that a request ran to its end, which clears it.
     pub fn note_success(&mut self, request: Fingerprint) {
         self.suspects.remove(&request);
@@ -86,7 +93,8 @@
         self.suspects.is_empty()
     }
 
-    fn crashes(&self, request: Fingerprint, now: Tick) -> u32 {
+    /// Crashes of a request that are remembered.
+    pub fn crashes(&self, request: Fingerprint, now: Tick) -> u32 {
         let suspicion = self.suspects.get(&request);
         let fresh = suspicion.filter(|s| now.since(s.last_crash) < self.limits.memory);
         fresh.map_or(0, |s| s.crashes)
--- a/crates/decide/src/retry/budget.rs
+++ b/crates/decide/src/retry/budget.rs
@@ -11,7 +11,7 @@
 
 impl Default for RetryBudgetLimits {
     fn default() -> Self {
-        Self { share: 0.1, reserve: 10.0 }
+        Self { share: 0.2, reserve: 200.0 }
     }
 }
 
--- a/crates/decide/src/stage/gate.rs
+++ b/crates/decide/src/stage/gate.rs
@@ -1,10 +1,11 @@
-//! Order and uniqueness of tokens at one stage.
+//! Order and uniqueness of steps at one stage.
 
 use std::collections::HashMap;
 
+use clementine_objects::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::WorkId;
+use crate::ids::{Tick, WorkId};
 
 /// Number of an attempt to run a request through a stage; a higher one
 /// replaces the lower ones.
@@ -30,7 +31,7 @@
 /// What names one step of a request to a stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StageInput {
-    /// The request's work.
+    /// The request at all stages.
     pub work: WorkId,
     /// The attempt.
     pub epoch: StageEpoch,
@@ -41,14 +42,13 @@
 /// Decision on a step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StageVerdict<O> {
-    /// Run the step, then call [`StageGate::complete`].
+    /// Run the step, then call [`StageGate::complete`] or
+    /// [`StageGate::abandon`].
     Run,
     /// The step has run: this was its output.
     Ran(O),
     /// The step runs now under another call.
     Running,
-    /// The step's output is no longer kept.
-    OutputDropped,
     /// A step before this one has not run here.
     Gap {
         /// The step that this stage expects.
@@ -59,35 +59,74 @@
         /// The epoch that is open now.
         open: StageEpoch,
     },
-    /// The stage holds as many requests as it may.
+    /// The engine has lost the request's state; a higher epoch may open it.
+    Lost,
+    /// The request has ended.
+    Closed,
+    /// The stage holds as many requests or outputs as it may.
     Full,
 }
 
+/// Bounds of a stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageLimits {
+    /// Requests held at a time.
+    pub requests: usize,
+    /// Size of all outputs held, as [`StageOutput::size`] counts it.
+    pub output_size: usize,
+}
+
+/// An output that a stage keeps.
+pub trait StageOutput: Clone {
+    /// Size of the output, in bytes.
+    fn size(&self) -> usize;
+}
+
+impl StageOutput for bytes::Bytes {
+    fn size(&self) -> usize {
+        self.len()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Running,
+    /// The engine has lost the request's state.
+    Lost,
+    Closed,
+}
+
 /// The progress of one request.
 ///
-/// Invariant: `last_output` belongs to the step before `next`.
+/// Invariant: `outputs[n]` is the output of step `n` in the open epoch.
 #[derive(Debug)]
 struct Progress<O> {
     epoch: StageEpoch,
-    next: TokenIndex,
-    running: bool,
-    last_output: Option<O>,
+    phase: Phase,
+    outputs: Vec<O>,
+    used: Tick,
 }
 
 /// The gate of one stage: each step of a request runs once in each epoch, in
 /// order.
 ///
-/// Invariant: at most `capacity` requests are held.
+/// Outputs are kept until the request is closed, so that a step that is asked
+/// for again is answered without running it.
+///
+/// Invariants: at most `limits.requests` requests are held; `output_size` is
+/// the size of all outputs held.
 #[derive(Debug)]
 pub struct StageGate<O> {
-    capacity: usize,
+    limits: StageLimits,
+    output_size: usize,
     requests: HashMap<WorkId, Progress<O>>,
 }
 
-impl<O: Clone> StageGate<O> {
-    /// A gate that holds at most `capacity` requests.
-    pub fn new(capacity: usize) -> Self {
-        Self { capacity, requests: HashMap::new() }
+impl<O: StageOutput> StageGate<O> {
+    /// A gate without requests.
+    pub fn new(limits: StageLimits) -> Self {
+        Self { limits, output_size: 0, requests: HashMap::new() }
     }
 
     /// Number of requests held.
@@ -100,67 +139,131 @@
         self.requests.is_empty()
     }
 
+    /// Size of all outputs held.
+    pub const fn output_size(&self) -> usize {
+        self.output_size
+    }
+
     /// Decides on a step.
-    pub fn offer(&mut self, input: StageInput) -> StageVerdict<O> {
-        let open = self.requests.get(&input.work).map(|progress| progress.epoch);
-        if let Some(open) = open.filter(|open| input.epoch < *open) {
-            return StageVerdict::Replaced { open };
+    pub fn offer(&mut self, input: StageInput, now: Tick) -> StageVerdict<O> {
+        let Some(progress) = self.requests.get_mut(&input.work) else {
+            return self.open(input, now);
+        };
+        progress.used = now;
+        if progress.phase == Phase::Closed {
+            return StageVerdict::Closed;
         }
-        if open != Some(input.epoch) {
-            return self.open(input, open.is_some());
+        if input.epoch < progress.epoch {
+            return StageVerdict::Replaced { open: progress.epoch };
         }
-        match self.requests.get_mut(&input.work) {
-            Some(progress) => progress.offer(input.token),
-            None => StageVerdict::Gap { expected: TokenIndex::default() },
+        if input.epoch > progress.epoch {
+            return self.open(input, now);
         }
+        progress.offer(input.token)
     }
 
     /// Notes the output of a step that [`StageGate::offer`] let run. Returns
-    /// false when a higher epoch has replaced it meanwhile.
+    /// false when a higher epoch has replaced it meanwhile, when the request
+    /// was closed, or when there is no room for the output.
     pub fn complete(&mut self, input: StageInput, output: O) -> bool {
-        let Some(progress) = self.requests.get_mut(&input.work) else { return false };
-        let expected = progress.epoch == input.epoch && progress.next == input.token;
-        if !expected || !progress.running {
+        let size = output.size();
+        let room = self.output_size + size <= self.limits.output_size;
+        let Some(progress) = self.running(input) else { return false };
+        if !room {
+            progress.phase = Phase::Lost;
             return false;
         }
-        progress.running = false;
-        progress.next = input.token.next();
-        progress.last_output = Some(output);
+        progress.phase = Phase::Idle;
+        progress.outputs.push(output);
+        self.output_size += size;
         true
     }
 
-    /// Forgets a request that has ended.
-    pub fn close(&mut self, work: WorkId) {
-        self.requests.remove(&work);
+    /// Notes that a step failed: the engine's state of the request is lost,
+    /// and only a higher epoch may open it again.
+    pub fn abandon(&mut self, input: StageInput) {
+        if let Some(progress) = self.running(input) {
+            progress.phase = Phase::Lost;
+        }
+    }
+
+    /// The output of a step in the open epoch.
+    pub fn output(&self, work: WorkId, token: TokenIndex) -> Option<O> {
+        self.requests.get(&work)?.outputs.get(token.0 as usize).cloned()
+    }
+
+    /// Ends a request. Its steps are refused until it is swept.
+    pub fn close(&mut self, work: WorkId, now: Tick) {
+        let Some(progress) = self.requests.get_mut(&work) else { return };
+        progress.phase = Phase::Closed;
+        progress.used = now;
+        self.output_size -= sizes(&progress.outputs);
+        progress.outputs.clear();
+    }
+
+    /// Forgets requests that were not used for a time and returns them.
+    pub fn sweep(&mut self, unused_for: Millis, now: Tick) -> Vec<WorkId> {
+        let unused = |progress: &Progress<O>| {
+            progress.phase != Phase::Running && now.since(progress.used) >= unused_for
+        };
+        let swept = self.requests.iter().filter(|(_, progress)| unused(progress));
+        let swept: Vec<_> = swept.map(|(work, _)| *work).collect();
+        for work in &swept {
+            if let Some(progress) = self.requests.remove(work) {
+                self.output_size -= sizes(&progress.outputs);
+            }
+        }
+        swept
+    }
+
+    fn running(&mut self, input: StageInput) -> Option<&mut Progress<O>> {
+        let progress = self.requests.get_mut(&input.work)?;
+        let expected = progress.epoch == input.epoch
+            && progress.phase == Phase::Running
+            && progress.next() == input.token;
+        expected.then_some(progress)
     }
 
-    fn open(&mut self, input: StageInput, replaces: bool) -> StageVerdict<O> {
+    fn open(&mut self, input: StageInput, now: Tick) -> StageVerdict<O> {
         if input.token != TokenIndex::default() {
             return StageVerdict::Gap { expected: TokenIndex::default() };
         }
-        if !replaces && self.requests.len() >= self.capacity {
+        let known = self.requests.contains_key(&input.work);
+        if !known && self.requests.len() >= self.limits.requests {
             return StageVerdict::Full;
         }
-        let progress =
-            Progress { epoch: input.epoch, next: input.token, running: true, last_output: None };
-        self.requests.insert(input.work, progress);
+        let opened =
+            Progress { epoch: input.epoch, phase: Phase::Running, outputs: Vec::new(), used: now };
+        if let Some(replaced) = self.requests.insert(input.work, opened) {
+            self.output_size -= sizes(&replaced.outputs);
+        }
         StageVerdict::Run
     }
 }
 
-impl<O: Clone> Progress<O> {
+impl<O: StageOutput> Progress<O> {
+    fn next(&self) -> TokenIndex {
+        TokenIndex(u32::try_from(self.outputs.len()).unwrap_or(u32::MAX))
+    }
+
     fn offer(&mut self, token: TokenIndex) -> StageVerdict<O> {
-        if token > self.next {
-            return StageVerdict::Gap { expected: self.next };
+        if let Some(output) = self.outputs.get(token.0 as usize) {
+            return StageVerdict::Ran(output.clone());
+        }
+        if self.phase == Phase::Lost {
+            return StageVerdict::Lost;
         }
-        if token == self.next {
-            let verdict = if self.running { StageVerdict::Running } else { StageVerdict::Run };
-            self.running = true;
-            return verdict;
+        if token > self.next() {
+            return StageVerdict::Gap { expected: self.next() };
         }
-        match &self.last_output {
-            Some(output) if token.next() == self.next => StageVerdict::Ran(output.clone()),
-            _ => StageVerdict::OutputDropped,
+        if self.phase == Phase::Running {
+            return StageVerdict::Running;
         }
+        self.phase = Phase::Running;
+        StageVerdict::Run
     }
 }
+
+fn sizes<O: StageOutput>(outputs: &[O]) -> usize {
+    outputs.iter().map(StageOutput::size).sum()
+}
--- a/crates/decide/src/stage/mod.rs
+++ b/crates/decide/src/stage/mod.rs
@@ -1,5 +1,9 @@
-//! The gate of one stage of a split model.
+//! Split models: the choice of a chain of stages, and the gate of one stage.
 
 mod gate;
+mod plan;
 
-pub use gate::{StageEpoch, StageGate, StageInput, StageVerdict, TokenIndex};
+pub use gate::{
+    StageEpoch, StageGate, StageInput, StageLimits, StageOutput, StageVerdict, TokenIndex,
+};
+pub use plan::{PlannedStage, StagePool, plan_chain};
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Runs the real processes on loopback for tests.
--- /dev/null
+++ b/crates/entry/src/admin/api.rs
@@ -0,0 +1,118 @@
+//! Requests to the administration API.
+
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use clementine_decide::publish::{ConfigStore, PublishError};
+use clementine_objects::Revision;
+use clementine_process::admin::AdminHandler;
+use clementine_process::http::{json_response, read_body};
+
+use super::messages::{
+    AcceptedAnswer, InstanceRevision, ObjectsAnswer, RefusedAnswer, RevisionsAnswer,
+};
+use crate::config::PublishRequest;
+use crate::entry::Entry;
+
+/// Largest change, in bytes. A row of the table service holds 400 KB.
+const CHANGE_MAX_BYTES: usize = 256 * 1024;
+
+/// Answers requests to the administration API.
+pub(crate) fn admin_handler(entry: Rc<Entry>) -> AdminHandler {
+    Rc::new(move |req| {
+        let entry = Rc::clone(&entry);
+        Box::pin(async move { entry.answer_admin(req).await })
+    })
+}
+
+impl Entry {
+    async fn answer_admin(&self, req: Request) -> Option<Response<BoxBody>> {
+        match (req.method(), req.path()) {
+            (&Method::GET, "/v1/objects") => Some(self.objects_answer()),
+            (&Method::GET, "/v1/revisions") => Some(self.revisions_answer()),
+            (&Method::GET, "/v1/history") => Some(self.history_answer().await),
+            (&Method::POST, "/v1/changes") => Some(self.change_answer(req).await),
+            _ => None,
+        }
+    }
+
+    fn objects_answer(&self) -> Response<BoxBody> {
+        let snapshot = self.snapshot();
+        let answer =
+            ObjectsAnswer { revision: snapshot.revision, objects: snapshot.catalog.objects() };
+        json_response(StatusCode::OK, &answer)
+    }
+
+    fn revisions_answer(&self) -> Response<BoxBody> {
+        let members = self.fleet.members();
+        let agents = members.iter().map(|member| InstanceRevision {
+            address: member.address(),
+            revision: member.news().map(|news| news.revision),
+        });
+        let answer =
+            RevisionsAnswer { entry: self.config.borrow().revision(), agents: agents.collect() };
+        json_response(StatusCode::OK, &answer)
+    }
+
+    async fn history_answer(&self) -> Response<BoxBody> {
+        let newest = self.config.borrow().revision();
+        match self.config_rows.changes(Revision::default(), newest).await {
+            Ok(changes) => json_response(StatusCode::OK, &changes),
+            Err(_) => refused(&PublishError::Unavailable),
+        }
+    }
+
+    async fn change_answer(&self, mut req: Request) -> Response<BoxBody> {
+        let malformed = |message: String| {
+            let answer = RefusedAnswer {
+                code: "malformed",
+                message,
+                faults: Vec::new(),
+                conflict: None,
+                change: None,
+            };
+            json_response(StatusCode::BAD_REQUEST, &answer)
+        };
+        let body = match read_body(&mut req, CHANGE_MAX_BYTES).await {
+            Ok(body) => body,
+            Err(fault) => return malformed(fault.to_string()),
+        };
+        let request: PublishRequest = match serde_json::from_slice(&body) {
+            Ok(request) => request,
+            Err(error) => return malformed(error.to_string()),
+        };
+        match self.publish(request).await {
+            Ok(published) => {
+                let revision = published.snapshot.revision;
+                json_response(StatusCode::OK, &AcceptedAnswer { revision })
+            }
+            Err(error) => refused(&error),
+        }
+    }
+}
+
+fn refused(error: &PublishError) -> Response<BoxBody> {
+    let (status, code) = match error {
+        PublishError::Faulty { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "faulty"),
+        PublishError::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+        PublishError::Empty => (StatusCode::OK, "empty"),
+        PublishError::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
+        PublishError::Unclear { .. } => (StatusCode::GATEWAY_TIMEOUT, "unclear"),
+        PublishError::History { .. } => (StatusCode::INTERNAL_SERVER_ERROR, "history"),
+    };
+    let mut answer = RefusedAnswer {
+        code,
+        message: error.to_string(),
+        faults: Vec::new(),
+        conflict: None,
+        change: None,
+    };
+    match error {
+        PublishError::Faulty { faults } => answer.faults.clone_from(faults),
+        PublishError::Conflict { conflict } => answer.conflict = Some(conflict.clone()),
+        PublishError::Unclear { id } => answer.change = Some(*id),
+        _ => {}
+    }
+    json_response(status, &answer)
+}
--- /dev/null
+++ b/crates/entry/src/admin/messages.rs
@@ -0,0 +1,46 @@
+//! Answers of the administration API.
+
+use std::net::SocketAddr;
+
+use clementine_objects::{ChangeConflict, ChangeId, Fault, Object, Revision};
+use serde::Serialize;
+
+/// The objects at a revision.
+#[derive(Debug, Serialize)]
+pub(super) struct ObjectsAnswer {
+    pub(super) revision: Revision,
+    pub(super) objects: Vec<Object>,
+}
+
+/// An accepted change.
+#[derive(Debug, Serialize)]
+pub(super) struct AcceptedAnswer {
+    pub(super) revision: Revision,
+}
+
+/// A change that was not accepted.
+#[derive(Debug, Serialize)]
+pub(super) struct RefusedAnswer {
+    pub(super) code: &'static str,
+    pub(super) message: String,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(super) faults: Vec<Fault>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) conflict: Option<ChangeConflict>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) change: Option<ChangeId>,
+}
+
+/// The revision in force at an instance.
+#[derive(Debug, Serialize)]
+pub(super) struct InstanceRevision {
+    pub(super) address: SocketAddr,
+    pub(super) revision: Option<Revision>,
+}
+
+/// The revisions in force at this entry and at the agents that it knows.
+#[derive(Debug, Serialize)]
+pub(super) struct RevisionsAnswer {
+    pub(super) entry: Revision,
+    pub(super) agents: Vec<InstanceRevision>,
+}
--- /dev/null
+++ b/crates/entry/src/callers/answer.rs
@@ -0,0 +1,48 @@
+//! Answers of backend servers, passed on to callers.
+
+use std::convert::Infallible;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Response, ResponseBuilder, StatusCode};
+use bytes::Bytes;
+use clementine_decide::ids::RequestId;
+use clementine_decide::outcome::Outcome;
+use clementine_wire::AnswerHead;
+use futures::Stream;
+
+/// Header that names the request.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header that says what became of the request.
+pub(crate) const OUTCOME_HEADER: &str = "clementine-outcome";
+
+/// A whole answer.
+pub(crate) fn answer_response(id: RequestId, head: &AnswerHead, body: Bytes) -> Response<BoxBody> {
+    builder(id, head).body(body).map_into_boxed_body()
+}
+
+/// An answer that is passed on as it comes.
+pub(crate) fn stream_response(
+    id: RequestId,
+    head: &AnswerHead,
+    body: impl Stream<Item = Bytes> + 'static,
+) -> Response<BoxBody> {
+    use futures::StreamExt;
+    let body = body.map(Ok::<_, Infallible>);
+    builder(id, head).body(BodyStream::new(Box::pin(body))).map_into_boxed_body()
+}
+
+fn builder(id: RequestId, head: &AnswerHead) -> ResponseBuilder {
+    let mut response = Response::build(StatusCode::from_u16(head.status).unwrap_or_default());
+    for header in &head.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.append_header((name, value));
+        }
+    }
+    response.insert_header((REQUEST_ID_HEADER, id.to_string()));
+    response.insert_header((OUTCOME_HEADER, Outcome::Ran.to_string()));
+    response
+}
--- /dev/null
+++ b/crates/entry/src/callers/authorize.rs
@@ -0,0 +1,114 @@
+//! Checks that all callers' requests share.
+
+use actix_http::{HttpMessage as _, Request};
+use bytes::Bytes;
+use clementine_decide::ids::{RequestId, Tick};
+use clementine_decide::outcome::ErrorKind;
+use clementine_objects::{Catalog, Millis, PriorityName, TokenDigest, Workspace};
+use clementine_process::http::{BodyFault, read_body};
+
+use super::request::passed_on_headers;
+use super::{CallerRequest, Refusal};
+use crate::entry::Entry;
+
+/// Header in which a caller gives a deadline, such as `2s`.
+const DEADLINE_HEADER: &str = "clementine-deadline";
+
+/// Header in which a caller gives a priority's name.
+const PRIORITY_HEADER: &str = "clementine-priority";
+
+impl Entry {
+    /// Checks a request and reads its body.
+    pub(super) async fn admit_caller(
+        &self,
+        id: RequestId,
+        req: &mut Request,
+    ) -> Result<CallerRequest, Refusal> {
+        self.check_room()?;
+        self.check_header_size(req)?;
+        let snapshot = self.snapshot();
+        let workspace = workspace(&snapshot.catalog, req)?;
+        let level = priority_level(&snapshot.catalog, &workspace, req)?;
+        let deadline = self.deadline(&workspace, req)?;
+        let body = self.body(req).await?;
+        Ok(CallerRequest {
+            id,
+            workspace,
+            method: req.method().as_str().into(),
+            path: req.uri().path_and_query().map_or("/", |path| path.as_str()).into(),
+            headers: passed_on_headers(req.headers()),
+            body,
+            deadline,
+            level,
+        })
+    }
+
+    fn check_room(&self) -> Result<(), Refusal> {
+        if self.drain.in_progress() > self.settings.limits.in_progress {
+            return Err(Refusal::new(ErrorKind::Overloaded, "too many requests are in progress"));
+        }
+        Ok(())
+    }
+
+    fn check_header_size(&self, req: &Request) -> Result<(), Refusal> {
+        let limit = self.settings.limits.header_bytes;
+        let headers = req.headers().iter();
+        let size: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+        if size > limit {
+            let message = format!("the headers are larger than {limit} bytes");
+            return Err(Refusal::new(ErrorKind::TooLarge, message));
+        }
+        Ok(())
+    }
+
+    fn deadline(&self, workspace: &Workspace, req: &Request) -> Result<Tick, Refusal> {
+        let wanted = match header(req, DEADLINE_HEADER) {
+            None => workspace.deadline,
+            Some(text) => text.parse().map_err(|error| {
+                Refusal::new(ErrorKind::InvalidRequest, format!("{DEADLINE_HEADER}: {error}"))
+            })?,
+        };
+        let allowed: Millis = wanted.min(self.settings.limits.deadline);
+        Ok(self.clock.now().after(allowed))
+    }
+
+    async fn body(&self, req: &mut Request) -> Result<Bytes, Refusal> {
+        let read = read_body(req, self.settings.limits.body_bytes).await;
+        read.map_err(|fault| {
+            let kind = match fault {
+                BodyFault::TooLarge { .. } => ErrorKind::TooLarge,
+                BodyFault::Malformed => ErrorKind::InvalidRequest,
+            };
+            Refusal::new(kind, fault.to_string())
+        })
+    }
+}
+
+fn workspace(catalog: &Catalog, req: &Request) -> Result<Workspace, Refusal> {
+    let refuse = |message: &str| Refusal::new(ErrorKind::InvalidToken, message);
+    let authorization =
+        header(req, "authorization").ok_or_else(|| refuse("no bearer token given"))?;
+    let token = authorization
+        .strip_prefix("Bearer ")
+        .ok_or_else(|| refuse("the authorization is not a bearer token"))?;
+    let found = catalog.workspace_by_token(&TokenDigest::of_token(token.trim()));
+    found.cloned().ok_or_else(|| refuse("the bearer token selects no workspace"))
+}
+
+fn priority_level(catalog: &Catalog, workspace: &Workspace, req: &Request) -> Result<u8, Refusal> {
+    let name = match header(req, PRIORITY_HEADER) {
+        None => workspace.priority.clone(),
+        Some(text) => text.parse::<PriorityName>().map_err(|error| {
+            Refusal::new(ErrorKind::InvalidRequest, format!("{PRIORITY_HEADER}: {error}"))
+        })?,
+    };
+    let priority = catalog.priority(&name);
+    priority.map(|priority| priority.level).ok_or_else(|| {
+        Refusal::new(ErrorKind::InvalidRequest, format!("there is no priority `{name}`"))
+    })
+}
+
+/// The text of a header; `None` when it is absent or not text.
+fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/entry/src/callers/router.rs
@@ -0,0 +1,81 @@
+//! Routes callers' requests to what serves them.
+
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response};
+use clementine_decide::ids::RequestId;
+use clementine_decide::outcome::{ErrorKind, Outcome};
+use clementine_objects::{Repeat, Route};
+use spdlog::debug;
+
+use super::models::models_response;
+use super::{CallerRequest, Refusal};
+use crate::entry::Entry;
+use crate::model::Endpoint;
+
+impl Entry {
+    /// Answers one request of a caller.
+    pub(crate) async fn answer_caller(self: Rc<Self>, mut req: Request) -> Response<BoxBody> {
+        let in_progress = self.drain.enter();
+        let id = RequestId(rand::random());
+        let answered = match self.admit_caller(id, &mut req).await {
+            Ok(caller) => Rc::clone(&self).route_caller(&req, caller).await,
+            Err(refusal) => Err(refusal),
+        };
+        let response = match answered {
+            Ok(response) => {
+                self.metrics.count_answer(Outcome::Ran, "ok");
+                response
+            }
+            Err(refusal) => {
+                debug!("callers: request {} refused: {}", id, refusal.message);
+                self.metrics.count_answer(refusal.kind.rule().outcome, refusal.kind.code());
+                refusal.response(id)
+            }
+        };
+        drop(in_progress);
+        response
+    }
+
+    async fn route_caller(
+        self: Rc<Self>,
+        req: &Request,
+        caller: CallerRequest,
+    ) -> Result<Response<BoxBody>, Refusal> {
+        match (req.method(), req.path()) {
+            (&Method::GET, "/v1/models") => Ok(models_response(&caller.workspace)),
+            (&Method::POST, "/v1/chat/completions") => self.complete(caller, Endpoint::Chat).await,
+            (&Method::POST, "/v1/completions") => self.complete(caller, Endpoint::Text).await,
+            (_, path) => self.route_to_service(path, caller).await,
+        }
+    }
+
+    async fn route_to_service(
+        self: Rc<Self>,
+        path: &str,
+        caller: CallerRequest,
+    ) -> Result<Response<BoxBody>, Refusal> {
+        let snapshot = self.snapshot();
+        let Some(route) = snapshot.catalog.route_for_path(path) else {
+            return Err(Refusal::new(
+                ErrorKind::NotFound,
+                format!("nothing is served at `{path}`"),
+            ));
+        };
+        if !caller.workspace.routes.contains(&route.name) {
+            let message = format!("the workspace may not use route `{}`", route.name);
+            return Err(Refusal::new(ErrorKind::NotPermitted, message));
+        }
+        let caller = self.within_timeout(caller, route);
+        match route.repeat {
+            Repeat::Safe => self.call_service(caller, route).await,
+            Repeat::Never => self.run_operation(caller, route).await,
+        }
+    }
+
+    fn within_timeout(&self, caller: CallerRequest, route: &Route) -> CallerRequest {
+        let latest = self.clock.now().after(route.timeout);
+        CallerRequest { deadline: caller.deadline.min(latest), ..caller }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry/metrics.rs
@@ -0,0 +1,50 @@
+//! Metrics of the entry.
+
+use clementine_decide::outcome::Outcome;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+
+/// Counters of the entry.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    answers: Counter<u64>,
+    retries: Counter<u64>,
+    reconnects: Counter<u64>,
+    claims: Counter<u64>,
+}
+
+impl EntryMetrics {
+    /// Registers the counters.
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        Self {
+            answers: counter("entry_answers", "Answers to callers, by outcome and error code"),
+            retries: counter("entry_retries", "Requests sent to another backend server, by cause"),
+            reconnects: counter("entry_reconnects", "Reads resumed on a new connection"),
+            claims: counter("entry_claims", "Settled operations, by source of the answer"),
+        }
+    }
+
+    /// Counts an answer; the code is `ok` where there is no error.
+    pub(crate) fn count_answer(&self, outcome: Outcome, code: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome.to_string()), KeyValue::new("code", code)];
+        self.answers.add(1, &labels);
+    }
+
+    /// Counts a retry.
+    pub(crate) fn count_retry(&self, cause: &'static str) {
+        self.retries.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a read that was resumed on a new connection.
+    pub(crate) fn count_reconnect(&self) {
+        self.reconnects.add(1, &[]);
+    }
+
+    /// Counts a settled operation.
+    pub(crate) fn count_claim(&self, source: &'static str) {
+        self.claims.add(1, &[KeyValue::new("source", source)]);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry/state.rs
@@ -0,0 +1,114 @@
+//! The entry's state.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use awc::Client;
+use clementine_decide::config::HeldConfig;
+use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
+use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
+use clementine_platform::{DynamoTable, EndpointSlices, Guard, GuardLimits, S3Objects};
+use clementine_process::admin::AdminProcess;
+use clementine_process::clock::Clock;
+use clementine_process::shutdown::Drain;
+use opentelemetry::metrics::Meter;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::EntryMetrics;
+use crate::fleet::Fleet;
+use crate::settings::EntrySettings;
+use crate::store::{ClaimTable, ConfigRows};
+
+/// The entry's state.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: Clock,
+    /// Whether the readiness check fails because the process is leaving.
+    pub(crate) leaving: Cell<bool>,
+    /// Requests in progress.
+    pub(crate) drain: Drain,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) fleet: Fleet,
+    pub(crate) config: RefCell<HeldConfig>,
+    pub(crate) config_changed: Notify,
+    pub(crate) config_rows: ConfigRows,
+    pub(crate) claims: ClaimTable,
+    pub(crate) objects: S3Objects,
+    pub(crate) instances: EndpointSlices,
+    pub(crate) retries: RefCell<RetryBudget>,
+    pub(crate) quarantine: RefCell<Quarantine>,
+    table_guard: Rc<Guard>,
+    objects_guard: Rc<Guard>,
+}
+
+impl Entry {
+    /// The state of a starting entry.
+    pub(crate) fn new(settings: EntrySettings, drain: Drain, meter: &Meter) -> Rc<Self> {
+        let platform = settings.platform.clone();
+        let limits = GuardLimits {
+            calls_per_second: platform.calls_per_second,
+            call_time: platform.call_time,
+        };
+        let guard = || Rc::new(Guard::new(limits));
+        let (table_guard, objects_guard) = (guard(), guard());
+        let client = Client::builder().disable_redirects().finish();
+        let table = DynamoTable::new(
+            client.clone(),
+            &platform.table_url,
+            &platform.table,
+            Rc::clone(&table_guard),
+        );
+        let objects =
+            S3Objects::new(client.clone(), &platform.objects_url, Rc::clone(&objects_guard));
+        Rc::new(Self {
+            clock: Clock::start(),
+            leaving: Cell::new(false),
+            drain,
+            metrics: EntryMetrics::new(meter),
+            fleet: Fleet::new(settings.subset),
+            config: RefCell::default(),
+            config_changed: Notify::new(),
+            config_rows: ConfigRows::new(table.clone()),
+            claims: ClaimTable::new(table, settings.keep_claims),
+            objects,
+            instances: EndpointSlices::new(client, &platform.instances_url, guard()),
+            retries: RefCell::new(RetryBudget::new(RetryBudgetLimits::default())),
+            quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
+            table_guard,
+            objects_guard,
+            settings,
+        })
+    }
+}
+
+impl AdminProcess for Entry {
+    fn not_ready(&self) -> Option<String> {
+        if self.leaving.get() {
+            return Some("leaving".to_owned());
+        }
+        if self.config.borrow().snapshot().is_none() {
+            return Some("no configuration was learnt yet".to_owned());
+        }
+        (!self.fleet.was_listed()).then(|| "no instance list was read yet".to_owned())
+    }
+
+    fn state(&self) -> Value {
+        let now = self.clock.now();
+        json!({
+            "process": "clementine-entry",
+            "version": env!("CARGO_PKG_VERSION"),
+            "domain": self.settings.domain,
+            "revision": self.config.borrow().revision(),
+            "not_ready": self.not_ready(),
+            "in_progress": self.drain.in_progress(),
+            "in_progress_limit": self.settings.limits.in_progress,
+            "quarantine": self.quarantine.borrow().len(),
+            "table_calls": self.table_guard.counts(),
+            "table_circuit_closed": self.table_guard.is_closed(),
+            "object_calls": self.objects_guard.counts(),
+            "fleet": self.fleet.state(now),
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet/fleet_view.rs
@@ -0,0 +1,120 @@
+//! All backend servers that this entry knows.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clementine_decide::balance::{Candidate, Choice, choose, choose_subset};
+use clementine_decide::ids::{AgentRef, Tick};
+use clementine_objects::PoolName;
+use clementine_platform::ListedInstance;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::Value;
+
+use super::Member;
+
+/// All backend servers that this entry knows.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    members: RefCell<BTreeMap<SocketAddr, Rc<Member>>>,
+    listed: RefCell<BTreeSet<SocketAddr>>,
+    subset: usize,
+    seed: u64,
+    rng: RefCell<SmallRng>,
+    was_listed: Cell<bool>,
+}
+
+impl Fleet {
+    /// A fleet of which nothing is known.
+    pub(crate) fn new(subset: usize) -> Self {
+        Self {
+            members: RefCell::default(),
+            listed: RefCell::default(),
+            subset,
+            seed: rand::random(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            was_listed: Cell::new(false),
+        }
+    }
+
+    /// Whether the instance list was read at least once.
+    pub(crate) const fn was_listed(&self) -> bool {
+        self.was_listed.get()
+    }
+
+    /// Whether the list shows an address.
+    pub(crate) fn lists(&self, address: SocketAddr) -> bool {
+        self.listed.borrow().contains(&address)
+    }
+
+    /// The member at an address.
+    pub(crate) fn member(&self, address: SocketAddr) -> Option<Rc<Member>> {
+        self.members.borrow().get(&address).cloned()
+    }
+
+    /// All members.
+    pub(crate) fn members(&self) -> Vec<Rc<Member>> {
+        self.members.borrow().values().cloned().collect()
+    }
+
+    /// Takes in the instance list and returns the members that are new.
+    ///
+    /// An empty list is not believed. A member that the list no longer shows
+    /// is dropped, which ends no request in progress.
+    pub(crate) fn note_list(&self, list: &[ListedInstance]) -> Vec<Rc<Member>> {
+        if list.is_empty() {
+            return Vec::new();
+        }
+        self.was_listed.set(true);
+        *self.listed.borrow_mut() = list.iter().map(|instance| instance.address).collect();
+        let wanted = self.wanted(list);
+        let mut members = self.members.borrow_mut();
+        members.retain(|address, member| {
+            let keep = wanted.contains(address);
+            if !keep {
+                member.set_gone();
+            }
+            keep
+        });
+        let mut joined = Vec::new();
+        for instance in list.iter().filter(|instance| wanted.contains(&instance.address)) {
+            if let Some(member) = members.get(&instance.address) {
+                member.note_listed(instance.state);
+                continue;
+            }
+            let member = Member::new(instance);
+            members.insert(instance.address, Rc::clone(&member));
+            joined.push(member);
+        }
+        joined
+    }
+
+    /// The candidates of a pool.
+    pub(crate) fn candidates(&self, pool: &PoolName, now: Tick) -> Vec<Candidate> {
+        let members = self.members.borrow();
+        let of_pool = members.values().filter(|member| member.pool == *pool);
+        of_pool.filter_map(|member| member.candidate(now)).collect()
+    }
+
+    /// Chooses among candidates.
+    pub(crate) fn choose(&self, candidates: &[Candidate], avoid: &Choice) -> Option<AgentRef> {
+        choose(candidates, avoid, &mut *self.rng.borrow_mut())
+    }
+
+    /// Dump of the fleet.
+    pub(crate) fn state(&self, now: Tick) -> Value {
+        self.members.borrow().values().map(|member| member.state(now)).collect()
+    }
+
+    /// The subset of each pool that this entry talks to.
+    fn wanted(&self, list: &[ListedInstance]) -> BTreeSet<SocketAddr> {
+        let mut pools: BTreeMap<&PoolName, BTreeMap<_, _>> = BTreeMap::new();
+        for instance in list {
+            let pool = pools.entry(&instance.pool).or_default();
+            pool.insert(instance.address, instance.domain.clone());
+        }
+        pools.values().flat_map(|pool| choose_subset(pool, self.subset, self.seed)).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! Requests that may be run again: completions of language models and safe
+//! calls of plain services.
+
+mod attempt;
+mod completion;
+mod pools;
+mod reader;
+mod resume;
+mod safe_run;
+mod serve;
+
+pub(crate) use completion::Endpoint;
+pub(crate) use reader::{ReadFault, WorkReader};
--- /dev/null
+++ b/crates/entry/src/model/pools.rs
@@ -0,0 +1,99 @@
+//! Where a request may run.
+
+use clementine_decide::balance::Candidate;
+use clementine_decide::ids::{Tick, WorkId};
+use clementine_decide::stage::{PlannedStage, StagePool, plan_chain};
+use clementine_objects::{Catalog, LayerRange, Model, PoolName};
+use clementine_wire::{SplitPlan, StageTarget, StageTargets};
+
+use crate::fleet::Fleet;
+
+/// Where a request may run.
+#[derive(Debug, Clone)]
+pub(super) enum Places {
+    /// Backend servers of any of these pools, on their own.
+    Whole(Vec<PoolName>),
+    /// A chain of engines that hold ranges of layers.
+    Split {
+        /// Layers of the model.
+        layers: u32,
+        /// Pools with the layers that their engines hold.
+        pools: Vec<(PoolName, LayerRange)>,
+        /// The request at all stages.
+        work: WorkId,
+    },
+}
+
+/// Candidates for an attempt, with the plan when the model is split.
+#[derive(Debug)]
+pub(super) struct Candidates {
+    pub(super) candidates: Vec<Candidate>,
+    pub(super) stages: Option<Vec<StageTargets>>,
+}
+
+impl Places {
+    /// Where a model's requests may run. A pool that holds all layers goes
+    /// before a chain.
+    pub(super) fn of_model(catalog: &Catalog, model: &Model, work: WorkId) -> Self {
+        let pools = || model.pools.iter().filter_map(|name| catalog.pool(name));
+        let whole: Vec<_> =
+            pools().filter(|pool| pool.layers.is_none()).map(|pool| pool.name.clone()).collect();
+        if !whole.is_empty() {
+            return Self::Whole(whole);
+        }
+        let ranged = pools().filter_map(|pool| Some((pool.name.clone(), pool.layers?)));
+        Self::Split { layers: model.layers, pools: ranged.collect(), work }
+    }
+
+    /// The candidates that are known now.
+    pub(super) fn candidates(&self, fleet: &Fleet, now: Tick) -> Candidates {
+        match self {
+            Self::Whole(pools) => {
+                let candidates = pools.iter().flat_map(|pool| fleet.candidates(pool, now));
+                Candidates { candidates: candidates.collect(), stages: None }
+            }
+            Self::Split { layers, pools, .. } => split_candidates(fleet, *layers, pools, now),
+        }
+    }
+
+    /// The plan of an attempt, when the model is split.
+    pub(super) fn plan(
+        &self,
+        stages: Option<Vec<StageTargets>>,
+        delivered: u32,
+    ) -> Option<SplitPlan> {
+        match (self, stages) {
+            (Self::Split { work, .. }, Some(stages)) => {
+                Some(SplitPlan { work: *work, stages, delivered })
+            }
+            _ => None,
+        }
+    }
+}
+
+fn split_candidates(
+    fleet: &Fleet,
+    layers: u32,
+    pools: &[(PoolName, LayerRange)],
+    now: Tick,
+) -> Candidates {
+    let stage_pools: Vec<_> = pools
+        .iter()
+        .map(|(name, layers)| StagePool {
+            layers: *layers,
+            candidates: fleet.candidates(name, now),
+        })
+        .collect();
+    let chain = plan_chain(layers, &stage_pools).unwrap_or_default();
+    let Some((head, rest)) = chain.split_first() else {
+        return Candidates { candidates: Vec::new(), stages: None };
+    };
+    let of_head = stage_pools.into_iter().find(|pool| pool.layers == head.layers);
+    let candidates = of_head.map(|pool| pool.candidates).unwrap_or_default();
+    Candidates { candidates, stages: Some(rest.iter().map(targets).collect()) }
+}
+
+fn targets(stage: &PlannedStage) -> StageTargets {
+    let target = |agent: &_| StageTarget { agent: *agent, layers: stage.layers };
+    StageTargets(stage.agents.iter().map(target).collect())
+}
--- /dev/null
+++ b/crates/entry/src/model/resume.rs
@@ -0,0 +1,91 @@
+//! Continues a streamed answer at another backend server.
+
+use bytes::Bytes;
+use serde_json::{Map, Value, json};
+
+use super::Endpoint;
+
+/// The part of a streamed answer that the caller has.
+///
+/// Events are kept as they came; they are read only when a backend server
+/// fails.
+#[derive(Debug, Default)]
+pub(super) struct Delivered {
+    events: Vec<Bytes>,
+    bytes: usize,
+}
+
+/// The text of delivered events.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct DeliveredText {
+    text: String,
+    tokens: u32,
+}
+
+impl Delivered {
+    /// Notes an event that is passed on to the caller.
+    pub(super) fn note(&mut self, event: Bytes) {
+        self.bytes += event.len();
+        self.events.push(event);
+    }
+
+    /// Bytes of the noted events.
+    pub(super) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Whether nothing was delivered.
+    pub(super) const fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
+    /// Number of tokens delivered.
+    pub(super) fn tokens(&self, endpoint: Endpoint) -> u32 {
+        self.text(endpoint).tokens
+    }
+
+    /// The request that continues the answer after what was delivered, in the
+    /// form that vLLM-compatible engines take: `continue_final_message` for
+    /// chats, a longer prompt for text.
+    pub(super) fn continued(&self, body: &[u8], endpoint: Endpoint) -> Option<Bytes> {
+        let mut request: Map<String, Value> = serde_json::from_slice(body).ok()?;
+        let delivered = self.text(endpoint);
+        match endpoint {
+            Endpoint::Chat => {
+                let messages = request.get_mut("messages")?.as_array_mut()?;
+                messages.push(json!({ "role": "assistant", "content": delivered.text }));
+                request.insert("continue_final_message".into(), true.into());
+                request.insert("add_generation_prompt".into(), false.into());
+            }
+            Endpoint::Text => {
+                let prompt = request.get("prompt")?.as_str()?.to_owned();
+                request.insert("prompt".into(), (prompt + &delivered.text).into());
+            }
+        }
+        for field in ["max_tokens", "max_completion_tokens"] {
+            if let Some(limit) = request.get(field).and_then(Value::as_u64) {
+                let left = limit.saturating_sub(u64::from(delivered.tokens));
+                request.insert(field.into(), left.into());
+            }
+        }
+        serde_json::to_vec(&request).ok().map(Bytes::from)
+    }
+
+    fn text(&self, endpoint: Endpoint) -> DeliveredText {
+        let mut delivered = DeliveredText::default();
+        for event in &self.events {
+            let data = event.strip_prefix(b"data: ").unwrap_or_default();
+            let Ok(event) = serde_json::from_slice::<Value>(data) else { continue };
+            let choice = &event["choices"][0];
+            let piece = match endpoint {
+                Endpoint::Chat => choice["delta"]["content"].as_str(),
+                Endpoint::Text => choice["text"].as_str(),
+            };
+            if let Some(piece) = piece.filter(|piece| !piece.is_empty()) {
+                delivered.text.push_str(piece);
+                delivered.tokens += 1;
+            }
+        }
+        delivered
+    }
+}
--- /dev/null
+++ b/crates/entry/src/once/serve.rs
@@ -0,0 +1,99 @@
+//! Serves operations that may run at most once.
+
+use std::rc::Rc;
+
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use bytes::Bytes;
+use clementine_decide::ids::RequestId;
+use clementine_decide::operation::{
+    BodyDigest, ClaimKey, OperationDriver, OperationLimits, RecordedAnswer, Settled, SettledBy,
+};
+use clementine_decide::outcome::ErrorKind;
+use clementine_objects::Route;
+use clementine_wire::{AnswerHead, Header};
+
+use super::AgentGates;
+use crate::callers::{CallerRequest, Refusal, answer_response};
+use crate::entry::Entry;
+
+/// Header with the caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest idempotency key, in bytes.
+const KEY_MAX_BYTES: usize = 255;
+
+impl Entry {
+    /// Serves an operation that may run at most once.
+    pub(crate) async fn run_operation(
+        self: Rc<Self>,
+        caller: CallerRequest,
+        route: &Route,
+    ) -> Result<Response<BoxBody>, Refusal> {
+        let key = claim_key(&caller, route)?;
+        let digest = BodyDigest::of_request(&caller.method, &caller.path, &caller.body);
+        let gates = AgentGates::new(&self, &caller, &route.pool);
+        let limits = OperationLimits::default();
+        let driver = OperationDriver::new(&self.claims, &gates, &key, digest, limits);
+        match driver.drive().await {
+            Settled::Answered { answer, by } => {
+                self.metrics.count_claim(source_label(by));
+                Ok(response(caller.id, answer))
+            }
+            Settled::Failed { kind, retry_after } => {
+                self.metrics.count_claim(kind.code());
+                Err(Refusal::new(kind, message(kind)).retry_after(retry_after))
+            }
+        }
+    }
+}
+
+fn claim_key(caller: &CallerRequest, route: &Route) -> Result<ClaimKey, Refusal> {
+    let Some(key) = caller.header(KEY_HEADER).filter(|key| !key.is_empty()) else {
+        let message = format!("route `{}` needs an Idempotency-Key header", route.name);
+        return Err(Refusal::new(ErrorKind::KeyMissing, message));
+    };
+    if key.len() > KEY_MAX_BYTES {
+        let message = format!("the Idempotency-Key is longer than {KEY_MAX_BYTES} bytes");
+        return Err(Refusal::new(ErrorKind::TooLarge, message));
+    }
+    Ok(ClaimKey {
+        workspace: caller.workspace.name.clone(),
+        route: route.name.clone(),
+        key: key.into(),
+    })
+}
+
+fn response(id: RequestId, answer: RecordedAnswer) -> Response<BoxBody> {
+    let value = Bytes::copy_from_slice(answer.content_type.as_bytes());
+    let content_type = Header { name: "content-type".into(), value };
+    let headers = if content_type.value.is_empty() { Vec::new() } else { vec![content_type] };
+    let head = AnswerHead { status: answer.status, headers };
+    answer_response(id, &head, answer.body.into())
+}
+
+const fn source_label(by: SettledBy) -> &'static str {
+    match by {
+        SettledBy::OwnRun => "own_run",
+        SettledBy::Attachment => "attachment",
+        SettledBy::Record => "record",
+    }
+}
+
+const fn message(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::KeyReused => "the key was used with another request",
+        ErrorKind::StoreUnavailable => {
+            "the table service does not answer; this request was not run, \
+             an earlier one with the same key may have been"
+        }
+        ErrorKind::NoBackend => "no backend server takes the request",
+        ErrorKind::Overloaded => "no backend server can answer in time",
+        ErrorKind::BackendLost => "the backend server gave no answer; it may have run the request",
+        ErrorKind::AgentReplaced => "the instance that held the request is gone; it may have run",
+        ErrorKind::AgentUnreachable => {
+            "the instance that holds the request can't be reached; ask again with the same key"
+        }
+        _ => "the request was given up on",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,72 @@
+//! Runs the entry until it has drained.
+
+use std::rc::Rc;
+
+use clementine_process::admin::serve_admin;
+use clementine_process::http::{HttpLimits, bind_reusable, serve_http};
+use clementine_process::logging::start_logging;
+use clementine_process::metrics::Metrics;
+use clementine_process::shutdown::{Drain, watch_signals};
+use snafu::ResultExt;
+use spdlog::{error, info, warn};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::admin::admin_handler;
+use crate::entry::Entry;
+use crate::error::{BindSnafu, EntryError, SignalsSnafu};
+use crate::settings::EntrySettings;
+
+/// Runs the entry until it has drained.
+pub(crate) fn run(settings: EntrySettings) -> Result<(), EntryError> {
+    start_logging(settings.process.log_format, settings.process.log_level)?;
+    actix_rt::System::new().block_on(serve(settings))
+}
+
+async fn serve(settings: EntrySettings) -> Result<(), EntryError> {
+    let listen = settings.listen;
+    let listener = bind_reusable(listen).context(BindSnafu { listen })?;
+    let address = listener.local_addr().context(BindSnafu { listen })?;
+    let leaving = Drain::default();
+    watch_signals(leaving.clone()).context(SignalsSnafu)?;
+    let metrics = Metrics::start()?;
+    let entry = Entry::new(settings.clone(), Drain::default(), &metrics.meter());
+    let handler = admin_handler(Rc::clone(&entry));
+    serve_admin(&settings.process.admin, metrics, Rc::clone(&entry), Some(handler))?;
+    spawn_local(Rc::clone(&entry).watch_instances());
+    spawn_local(Rc::clone(&entry).follow_config());
+    let closing = Drain::default();
+    spawn_local(accept(listener, closing.clone(), Rc::clone(&entry)));
+    info!("entry: listening on {}", address);
+    leaving.started().await;
+    leave(&settings, &entry, &closing).await;
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, closing: Drain, entry: Rc<Entry>) {
+    let serve = serve_http(listener, HttpLimits::default(), closing, move |req| {
+        Rc::clone(&entry).answer_caller(req)
+    });
+    if let Err(error) = serve.await {
+        error!("entry: {}", error);
+    }
+}
+
+/// Fails the readiness check, leaves the balancer time to notice, closes the
+/// listening socket, and waits for the requests in progress.
+async fn leave(settings: &EntrySettings, entry: &Entry, closing: &Drain) {
+    entry.leaving.set(true);
+    sleep(settings.leave_notice.duration()).await;
+    closing.start();
+    let limit = settings.process.drain_limit.duration();
+    if timeout(limit, entry.drain.idle()).await.is_err() {
+        warn!("entry: {} requests did not end in time", entry.drain.in_progress());
+    }
+    // The last answers are still being written to their sockets.
+    sleep(LAST_WRITES).await;
+    info!("entry: drained");
+}
+
+/// Time for the last answers to be written.
+const LAST_WRITES: std::time::Duration = std::time::Duration::from_millis(100);
--- /dev/null
+++ b/crates/entry/src/store/claims.rs
@@ -0,0 +1,90 @@
+//! Claims in the table service.
+
+use clementine_decide::ids::WorkId;
+use clementine_decide::operation::{
+    ClaimKey, ClaimRow, ClaimState, Claims, StoreFault, WriteReply,
+};
+use clementine_objects::Millis;
+use clementine_platform::{
+    ConditionalPut, DynamoTable, PutCondition, PutReply, Row, RowKey, TableService,
+};
+use clementine_process::clock::unix_ms;
+use compact_str::{CompactString, format_compact};
+
+/// Sort key of the only row of a claim's partition.
+const CLAIM_SORT_KEY: &str = "claim";
+
+/// Claims in the table service.
+#[derive(Debug, Clone)]
+pub(crate) struct ClaimTable {
+    table: DynamoTable,
+    keep: Millis,
+}
+
+impl ClaimTable {
+    /// Claims in a table, kept for a time.
+    pub(crate) const fn new(table: DynamoTable, keep: Millis) -> Self {
+        Self { table, keep }
+    }
+
+    async fn write(
+        &self,
+        key: &ClaimKey,
+        row: &ClaimRow,
+        condition: PutCondition,
+    ) -> Result<WriteReply, StoreFault> {
+        let document = serde_json::to_string(row).map_err(|_| StoreFault::NoEffect)?;
+        let row = Row {
+            key: row_key(key),
+            guard: guard(row),
+            document,
+            expires_unix_s: Some((unix_ms() + self.keep.0) / 1_000),
+        };
+        match self.table.put(&ConditionalPut { row, condition }).await? {
+            PutReply::Written => Ok(WriteReply::Written),
+            PutReply::Conflict(None) => Ok(WriteReply::Conflict(None)),
+            PutReply::Conflict(Some(row)) => Ok(WriteReply::Conflict(Some(parse(&row)?))),
+        }
+    }
+}
+
+impl Claims for ClaimTable {
+    async fn insert(&self, key: &ClaimKey, row: &ClaimRow) -> Result<WriteReply, StoreFault> {
+        self.write(key, row, PutCondition::Absent).await
+    }
+
+    async fn replace(
+        &self,
+        key: &ClaimKey,
+        expected: WorkId,
+        row: &ClaimRow,
+    ) -> Result<WriteReply, StoreFault> {
+        self.write(key, row, PutCondition::GuardIs(held_guard(expected))).await
+    }
+
+    async fn read(&self, key: &ClaimKey) -> Result<Option<ClaimRow>, StoreFault> {
+        let row = self.table.get(&row_key(key)).await?;
+        row.as_ref().map(parse).transpose()
+    }
+}
+
+fn row_key(key: &ClaimKey) -> RowKey {
+    RowKey { partition: format_compact!("claim/{key}"), sort: CLAIM_SORT_KEY.into() }
+}
+
+/// Only a held claim has the guard that [`Claims::replace`] expects.
+fn guard(row: &ClaimRow) -> CompactString {
+    match row.state {
+        ClaimState::Held => held_guard(row.token),
+        ClaimState::Ran(_) => "ran".into(),
+        ClaimState::Unknown => "unknown".into(),
+    }
+}
+
+fn held_guard(token: WorkId) -> CompactString {
+    format_compact!("held/{token}")
+}
+
+fn parse(row: &Row) -> Result<ClaimRow, StoreFault> {
+    serde_json::from_str(&row.document).map_err(|_| StoreFault::NoEffect)
+}
--- a/crates/objects/src/catalog/change.rs
+++ b/crates/objects/src/catalog/change.rs
@@ -66,8 +66,11 @@
     /// The change that turns one catalog into another.
     pub fn between(from: &Catalog, to: &Catalog) -> Self {
         let current = |object: &Object| from.object(object.kind(), object.name());
-        let puts: Vec<_> =
-            to.objects().into_iter().filter(|object| current(object).as_ref() != Some(object)).collect();
+        let puts: Vec<_> = to
+            .objects()
+            .into_iter()
+            .filter(|object| current(object).as_ref() != Some(object))
+            .collect();
         let gone = |object: &Object| to.object(object.kind(), object.name()).is_none();
         let deletes =
             from.objects().iter().filter(|object| gone(object)).map(Object::reference).collect();
@@ -78,7 +81,8 @@
     pub fn conflict_with(&self, rivals: &[ChangeRecord]) -> Option<ChangeConflict> {
         let touched = self.touched();
         rivals.iter().find_map(|rival| {
-            let object = rival.change.touched().into_iter().find(|object| touched.contains(object))?;
+            let object =
+                rival.change.touched().into_iter().find(|object| touched.contains(object))?;
             Some(ChangeConflict { object, author: rival.author.clone(), revision: rival.revision })
         })
     }
--- a/crates/objects/src/catalog/snapshot.rs
+++ b/crates/objects/src/catalog/snapshot.rs
@@ -28,7 +28,9 @@
         source: serde_json::Error,
     },
     /// The snapshot was written by a program with another format.
-    #[snafu(display("the snapshot has format {found}, this program reads format {FORMAT_VERSION}"))]
+    #[snafu(display(
+        "the snapshot has format {found}, this program reads format {FORMAT_VERSION}"
+    ))]
     UnknownFormat {
         /// Format of the snapshot.
         found: u32,
@@ -117,7 +119,10 @@
         ensure!(is_next, NotNextSnafu { revision: self.revision, found: record.revision });
         let catalog = self.catalog.with(&record.change);
         let matches = catalog.digest() == record.digest;
-        ensure!(matches, DigestMismatchSnafu { revision: record.revision, expected: record.digest });
+        ensure!(
+            matches,
+            DigestMismatchSnafu { revision: record.revision, expected: record.digest }
+        );
         Ok(Self { revision: record.revision, catalog })
     }
 }
--- a/crates/objects/src/catalog/whole.rs
+++ b/crates/objects/src/catalog/whole.rs
@@ -88,7 +88,9 @@
             ObjectKind::Workspace => {
                 self.workspace(&name.parse().ok()?).cloned().map(Object::Workspace)
             }
-            ObjectKind::Priority => self.priority(&name.parse().ok()?).cloned().map(Object::Priority),
+            ObjectKind::Priority => {
+                self.priority(&name.parse().ok()?).cloned().map(Object::Priority)
+            }
         }
     }
 
@@ -98,8 +100,12 @@
             ObjectKind::Pool => self.pools.keys().map(|name| name.as_str().into()).collect(),
             ObjectKind::Route => self.routes.keys().map(|name| name.as_str().into()).collect(),
             ObjectKind::Model => self.models.keys().map(|name| name.as_str().into()).collect(),
-            ObjectKind::Workspace => self.workspaces.keys().map(|name| name.as_str().into()).collect(),
-            ObjectKind::Priority => self.priorities.keys().map(|name| name.as_str().into()).collect(),
+            ObjectKind::Workspace => {
+                self.workspaces.keys().map(|name| name.as_str().into()).collect()
+            }
+            ObjectKind::Priority => {
+                self.priorities.keys().map(|name| name.as_str().into()).collect()
+            }
         }
     }
 
--- a/crates/objects/src/ids/millis.rs
+++ b/crates/objects/src/ids/millis.rs
@@ -10,7 +10,16 @@
 
 /// A duration in whole milliseconds, written `250ms`, `30s` or `5m`.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, SerializeDisplay,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    SerializeDisplay,
     DeserializeFromStr,
 )]
 pub struct Millis(pub u64);
--- a/crates/objects/src/ids/names.rs
+++ b/crates/objects/src/ids/names.rs
@@ -23,11 +23,7 @@
 fn parse_name(text: &str) -> Result<CompactString, NameError> {
     let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
     let valid = !text.is_empty() && text.len() <= NAME_MAX_BYTES && text.chars().all(allowed);
-    if valid {
-        Ok(text.into())
-    } else {
-        Err(NameError { text: text.into() })
-    }
+    if valid { Ok(text.into()) } else { Err(NameError { text: text.into() }) }
 }
 
 macro_rules! name_type {
--- a/crates/objects/src/ids/revision.rs
+++ b/crates/objects/src/ids/revision.rs
@@ -11,7 +11,16 @@
 /// Revision 0 is the empty configuration. An instance never replaces its
 /// configuration by one of a lower revision.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, SerializeDisplay,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    SerializeDisplay,
     DeserializeFromStr,
 )]
 pub struct Revision(pub u64);
--- a/crates/objects/src/kinds/token_digest.rs
+++ b/crates/objects/src/kinds/token_digest.rs
@@ -11,7 +11,9 @@
 /// SHA-256 of a bearer token, written as 64 hexadecimal digits.
 ///
 /// The token itself is never stored or logged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct TokenDigest([u8; 32]);
 
 /// A text that is not a SHA-256 digest.
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod ids;
 pub mod kinds;
 
-pub use catalog::{Catalog, CatalogDigest, Change, ChangeConflict, ChangeRecord, Snapshot, SnapshotError};
+pub use catalog::{
+    Catalog, CatalogDigest, Change, ChangeConflict, ChangeRecord, Snapshot, SnapshotError,
+};
 pub use check::{Fault, check_catalog};
 pub use ids::{
     ChangeId, Millis, ModelName, NameError, PoolName, PriorityName, Revision, RouteName,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! Clients of what the platform gives: table service, object store and
 //! instance list, one trait each.
 
-mod http;
+pub mod http;
 pub mod instances;
 pub mod objects;
 pub mod table;
@@ -9,4 +9,6 @@
 pub use http::{Guard, GuardLimits};
 pub use instances::{EndpointSlices, InstanceList, InstanceState, ListedInstance};
 pub use objects::{ObjectStore, S3Objects};
-pub use table::{ConditionalPut, DynamoTable, PutCondition, PutReply, Row, RowKey, TableService, TransactReply};
+pub use table::{
+    ConditionalPut, DynamoTable, PutCondition, PutReply, Row, RowKey, TableService, TransactReply,
+};
--- a/crates/platform/src/table/dynamo.rs
+++ b/crates/platform/src/table/dynamo.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::{ConditionalPut, PutCondition, PutReply, Row, RowKey, TableService, TransactReply};
-use crate::http::Guard;
+use crate::http::{Guard, was_never_sent};
 
 /// Prefix of the `X-Amz-Target` header.
 const TARGET_PREFIX: &str = "DynamoDB_20120810";
@@ -109,7 +109,9 @@
     async fn put(&self, put: &ConditionalPut) -> Result<PutReply, StoreFault> {
         match self.call("PutItem", self.put_body(put)).await? {
             Reply::Done(_) => Ok(PutReply::Written),
-            Reply::Refused { exception, body } if exception == "ConditionalCheckFailedException" => {
+            Reply::Refused { exception, body }
+                if exception == "ConditionalCheckFailedException" =>
+            {
                 Ok(PutReply::Conflict(row(&body["Item"])))
             }
             Reply::Refused { .. } => Err(StoreFault::NoEffect),
@@ -163,10 +165,7 @@
 }
 
 fn send_fault(error: &SendRequestError) -> StoreFault {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => StoreFault::NoEffect,
-        _ => StoreFault::Unclear,
-    }
+    if was_never_sent(error) { StoreFault::NoEffect } else { StoreFault::Unclear }
 }
 
 /// A client error had no effect; after a server error that is not known.
--- a/crates/process/src/admin/mod.rs
+++ b/crates/process/src/admin/mod.rs
@@ -2,4 +2,4 @@
 
 mod server;
 
-pub use server::{AdminHandler, AdminProcess, serve_admin};
+pub use server::{AdminError, AdminHandler, AdminProcess, serve_admin};
--- a/crates/process/src/admin/server.rs
+++ b/crates/process/src/admin/server.rs
@@ -85,7 +85,10 @@
             return self.readiness();
         }
         if !admitted {
-            return text_response(StatusCode::UNAUTHORIZED, "a valid administration token is needed\n");
+            return text_response(
+                StatusCode::UNAUTHORIZED,
+                "a valid administration token is needed\n",
+            );
         }
         match path.as_str() {
             "/metrics" => self.metrics_text(),
--- a/crates/process/src/logging/mod.rs
+++ b/crates/process/src/logging/mod.rs
@@ -4,4 +4,4 @@
 mod start;
 
 pub use format::LogFormat;
-pub use start::start_logging;
+pub use start::{LoggingError, start_logging};
--- a/crates/process/src/settings/common.rs
+++ b/crates/process/src/settings/common.rs
@@ -64,10 +64,18 @@
 pub fn process_args() -> [Arg; 5] {
     [
         setting("admin-listen", "ADDRESS", "Administration address [default: 127.0.0.1:0]"),
-        setting("admin-token", "TOKEN", "Bearer token of the administration address; needed off loopback")
-            .hide_env_values(true),
+        setting(
+            "admin-token",
+            "TOKEN",
+            "Bearer token of the administration address; needed off loopback",
+        )
+        .hide_env_values(true),
         setting("log-format", "FORMAT", "Format of the log: text or json [default: text]"),
-        setting("log-level", "LEVEL", "Least level logged: debug, info, warn or error [default: info]"),
+        setting(
+            "log-level",
+            "LEVEL",
+            "Least level logged: debug, info, warn or error [default: info]",
+        ),
         setting("drain-limit", "DURATION", "Longest time that a drain may take [default: 60s]"),
     ]
 }
@@ -79,7 +87,11 @@
         let listen: SocketAddr = reader.or("admin-listen", loopback);
         let token = reader.optional("admin-token");
         let guarded = token.is_some() || listen.ip().is_loopback();
-        reader.require(guarded, "admin-token", "is required when --admin-listen is not on loopback");
+        reader.require(
+            guarded,
+            "admin-token",
+            "is required when --admin-listen is not on loopback",
+        );
         Self {
             admin: AdminSettings { listen, token },
             log_format: reader.or("log-format", LogFormat::Text),
--- a/crates/process/src/settings/reader.rs
+++ b/crates/process/src/settings/reader.rs
@@ -109,6 +109,10 @@
     ///
     /// Returns all faults that were noted.
     pub fn finish<T>(self, settings: T) -> Result<T, SettingFaults> {
-        if self.faults.is_empty() { Ok(settings) } else { Err(SettingFaults { faults: self.faults }) }
+        if self.faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingFaults { faults: self.faults })
+        }
     }
 }
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,1 +1,3 @@
+//! Replays recorded traces against stated outcomes.
+
 fn main() {}
--- a/crates/standin/src/engine/router.rs
+++ b/crates/standin/src/engine/router.rs
@@ -84,7 +84,9 @@
         }
         let output = self.stages.borrow_mut().as_mut().map(|stages| stages.forward(&step));
         match output {
-            Some(Ok(activation)) => json_response(StatusCode::OK, &json!({ "activation": activation })),
+            Some(Ok(activation)) => {
+                json_response(StatusCode::OK, &json!({ "activation": activation }))
+            }
             Some(Err(message)) => error_response(StatusCode::CONFLICT, &message),
             None => error_response(StatusCode::NOT_FOUND, "this engine holds no layers"),
         }
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -65,7 +65,10 @@
         crash_if(&body, "crash-before");
         let stored = self.store(&OperationRecord { key: &key, path: &path, body: &body });
         if stored.is_err() {
-            return error_response(StatusCode::INTERNAL_SERVER_ERROR, "the record can't be written");
+            return error_response(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the record can't be written",
+            );
         }
         crash_if(&body, "crash-after");
         self.pause().await;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,14 @@
 //! Messages and transport between the processes of clementinehub.
 
+pub mod link;
 pub mod messages;
 mod service;
 pub mod transport;
 
+pub use link::{AgentLink, LinkFault, LinkLimits};
 pub use messages::{
-    AgentDescription, AgentState, AnswerEnd, AnswerHead, AttachStart, Header, NotRunReason,
-    Progress, ReadOrder, ReadReply, RunOrder, RunRefusal, RunStart, StageChain, StageOrder,
-    StageReply, StageTarget,
+    AgentDescription, AgentNews, AgentState, AnswerEnd, AnswerHead, AttachStart, Header,
+    NotRunReason, Progress, ReadOrder, ReadReply, RunOrder, RunRefusal, RunStart, SplitPlan,
+    StageOrder, StageReply, StageTarget, StageTargets,
 };
 pub use service::{Agent, AgentClient};
--- a/crates/wire/src/messages/describe.rs
+++ b/crates/wire/src/messages/describe.rs
@@ -17,15 +17,11 @@
     Leaving,
 }
 
-/// An agent's description of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AgentDescription {
+/// What changes about an agent, carried on its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentNews {
     /// The agent with its incarnation and epoch.
     pub agent: AgentRef,
-    /// Pool that the backend server belongs to.
-    pub pool: PoolName,
-    /// Failure domain of the instance.
-    pub domain: CompactString,
     /// Whether new work is taken.
     pub state: AgentState,
     /// Load of the backend server.
@@ -33,3 +29,14 @@
     /// Configuration that the agent holds.
     pub revision: Revision,
 }
+
+/// An agent's description of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentDescription {
+    /// Pool that the backend server belongs to.
+    pub pool: PoolName,
+    /// Failure domain of the instance.
+    pub domain: CompactString,
+    /// What changes about the agent.
+    pub news: AgentNews,
+}
--- a/crates/wire/src/messages/mod.rs
+++ b/crates/wire/src/messages/mod.rs
@@ -9,7 +9,7 @@
 
 pub use answer::{AnswerEnd, AnswerHead, Header, NotRunReason, Progress};
 pub use attach::AttachStart;
-pub use describe::{AgentDescription, AgentState};
+pub use describe::{AgentDescription, AgentNews, AgentState};
 pub use read::{ReadOrder, ReadReply};
 pub use run::{RunOrder, RunRefusal, RunStart};
-pub use stage::{StageChain, StageOrder, StageReply, StageTarget};
+pub use stage::{SplitPlan, StageOrder, StageReply, StageTarget, StageTargets};
--- a/crates/wire/src/messages/run.rs
+++ b/crates/wire/src/messages/run.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::{Header, NotRunReason, Progress, StageChain};
+use super::{AgentNews, Header, NotRunReason, Progress, SplitPlan};
 
 /// An order to run a request once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,8 +33,10 @@
     pub level: u8,
     /// Identity of the request by content.
     pub fingerprint: Fingerprint,
-    /// Further stages, when the model is split.
-    pub chain: Option<StageChain>,
+    /// Backend servers that the entry has seen the request crash.
+    pub crashes: u32,
+    /// The plan, when the model is split.
+    pub split: Option<SplitPlan>,
 }
 
 /// Refusal of an order; the work did not run and never will.
@@ -50,7 +52,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunStart {
     /// The work was accepted, now or before; this is its first progress.
-    Started(Progress),
+    Started(Progress, AgentNews),
     /// The work did not run and never will.
-    Refused(RunRefusal),
+    Refused(RunRefusal, AgentNews),
 }
--- a/crates/wire/src/messages/stage.rs
+++ b/crates/wire/src/messages/stage.rs
@@ -1,8 +1,8 @@
 //! Steps of a split model.
 
 use bytes::Bytes;
+use clementine_decide::ids::{AgentRef, WorkId};
 use clementine_decide::stage::{StageEpoch, StageInput, TokenIndex};
-use clementine_decide::ids::AgentRef;
 use clementine_objects::LayerRange;
 use serde::{Deserialize, Serialize};
 
@@ -15,14 +15,21 @@
     pub layers: LayerRange,
 }
 
-/// The stages after the receiver's own, in order of layers; each lists its
-/// replacements after the agent of choice.
+/// One stage after the receiver's own: the agent of choice, then those that
+/// can replace it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct StageChain {
-    /// Layers of the receiver's own stage.
-    pub own: Option<LayerRange>,
-    /// Agents for each further stage.
-    pub stages: Vec<Vec<StageTarget>>,
+pub struct StageTargets(pub Vec<StageTarget>);
+
+/// How a request runs over a split model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SplitPlan {
+    /// The request at all stages. It stays the same when the head is replaced,
+    /// so that the other stages run nothing again.
+    pub work: WorkId,
+    /// Stages after the head, in order of layers.
+    pub stages: Vec<StageTargets>,
+    /// Tokens of the answer that the caller has already.
+    pub delivered: u32,
 }
 
 /// An order to run one step at one stage and the stages after it.
@@ -30,19 +37,19 @@
 pub struct StageOrder {
     /// Request, attempt and step.
     pub input: StageInput,
-    /// Output of the stage before.
+    /// Output of the stage before; at the head the prompt or a token.
     pub activation: Bytes,
-    /// Receiver's layers and the stages after it.
-    pub chain: StageChain,
-    /// Whether the step only rebuilds this stage's state: its output is known
-    /// downstream and is not passed on.
+    /// Stages after the receiver's.
+    pub stages: Vec<StageTargets>,
+    /// Whether the step only rebuilds the receiver's state: its output is
+    /// known downstream and is not passed on.
     pub rebuild: bool,
 }
 
 /// Answer to a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StageReply {
-    /// Output of the last stage: the next token as text, empty at the end.
+    /// Output of the last stage: the next token as text.
     Token(Bytes),
     /// The step was run to rebuild the stage.
     Rebuilt,
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,6 +1,6 @@
 //! The service of an agent.
 
-use bytes::Bytes;
+use clementine_decide::config::ConfigUpdate;
 use clementine_decide::gate::WorkTag;
 use clementine_decide::ids::WorkId;
 use clementine_objects::Revision;
@@ -27,11 +27,11 @@
     /// Gives up work.
     async fn cancel(work: WorkId);
 
-    /// Takes an encoded snapshot if it is newer and returns the revision held.
-    async fn configure(snapshot: Bytes) -> Revision;
+    /// Takes an update of the configuration and returns the revision held.
+    async fn configure(update: ConfigUpdate) -> Revision;
 
-    /// Returns the encoded snapshot held, empty when there is none.
-    async fn snapshot() -> Bytes;
+    /// Returns what a process at a revision has to learn.
+    async fn config_since(revision: Revision) -> ConfigUpdate;
 
     /// Runs one step of a split model.
     async fn stage(order: StageOrder) -> StageReply;
