Tell unknown from not-run when claims can't be read

Cause: with the table service down, a repeated request for an operation was refused as not run although an earlier request with the same key had run. Found by random interleavings of up to four attempts at one key (lost and late writes, crashed entries, replaced agents that wake up, epochs that turn over); the service's own record is the oracle. Ruled out: a second run. Conclusion: the strict reading of not-run holds; the price is that a table outage answers unknown to callers that do not use the header.

--- a/crates/agent/src/core/job.rs
+++ b/crates/agent/src/core/job.rs
@@ -22,5 +22,5 @@
     /// Time by which the answer has to be there.
     pub(crate) deadline: Tick,
     /// Keeps a drain waiting until the job has ended.
-    pub(crate) _in_progress: InProgress,
+    pub(crate) in_progress: InProgress,
 }
--- a/crates/agent/src/core/work.rs
+++ b/crates/agent/src/core/work.rs
@@ -112,8 +112,8 @@
         let (work, repeat) = (order.tag.work, order.repeat);
         let urgency = Urgency { level: order.level, deadline: now.after(order.time_left) };
         let answer = self.shelf.borrow_mut().open(work, repeat);
-        let _in_progress = self.drain.enter();
-        let job = Job { order, permit, answer, deadline: urgency.deadline, _in_progress };
+        let in_progress = self.drain.enter();
+        let job = Job { order, permit, answer, deadline: urgency.deadline, in_progress };
         let offer = self.admission.borrow_mut().offer(work, job, urgency, now);
         match offer {
             Offer::Start(job) => self.start_all(vec![job]),
@@ -177,6 +177,7 @@
             CallEnd::Sent(end) => {
                 self.note_end(&job, end);
                 job.answer.finish(end, self.clock.now());
+                drop(job.in_progress);
                 self.admission.borrow_mut().finish(took)
             }
         };
--- a/crates/agent/src/stages/completion.rs
+++ b/crates/agent/src/stages/completion.rs
@@ -48,13 +48,14 @@
 
     /// The event of one token.
     pub(super) fn token_event(&self, token: &str) -> Bytes {
-        self.event(if self.chat { json!({ "content": token }) } else { token.into() }, Value::Null)
+        let content = if self.chat { json!({ "content": token }) } else { token.into() };
+        self.event(&content, &Value::Null)
     }
 
     /// The last events.
     pub(super) fn end_events(&self) -> Bytes {
         let empty = if self.chat { json!({}) } else { "".into() };
-        let last = self.event(empty, "length".into());
+        let last = self.event(&empty, &"length".into());
         [&last[..], b"data: [DONE]\n\n"].concat().into()
     }
 
@@ -77,7 +78,7 @@
         whole.to_string().into_bytes().into()
     }
 
-    fn event(&self, content: Value, finish: Value) -> Bytes {
+    fn event(&self, content: &Value, finish: &Value) -> Bytes {
         let field = if self.chat { "delta" } else { "text" };
         let event = json!({
             "id": self.id,
--- a/crates/decide/src/balance/choose.rs
+++ b/crates/decide/src/balance/choose.rs
@@ -43,10 +43,7 @@
 }
 
 /// Keeps the matching candidates, or all when none matches.
-fn narrow<'a>(
-    candidates: Vec<&'a Candidate>,
-    keep: impl Fn(&Candidate) -> bool,
-) -> Vec<&'a Candidate> {
+fn narrow(candidates: Vec<&Candidate>, keep: impl Fn(&Candidate) -> bool) -> Vec<&Candidate> {
     let kept: Vec<_> = candidates.iter().copied().filter(|c| keep(c)).collect();
     if kept.is_empty() { candidates } else { kept }
 }
--- a/crates/decide/src/gate/records.rs
+++ b/crates/decide/src/gate/records.rs
@@ -96,6 +96,7 @@
 
     /// Turns accepted work that was never given to the backend server into
     /// sealed work. The permit shows that it was not run.
+    #[expect(clippy::needless_pass_by_value, reason = "the permit must not be used again")]
     pub fn withdraw(&mut self, permit: RunPermit) {
         let work = permit.work();
         let held_in =
--- a/crates/decide/src/operation/driver.rs
+++ b/crates/decide/src/operation/driver.rs
@@ -24,13 +24,24 @@
     }
 }
 
+/// A request for an operation.
+#[derive(Debug, Clone, Copy)]
+pub struct OperationRequest<'a> {
+    /// Key of the claim.
+    pub key: &'a ClaimKey,
+    /// Digest of the request.
+    pub digest: BodyDigest,
+    /// Whether the caller declares that it has sent no request with the key
+    /// before.
+    pub first_attempt: bool,
+}
+
 /// Drives one request for an operation.
 #[derive(Debug)]
 pub struct OperationDriver<'a, C, G> {
     claims: &'a C,
     gates: &'a G,
-    key: &'a ClaimKey,
-    digest: BodyDigest,
+    request: OperationRequest<'a>,
     limits: OperationLimits,
     refused: Vec<AgentRef>,
     retry_after: Option<Millis>,
@@ -57,11 +68,10 @@
     pub const fn new(
         claims: &'a C,
         gates: &'a G,
-        key: &'a ClaimKey,
-        digest: BodyDigest,
+        request: OperationRequest<'a>,
         limits: OperationLimits,
     ) -> Self {
-        Self { claims, gates, key, digest, limits, refused: Vec::new(), retry_after: None }
+        Self { claims, gates, request, limits, refused: Vec::new(), retry_after: None }
     }
 
     /// Claims, sends and settles the operation.
@@ -88,16 +98,26 @@
         match self.claim(operation, None).await {
             Claim::Ours(operation) => self.send(operation).await,
             Claim::Taken(row) => Step::Settle(row),
-            Claim::Failed => Step::Done(Settled::failed(ErrorKind::StoreUnavailable)),
+            Claim::Failed => Step::Done(self.unsettled()),
         }
     }
 
     /// With no agent to run it, the operation may still have run before.
     async fn without_backend(&self) -> Step {
-        match self.claims.read(self.key).await {
+        match self.claims.read(self.request.key).await {
             Ok(Some(row)) => Step::Settle(row),
             Ok(None) => Step::Done(Settled::failed(ErrorKind::NoBackend)),
-            Err(_) => Step::Done(Settled::failed(ErrorKind::StoreUnavailable)),
+            Err(_) => Step::Done(self.unsettled()),
+        }
+    }
+
+    /// Without the table service, only the caller knows whether an earlier
+    /// request may have run.
+    const fn unsettled(&self) -> Settled {
+        if self.request.first_attempt {
+            Settled::failed(ErrorKind::StoreUnavailable)
+        } else {
+            Settled::failed(ErrorKind::ClaimUnreadable)
         }
     }
 
@@ -114,15 +134,17 @@
 
     fn fresh(&self) -> Option<Operation<Unclaimed>> {
         let agent = self.gates.choose(&self.refused)?;
-        Some(Operation::new(self.digest, self.gates.fresh_token(), agent))
+        Some(Operation::new(self.request.digest, self.gates.fresh_token(), agent))
     }
 
     /// Writes the claim, in place of a sealed one where there is one.
     async fn claim(&self, operation: Operation<Unclaimed>, sealed: Option<&ClaimRow>) -> Claim {
         for _ in 0..self.limits.store_calls.max(1) {
             let written = match sealed {
-                None => self.claims.insert(self.key, operation.row()).await,
-                Some(sealed) => self.claims.replace(self.key, sealed.token, operation.row()).await,
+                None => self.claims.insert(self.request.key, operation.row()).await,
+                Some(sealed) => {
+                    self.claims.replace(self.request.key, sealed.token, operation.row()).await
+                }
             };
             match written {
                 Ok(WriteReply::Written) => return Claim::Ours(operation.claimed()),
@@ -161,7 +183,7 @@
 
     /// Settles on a row that another attempt wrote.
     async fn settle(&mut self, row: ClaimRow) -> Step {
-        if row.digest != self.digest {
+        if row.digest != self.request.digest {
             return Step::Done(Settled::failed(ErrorKind::KeyReused));
         }
         match row.state {
@@ -190,7 +212,7 @@
     /// Records that the outcome is lost, unless the row has moved on.
     async fn record_unknown(&self, row: ClaimRow, kind: ErrorKind) -> Step {
         let unknown = ClaimRow { state: ClaimState::Unknown, ..row };
-        let written = self.claims.replace(self.key, unknown.token, &unknown).await;
+        let written = self.claims.replace(self.request.key, unknown.token, &unknown).await;
         match written {
             Ok(WriteReply::Conflict(Some(current))) if current != unknown => Step::Settle(current),
             _ => Step::Done(Settled::failed(kind)),
@@ -200,7 +222,7 @@
     /// Keeps a known outcome. A lost write costs nothing but the memory of
     /// it: the agent named in the row still knows.
     async fn record(&self, row: &ClaimRow) {
-        let _ = self.claims.replace(self.key, row.token, row).await;
+        let _ = self.claims.replace(self.request.key, row.token, row).await;
     }
 
     /// Settles without claiming again when all attempts are used up.
--- a/crates/decide/src/operation/mod.rs
+++ b/crates/decide/src/operation/mod.rs
@@ -13,7 +13,7 @@
 mod settled;
 
 pub use claim_row::{BodyDigest, ClaimKey, ClaimRow, ClaimState, RecordedAnswer};
-pub use driver::{OperationDriver, OperationLimits};
+pub use driver::{OperationDriver, OperationLimits, OperationRequest};
 pub use life::{Claimed, Operation, Sent, Unclaimed};
 pub use ports::{AttachReply, Claims, Gates, RunReply, StoreFault, WriteReply};
 pub use settled::{Settled, SettledBy};
--- a/crates/decide/src/outcome/error_kind.rs
+++ b/crates/decide/src/outcome/error_kind.rs
@@ -29,8 +29,12 @@
     Overloaded,
     /// No backend server that could run the request is known.
     NoBackend,
-    /// The table service does not answer, so that no claim can be made.
+    /// The table service does not answer, so that no claim can be made. The
+    /// operation has not run.
     StoreUnavailable,
+    /// The table service does not answer, so that it can't be told whether an
+    /// earlier request with the same key has run.
+    ClaimUnreadable,
     /// The deadline passed before the request was run.
     DeadlineBeforeRun,
     /// The process is shutting down.
@@ -76,7 +80,7 @@
 
 impl ErrorKind {
     /// All kinds, for tests and documentation.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::InvalidRequest,
         Self::InvalidToken,
         Self::NotPermitted,
@@ -88,6 +92,7 @@
         Self::Overloaded,
         Self::NoBackend,
         Self::StoreUnavailable,
+        Self::ClaimUnreadable,
         Self::DeadlineBeforeRun,
         Self::ShuttingDown,
         Self::Quarantined,
@@ -113,6 +118,7 @@
             Self::Overloaded => rule(503, "overloaded_error", NotRun, SOON),
             Self::NoBackend => rule(503, "overloaded_error", NotRun, SOON),
             Self::StoreUnavailable => rule(503, "unavailable_error", NotRun, LATER),
+            Self::ClaimUnreadable => rule(503, "unavailable_error", Unknown, LATER),
             Self::DeadlineBeforeRun => rule(504, "timeout_error", NotRun, SOON),
             Self::ShuttingDown => rule(503, "unavailable_error", NotRun, SOON),
             Self::Quarantined => rule(422, "quarantine_error", Unknown, None),
@@ -138,6 +144,7 @@
             Self::Overloaded => "overloaded",
             Self::NoBackend => "no_backend",
             Self::StoreUnavailable => "store_unavailable",
+            Self::ClaimUnreadable => "claim_unreadable",
             Self::DeadlineBeforeRun => "deadline_before_run",
             Self::ShuttingDown => "shutting_down",
             Self::Quarantined => "quarantined",
--- a/crates/entry/src/once/serve.rs
+++ b/crates/entry/src/once/serve.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use clementine_decide::ids::RequestId;
 use clementine_decide::operation::{
-    BodyDigest, ClaimKey, OperationDriver, OperationLimits, RecordedAnswer, Settled, SettledBy,
+    BodyDigest, ClaimKey, OperationDriver, OperationLimits, OperationRequest, RecordedAnswer,
+    Settled, SettledBy,
 };
 use clementine_decide::outcome::ErrorKind;
 use clementine_objects::Route;
@@ -20,6 +21,10 @@
 /// Header with the caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
 
+/// Header by which a caller declares that it has sent no request with the key
+/// before.
+const FIRST_ATTEMPT_HEADER: &str = "clementine-first-attempt";
+
 /// Longest idempotency key, in bytes.
 const KEY_MAX_BYTES: usize = 255;
 
@@ -34,7 +39,9 @@
         let digest = BodyDigest::of_request(&caller.method, &caller.path, &caller.body);
         let gates = AgentGates::new(&self, &caller, &route.pool);
         let limits = OperationLimits::default();
-        let driver = OperationDriver::new(&self.claims, &gates, &key, digest, limits);
+        let first_attempt = caller.header(FIRST_ATTEMPT_HEADER) == Some("true");
+        let request = OperationRequest { key: &key, digest, first_attempt };
+        let driver = OperationDriver::new(&self.claims, &gates, request, limits);
         match driver.drive().await {
             Settled::Answered { answer, by } => {
                 self.metrics.count_claim(source_label(by));
@@ -83,7 +90,8 @@
 const fn message(kind: ErrorKind) -> &'static str {
     match kind {
         ErrorKind::KeyReused => "the key was used with another request",
-        ErrorKind::StoreUnavailable => {
+        ErrorKind::StoreUnavailable => "the table service does not answer",
+        ErrorKind::ClaimUnreadable => {
             "the table service does not answer; this request was not run, \
              an earlier one with the same key may have been"
         }
--- a/crates/objects/src/check/references.rs
+++ b/crates/objects/src/check/references.rs
@@ -1,7 +1,7 @@
 //! Checks that every reference names an existing object.
 
 use super::Fault;
-use crate::{Catalog, Object, ObjectKind};
+use crate::{Catalog, ModelName, Object, ObjectKind, PoolName, RouteName};
 
 /// Least similarity, from 0 to 1, at which a name is suggested.
 const SUGGESTION_SIMILARITY: f64 = 0.7;
@@ -24,12 +24,12 @@
         Object::Pool(_) | Object::Priority(_) => Vec::new(),
         Object::Route(route) => vec![("pool".into(), ObjectKind::Pool, route.pool.as_str())],
         Object::Model(model) => {
-            let pools = model.pools.iter().map(|pool| pool.as_str());
+            let pools = model.pools.iter().map(PoolName::as_str);
             indexed("pools", ObjectKind::Pool, pools).collect()
         }
         Object::Workspace(workspace) => {
-            let models = workspace.models.iter().map(|model| model.as_str());
-            let routes = workspace.routes.iter().map(|route| route.as_str());
+            let models = workspace.models.iter().map(ModelName::as_str);
+            let routes = workspace.routes.iter().map(RouteName::as_str);
             let priority = ("priority".into(), ObjectKind::Priority, workspace.priority.as_str());
             std::iter::once(priority)
                 .chain(indexed("models", ObjectKind::Model, models))
--- a/crates/wire/src/transport/server.rs
+++ b/crates/wire/src/transport/server.rs
@@ -17,8 +17,7 @@
     S: AsyncRead + AsyncWrite + Unpin + 'static,
     A: Agent + Clone + 'static,
 {
-    let mut config = Config::default();
-    config.pending_response_buffer = RESPONSE_QUEUE;
+    let config = Config { pending_response_buffer: RESPONSE_QUEUE };
     let channel = BaseChannel::new(config, framed(stream));
     let calls = channel.execute(agent.serve());
     calls
