--- a/crates/decide/src/publish/driver.rs
+++ b/crates/decide/src/publish/driver.rs
@@ -5,8 +5,18 @@
 
 use super::{AppendReply, ConfigStore, PublishError};
 
-/// Rounds of reading the head and appending.
-const ROUNDS: u32 = 8;
+/// Bounds of one publication.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PublishLimits {
+    /// Rounds of reading the head and appending.
+    pub rounds: u32,
+}
+
+impl Default for PublishLimits {
+    fn default() -> Self {
+        Self { rounds: 8 }
+    }
+}
 
 /// A change that an operator wants published.
 #[derive(Debug, Clone)]
@@ -46,11 +56,12 @@
     store: &impl ConfigStore,
     held: &Snapshot,
     publication: &Publication,
+    limits: PublishLimits,
 ) -> Result<Published, PublishError> {
     let mut current = held.clone();
     let mut lost_write = false;
     let mut last_error = PublishError::Unavailable;
-    for _ in 0..ROUNDS {
+    for _ in 0..limits.rounds {
         match round(store, &mut current, publication, lost_write).await {
             Ok(Round::Accepted(published)) => return Ok(*published),
             Ok(Round::Overtaken) => {}
--- a/crates/decide/src/publish/mod.rs
+++ b/crates/decide/src/publish/mod.rs
@@ -4,6 +4,6 @@
 mod error;
 mod ports;
 
-pub use driver::{Publication, Published, publish};
+pub use driver::{Publication, PublishLimits, Published, publish};
 pub use error::PublishError;
 pub use ports::{AppendReply, ConfigHead, ConfigStore};
--- a/crates/decide/tests/operation_world/scheduler.rs
+++ b/crates/decide/tests/operation_world/scheduler.rs
@@ -334,30 +334,36 @@
     }
 }
 
-/// How a job ended; lost to the reader when its incarnation was replaced.
-fn ended(world: &World, agent: &AgentRef, work: WorkId) -> Option<Option<JobEnd>> {
+/// What a reader learns of a job that has ended.
+enum Followed {
+    Ended(JobEnd),
+    /// The incarnation was replaced.
+    Lost,
+}
+
+fn ended(world: &World, agent: &AgentRef, work: WorkId) -> Option<Followed> {
     let sim = world.agents.iter().find(|sim| sim.address == agent.address)?;
     if sim.gate.incarnation() != agent.incarnation {
-        return Some(None);
+        return Some(Followed::Lost);
     }
-    sim.ended.get(&work).cloned().map(Some)
+    sim.ended.get(&work).cloned().map(Followed::Ended)
 }
 
-fn run_reply(end: Option<JobEnd>) -> RunReply {
+fn run_reply(end: Followed) -> RunReply {
     match end {
-        Some(JobEnd::Answered(answer)) => RunReply::Answered(answer),
-        Some(JobEnd::BackendLost) => RunReply::BackendLost,
-        Some(JobEnd::NotRun) => RunReply::Refused { retry_after: None },
-        None => RunReply::Unreachable,
+        Followed::Ended(JobEnd::Answered(answer)) => RunReply::Answered(answer),
+        Followed::Ended(JobEnd::BackendLost) => RunReply::BackendLost,
+        Followed::Ended(JobEnd::NotRun) => RunReply::Refused { retry_after: None },
+        Followed::Lost => RunReply::Unreachable,
     }
 }
 
-fn attach_reply(end: Option<JobEnd>) -> AttachReply {
+fn attach_reply(end: Followed) -> AttachReply {
     match end {
-        Some(JobEnd::Answered(answer)) => AttachReply::Answered(answer),
-        Some(JobEnd::BackendLost) => AttachReply::BackendLost,
-        Some(JobEnd::NotRun) => AttachReply::Sealed,
-        None => AttachReply::Unreachable,
+        Followed::Ended(JobEnd::Answered(answer)) => AttachReply::Answered(answer),
+        Followed::Ended(JobEnd::BackendLost) => AttachReply::BackendLost,
+        Followed::Ended(JobEnd::NotRun) => AttachReply::Sealed,
+        Followed::Lost => AttachReply::Unreachable,
     }
 }
 
--- /dev/null
+++ b/crates/decide/tests/stage_interleavings.rs
@@ -0,0 +1,112 @@
+//! Random steps at one stage: each step runs once in each epoch, in order,
+//! and an answered step always has the same output.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use clementine_decide::ids::{Tick, WorkId};
+use clementine_decide::stage::{
+    StageEpoch, StageGate, StageInput, StageLimits, StageVerdict, TokenIndex,
+};
+use clementine_objects::Millis;
+use support::Choices;
+
+const LIMITS: StageLimits = StageLimits { requests: 3, output_size: 64 };
+
+/// The engine's own record of what ran.
+#[derive(Debug, Default)]
+struct Engine {
+    ran: BTreeSet<(WorkId, StageEpoch, TokenIndex)>,
+    next: BTreeMap<(WorkId, StageEpoch), TokenIndex>,
+    closed: BTreeSet<WorkId>,
+    sound: bool,
+}
+
+impl Engine {
+    fn run(&mut self, input: StageInput) {
+        let first = self.ran.insert((input.work, input.epoch, input.token));
+        let next = self.next.entry((input.work, input.epoch)).or_default();
+        let in_order = *next == input.token;
+        *next = input.token.next();
+        self.sound &= first && in_order && !self.closed.contains(&input.work);
+    }
+}
+
+fn output(input: StageInput) -> Bytes {
+    format!("{}.{}.{}", input.work.0, input.epoch.0, input.token.0).into()
+}
+
+fn interleave(choices: Vec<u16>) -> bool {
+    let mut choices = Choices::new(choices);
+    let mut gate = StageGate::new(LIMITS);
+    let mut engine = Engine { sound: true, ..Engine::default() };
+    let mut running: Vec<StageInput> = Vec::new();
+    let mut now = Tick(0);
+    while choices.any_left() {
+        now = now.after(Millis(1));
+        match choices.below(8) {
+            0 if !running.is_empty() => {
+                let input = running.remove(choices.below(running.len()));
+                gate.abandon(input);
+            }
+            1..=3 if !running.is_empty() => {
+                let input = running.remove(choices.below(running.len()));
+                gate.complete(input, output(input));
+            }
+            4 if choices.below(6) == 0 => {
+                let work = WorkId(choices.below(4) as u128);
+                if gate.output(work, TokenIndex(0)).is_some() {
+                    gate.close(work, now);
+                    engine.closed.insert(work);
+                }
+            }
+            _ => {
+                let input = StageInput {
+                    work: WorkId(choices.below(4) as u128),
+                    epoch: StageEpoch(choices.below(3) as u32),
+                    token: TokenIndex(choices.below(6) as u32),
+                };
+                match gate.offer(input, now) {
+                    StageVerdict::Run => {
+                        engine.run(input);
+                        running.push(input);
+                    }
+                    StageVerdict::Ran(kept) => engine.sound &= kept == output(input),
+                    _ => {}
+                }
+            }
+        }
+        engine.sound &= gate.len() <= LIMITS.requests && gate.output_size() <= LIMITS.output_size;
+    }
+    engine.sound
+}
+
+#[test]
+fn each_step_runs_once_in_each_epoch_and_in_order() {
+    support::interleavings(77).quickcheck(interleave as fn(Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_swept_stage_holds_nothing() {
+    let mut gate = StageGate::new(LIMITS);
+    let input = StageInput { work: WorkId(1), epoch: StageEpoch(0), token: TokenIndex(0) };
+    assert_eq!(gate.offer(input, Tick(0)), StageVerdict::Run);
+    assert!(gate.complete(input, output(input)));
+    assert!(gate.sweep(Millis(10), Tick(9)).is_empty());
+    assert_eq!(gate.sweep(Millis(10), Tick(10)), vec![WorkId(1)]);
+    assert!(gate.is_empty());
+    assert_eq!(gate.output_size(), 0);
+}
+
+#[test]
+fn outputs_over_the_bound_end_the_request() {
+    let mut gate = StageGate::new(StageLimits { requests: 1, output_size: 4 });
+    let input = StageInput { work: WorkId(1), epoch: StageEpoch(0), token: TokenIndex(0) };
+    assert_eq!(gate.offer(input, Tick(0)), StageVerdict::Run);
+    assert!(!gate.complete(input, Bytes::from_static(b"12345")));
+    assert_eq!(gate.offer(input, Tick(1)), StageVerdict::Lost);
+    let other = StageInput { work: WorkId(2), ..input };
+    assert_eq!(gate.offer(other, Tick(1)), StageVerdict::Full);
+}
--- a/crates/entry/src/config/publish.rs
+++ b/crates/entry/src/config/publish.rs
@@ -1,6 +1,6 @@
 //! Publishes changes for operators.
 
-use clementine_decide::publish::{Publication, PublishError, Published, publish};
+use clementine_decide::publish::{Publication, PublishError, PublishLimits, Published, publish};
 use clementine_objects::{Change, ChangeId, Revision};
 use clementine_platform::ObjectStore;
 use clementine_process::clock::unix_ms;
@@ -39,7 +39,8 @@
             published_unix_ms: unix_ms(),
         };
         let held = self.snapshot();
-        let published = publish(&self.config_rows, &held, &publication).await?;
+        let published =
+            publish(&self.config_rows, &held, &publication, PublishLimits::default()).await?;
         let revision = published.snapshot.revision;
         info!("config: revision {} accepted, change {}", revision, publication.id);
         let taken = self.config.borrow_mut().take_changes(vec![published.record.clone()]);
