Read refused bodies before the answer

Cause: a body over the limit was answered while the caller still wrote it; the connection was reset and the caller saw no answer. Ruled out: the limit itself; curl saw the 413, a client that writes the whole body first did not. Change: the rest of a refused body is read and dropped, up to 64 MiB and 5 s. Conclusion: a refused request gets its 4xx.

--- /dev/null
+++ b/crates/e2e/src/hub/plan.rs
@@ -0,0 +1,76 @@
+//! What a test's system consists of.
+
+/// What a test's system consists of.
+#[derive(Debug, Clone, Default)]
+pub struct HubPlan {
+    pub(super) entries: usize,
+    pub(super) entry_args: Vec<String>,
+    pub(super) backends: Vec<BackendPlan>,
+}
+
+/// One backend server with its agent.
+#[derive(Debug, Clone)]
+pub(super) struct BackendPlan {
+    pub(super) pool: String,
+    pub(super) standin_args: Vec<String>,
+    pub(super) agent_args: Vec<String>,
+}
+
+impl HubPlan {
+    /// A system with a number of entries.
+    #[must_use]
+    pub fn new(entries: usize) -> Self {
+        Self { entries, ..Self::default() }
+    }
+
+    /// Adds a flag to all entries.
+    #[must_use]
+    pub fn entry_flag(mut self, name: &str, value: &str) -> Self {
+        self.entry_args.extend([format!("--{name}"), value.to_owned()]);
+        self
+    }
+
+    /// Adds engines that hold the whole model.
+    #[must_use]
+    pub fn engines(self, count: usize, token_time: &str) -> Self {
+        self.backends("assistants", count, &["engine", "--token-time", token_time])
+    }
+
+    /// Adds engines that hold a range of layers.
+    #[must_use]
+    pub fn stages(self, pool: &str, count: usize, layers: &str, token_time: &str) -> Self {
+        self.backends(pool, count, &["engine", "--token-time", token_time, "--layers", layers])
+    }
+
+    /// Adds replicas of the order service, which share a record file.
+    #[must_use]
+    pub fn services(self, count: usize, record: &std::path::Path, answer_time: &str) -> Self {
+        let record = record.display().to_string();
+        self.backends(
+            "orders",
+            count,
+            &["service", "--record", &record, "--answer-time", answer_time],
+        )
+    }
+
+    /// Adds backend servers of a pool.
+    #[must_use]
+    pub fn backends(mut self, pool: &str, count: usize, standin_args: &[&str]) -> Self {
+        let plan = BackendPlan {
+            pool: pool.to_owned(),
+            standin_args: standin_args.iter().map(|arg| (*arg).to_owned()).collect(),
+            agent_args: Vec::new(),
+        };
+        self.backends.extend(std::iter::repeat_n(plan, count));
+        self
+    }
+
+    /// Adds a flag to the agents of all backend servers added so far.
+    #[must_use]
+    pub fn agent_flag(mut self, name: &str, value: &str) -> Self {
+        for backend in &mut self.backends {
+            backend.agent_args.extend([format!("--{name}"), value.to_owned()]);
+        }
+        self
+    }
+}
--- a/crates/entry/src/callers/router.rs
+++ b/crates/entry/src/callers/router.rs
@@ -7,6 +7,7 @@
 use clementine_decide::ids::RequestId;
 use clementine_decide::outcome::{ErrorKind, Outcome};
 use clementine_objects::{Repeat, Route};
+use clementine_process::http::discard_body;
 use spdlog::debug;
 
 use super::models::models_response;
@@ -31,6 +32,7 @@
             Err(refusal) => {
                 debug!("callers: request {} refused: {}", id, refusal.message);
                 self.metrics.count_answer(refusal.kind.rule().outcome, refusal.kind.code());
+                discard_body(&mut req).await;
                 refusal.response(id)
             }
         };
--- a/crates/process/src/http/body.rs
+++ b/crates/process/src/http/body.rs
@@ -1,9 +1,18 @@
 //! Reads request bodies.
 
-use actix_http::{HttpMessage as _, Request};
+use std::time::Duration;
+
+use actix_http::{HttpMessage as _, Payload, Request};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use snafu::Snafu;
+use tokio::time::timeout;
+
+/// Most that is read of a refused body, in bytes.
+const DISCARD_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// Longest time for which a refused body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -29,6 +38,7 @@
     let declared = req.headers().get("content-length").and_then(|v| v.to_str().ok());
     let declared: Option<usize> = declared.and_then(|text| text.parse().ok());
     if declared.is_some_and(|length| length > limit) {
+        discard_body(req).await;
         return Err(BodyFault::TooLarge { limit });
     }
     let mut payload = req.take_payload();
@@ -36,9 +46,31 @@
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| BodyFault::Malformed)?;
         if body.len() + chunk.len() > limit {
+            discard(payload).await;
             return Err(BodyFault::TooLarge { limit });
         }
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
 }
+
+/// Reads the rest of a request body and drops it, within bounds.
+///
+/// A connection that is closed while the peer still writes is reset, and the
+/// peer never sees the answer.
+pub async fn discard_body(req: &mut Request) {
+    discard(req.take_payload()).await;
+}
+
+async fn discard(mut payload: Payload) {
+    let read = async {
+        let mut discarded = 0;
+        while let Some(Ok(chunk)) = payload.next().await {
+            discarded += chunk.len();
+            if discarded > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DISCARD_TIME, read).await;
+}
