Tell broken bodies from whole ones; let simultaneous repeats agree

Two causes, found by tests over real processes: 1. A stream whose engine was killed ended after 5 of 30 tokens as if it were whole. awc reports a chunked body that broke off and one that ended in the same way. Ruled out: the event splitter and the retry; the agent never saw an error. 2. Change: the agent drives its backend connection with actix-http's client codec and takes a body as whole only at its marked end; one connection a call. An attachment waits up to 250 ms for the order before it seals. Conclusion: a caller gets the whole answer or is told; the wait costs 250 ms only where an entry died between claim and order.

--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -1,78 +1,160 @@
 //! One call to the backend server.
+//!
+//! Each call has a connection of its own: a kept one may be closed by the
+//! server while a request is written to it, which would leave the outcome
+//! unknown. The connection is driven by the client codec of `actix-http`
+//! itself, because `awc` does not tell a chunked body that broke off from one
+//! that ended.
 
-use awc::ClientRequest;
-use awc::http::header::{HeaderName, HeaderValue};
-use awc::http::{Method, Uri};
-use clementine_platform::http::was_never_sent;
+use actix_codec::Framed;
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, Message, MessageType};
+use actix_http::header::{HOST, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
+use bytes::Bytes;
 use clementine_process::clock::Clock;
 use clementine_wire::{AnswerEnd, AnswerHead, RunOrder};
-use futures::StreamExt;
+use futures::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
 
 use super::events::EventSplitter;
-use super::{BackendClient, headers};
+use super::{BackendAddress, headers};
 use crate::answers::AnswerBuffer;
 
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallEnd {
-    /// The backend server accepted no connection; nothing was sent.
+    /// Nothing was sent to the backend server.
     NeverSent,
     /// The request was sent, and its answer ended like this.
     Sent(AnswerEnd),
 }
 
+/// How the end of a body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    /// There is no body.
+    NoBody,
+    /// By its length or its last chunk.
+    Marked,
+    /// By the end of the connection.
+    ConnectionClose,
+}
+
 /// Sends a request to the backend server and writes the answer to a buffer,
 /// all but its end.
 pub(crate) async fn call_backend(
-    client: &BackendClient,
+    backend: BackendAddress,
     order: &RunOrder,
     answer: &AnswerBuffer,
     clock: &Clock,
 ) -> CallEnd {
-    let Some(request) = build(client, order) else { return CallEnd::NeverSent };
-    let mut response = match request.send_body(order.body.clone()).await {
-        Ok(response) => response,
-        Err(error) if was_never_sent(&error) => return CallEnd::NeverSent,
-        Err(_) => return CallEnd::Sent(AnswerEnd::BackendLost),
-    };
-    let content_type = response.headers().get("content-type").and_then(|v| v.to_str().ok());
-    let mut events = content_type
-        .is_some_and(|value| value.starts_with("text/event-stream"))
-        .then(EventSplitter::default);
+    let Some(head) = request_head(backend, order) else { return CallEnd::NeverSent };
+    let Some(stream) = backend.connect().await else { return CallEnd::NeverSent };
+    let end = exchange(stream, head, order.body.clone(), answer, clock).await;
+    CallEnd::Sent(end.unwrap_or(AnswerEnd::BackendLost))
+}
+
+/// Writes the request and reads the answer; `None` when the connection broke.
+async fn exchange(
+    stream: TcpStream,
+    head: RequestHead,
+    body: Bytes,
+    answer: &AnswerBuffer,
+    clock: &Clock,
+) -> Option<AnswerEnd> {
+    let mut framed = Framed::new(stream, ClientCodec::default());
+    let size = if body.is_empty() { BodySize::None } else { BodySize::Sized(body.len() as u64) };
+    framed.feed(Message::Item((RequestHeadType::Owned(head), size))).await.ok()?;
+    if !body.is_empty() {
+        framed.feed(Message::Chunk(Some(body))).await.ok()?;
+        framed.feed(Message::Chunk(None)).await.ok()?;
+    }
+    SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut framed).await.ok()?;
+    let response = framed.next().await?.ok()?;
+    let body_end = body_end(&response, framed.codec_ref().message_type());
+    let mut body = BodyWriter::new(&response, answer, clock);
     answer.set_head(AnswerHead {
-        status: response.status().as_u16(),
-        headers: headers::passed_on(response.headers()),
+        status: response.status.as_u16(),
+        headers: headers::passed_on(&response.headers),
     });
-    while let Some(bytes) = response.next().await {
-        let Ok(bytes) = bytes else { return CallEnd::Sent(AnswerEnd::BackendLost) };
-        let Some(splitter) = &mut events else {
-            if !answer.push(bytes, clock.now()).await {
-                return CallEnd::Sent(AnswerEnd::TooLarge);
+    if body_end == BodyEnd::NoBody {
+        return Some(AnswerEnd::Complete);
+    }
+    let mut framed = framed.into_map_codec(ClientCodec::into_payload_codec);
+    loop {
+        match framed.next().await {
+            Some(Ok(Some(bytes))) => {
+                if !body.write(bytes).await {
+                    return Some(AnswerEnd::TooLarge);
+                }
             }
-            continue;
+            Some(Ok(None)) => break,
+            None if body_end == BodyEnd::ConnectionClose => break,
+            Some(Err(_)) | None => return None,
+        }
+    }
+    body.finish().await;
+    Some(AnswerEnd::Complete)
+}
+
+fn body_end(response: &ResponseHead, message: MessageType) -> BodyEnd {
+    let marked = response.headers.contains_key("content-length")
+        || response.headers.contains_key("transfer-encoding");
+    match message {
+        MessageType::None => BodyEnd::NoBody,
+        MessageType::Payload | MessageType::Stream if marked => BodyEnd::Marked,
+        MessageType::Payload | MessageType::Stream => BodyEnd::ConnectionClose,
+    }
+}
+
+/// Writes a body to the buffer: a stream event by event, any other as it
+/// comes.
+struct BodyWriter<'a> {
+    events: Option<EventSplitter>,
+    answer: &'a AnswerBuffer,
+    clock: &'a Clock,
+}
+
+impl<'a> BodyWriter<'a> {
+    fn new(response: &ResponseHead, answer: &'a AnswerBuffer, clock: &'a Clock) -> Self {
+        let content_type = response.headers.get("content-type").and_then(|v| v.to_str().ok());
+        let streamed = content_type.is_some_and(|value| value.starts_with("text/event-stream"));
+        Self { events: streamed.then(EventSplitter::default), answer, clock }
+    }
+
+    /// Says whether there was room.
+    async fn write(&mut self, bytes: Bytes) -> bool {
+        let Some(events) = &mut self.events else {
+            return self.answer.push(bytes, self.clock.now()).await;
         };
-        splitter.push(&bytes);
-        while let Some(event) = splitter.next_event() {
-            if !answer.push(event, clock.now()).await {
-                return CallEnd::Sent(AnswerEnd::TooLarge);
+        events.push(&bytes);
+        while let Some(event) = events.next_event() {
+            if !self.answer.push(event, self.clock.now()).await {
+                return false;
             }
         }
+        true
     }
-    if let Some(rest) = events.and_then(EventSplitter::rest) {
-        answer.push(rest, clock.now()).await;
+
+    async fn finish(self) {
+        if let Some(rest) = self.events.and_then(EventSplitter::rest) {
+            self.answer.push(rest, self.clock.now()).await;
+        }
     }
-    CallEnd::Sent(AnswerEnd::Complete)
 }
 
-/// `None` when method or path have no HTTP form, which the entry has checked.
-fn build(client: &BackendClient, order: &RunOrder) -> Option<ClientRequest> {
-    let method: Method = order.method.parse().ok()?;
-    let uri: Uri = client.url(&order.path).parse().ok()?;
-    let mut request = client.for_requests(order.repeat).request(method, uri).no_decompress();
+/// `None` when a part has no HTTP form, which the entry has checked.
+fn request_head(backend: BackendAddress, order: &RunOrder) -> Option<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = order.method.parse::<Method>().ok()?;
+    head.uri = order.path.parse::<Uri>().ok()?;
     for header in &order.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        let value = HeaderValue::from_bytes(&header.value).ok()?;
-        request = request.append_header((name, value));
+        head.headers.append(name, HeaderValue::from_bytes(&header.value).ok()?);
     }
-    Some(request.insert_header(("x-request-id", order.request.to_string())))
+    head.headers.insert(HOST, HeaderValue::from_str(&backend.host()).ok()?);
+    let id = HeaderValue::from_str(&order.request.to_string()).ok()?;
+    head.headers.insert(HeaderName::from_static("x-request-id"), id);
+    Some(head)
 }
--- a/crates/agent/src/backend/client.rs
+++ b/crates/agent/src/backend/client.rs
@@ -1,58 +1,54 @@
-//! HTTP clients of the backend server.
+//! How the backend server is reached.
 
+use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
-use awc::{Client, Connector};
-use clementine_objects::Repeat;
 use compact_str::CompactString;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Longest time to connect to the backend server beside the agent.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
-/// Connections to the backend server.
-const CONNECTIONS: usize = 4_096;
+/// Address of a backend server, written `http://IP:PORT`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BackendAddress(SocketAddr);
 
-/// HTTP clients of one backend server.
-#[derive(Clone)]
-pub(crate) struct BackendClient {
-    base_url: CompactString,
-    pooled: Client,
-    fresh: Client,
+/// A text that is no backend server's address.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display("`{text}` must be written like `http://10.0.0.1:8000`"))]
+pub(crate) struct BackendAddressError {
+    text: CompactString,
 }
 
-impl std::fmt::Debug for BackendClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("BackendClient").field("base_url", &self.base_url).finish_non_exhaustive()
+impl FromStr for BackendAddress {
+    type Err = BackendAddressError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let authority = text.strip_prefix("http://").map(|rest| rest.trim_end_matches('/'));
+        let address = authority.and_then(|authority| authority.parse().ok());
+        address.map(Self).ok_or_else(|| BackendAddressError { text: text.into() })
     }
 }
 
-impl BackendClient {
-    /// Clients of the backend server at a base URL.
-    pub(crate) fn new(base_url: &str) -> Self {
-        let pooled = Connector::new().timeout(CONNECT_TIME).limit(CONNECTIONS);
-        // A connection kept open may be closed by the server while a request
-        // is written to it, which leaves the outcome unknown.
-        let fresh = Connector::new()
-            .timeout(CONNECT_TIME)
-            .limit(CONNECTIONS)
-            .conn_keep_alive(Duration::ZERO)
-            .conn_lifetime(Duration::ZERO);
-        let build = |connector| {
-            Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
-        };
-        Self { base_url: base_url.into(), pooled: build(pooled), fresh: build(fresh) }
+impl std::fmt::Display for BackendAddress {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "http://{}", self.0)
     }
+}
 
-    /// The client for requests of a kind.
-    pub(crate) const fn for_requests(&self, repeat: Repeat) -> &Client {
-        match repeat {
-            Repeat::Safe => &self.pooled,
-            Repeat::Never => &self.fresh,
-        }
+impl BackendAddress {
+    /// Opens a connection; `None` when the backend server accepts none.
+    pub(crate) async fn connect(self) -> Option<TcpStream> {
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(self.0)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(stream)
     }
 
-    /// URL of a path of the backend server.
-    pub(crate) fn url(&self, path: &str) -> String {
-        format!("{}{path}", self.base_url)
+    /// Value of the `Host` header.
+    pub(super) fn host(self) -> String {
+        self.0.to_string()
     }
 }
--- a/crates/agent/src/backend/headers.rs
+++ b/crates/agent/src/backend/headers.rs
@@ -1,6 +1,6 @@
 //! Headers that are passed on.
 
-use awc::http::header::HeaderMap;
+use actix_http::header::HeaderMap;
 use clementine_wire::Header;
 
 /// Headers that concern one connection only, and those that are set anew.
--- a/crates/agent/src/backend/mod.rs
+++ b/crates/agent/src/backend/mod.rs
@@ -6,4 +6,4 @@
 mod headers;
 
 pub(crate) use call::{CallEnd, call_backend};
-pub(crate) use client::BackendClient;
+pub(crate) use client::BackendAddress;
--- a/crates/agent/src/core/state.rs
+++ b/crates/agent/src/core/state.rs
@@ -19,10 +19,10 @@
 use opentelemetry::metrics::Meter;
 use serde_json::{Value, json};
 use spdlog::{info, warn};
+use tokio::sync::Notify;
 
 use super::{AgentMetrics, Job};
 use crate::answers::{Shelf, ShelfLimits};
-use crate::backend::BackendClient;
 use crate::settings::AgentSettings;
 use crate::stages::StageRunner;
 
@@ -34,11 +34,12 @@
 pub(crate) struct Core {
     pub(super) settings: AgentSettings,
     pub(super) clock: Clock,
-    pub(super) backend: BackendClient,
     /// Gate of operations that may run once only.
     pub(super) once: RefCell<Gate>,
     /// Gate of requests that may be run again under another work id.
     pub(super) repeatable: RefCell<Gate>,
+    /// Notified when a gate has decided on an order.
+    pub(super) accepted: Notify,
     pub(super) admission: RefCell<Admission<Job>>,
     pub(super) shelf: RefCell<Shelf>,
     pub(super) quarantine: RefCell<Quarantine>,
@@ -68,7 +69,6 @@
             keep_repeatable: settings.keep_repeatable,
             keep_once: settings.keep_once,
         };
-        let backend = BackendClient::new(&settings.backend);
         let clock = Clock::start();
         let stage_limits =
             StageLimits { requests: settings.stage_requests, output_size: settings.stage_bytes };
@@ -76,6 +76,7 @@
             clock,
             once: RefCell::new(Gate::new(incarnation, settings.gate_records)),
             repeatable: RefCell::new(Gate::new(incarnation, settings.gate_records)),
+            accepted: Notify::new(),
             admission: RefCell::new(Admission::new(limits)),
             shelf: RefCell::new(Shelf::new(shelf)),
             quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
@@ -86,8 +87,7 @@
             address,
             incarnation,
             config: RefCell::default(),
-            stages: StageRunner::new(backend.clone(), clock, stage_limits),
-            backend,
+            stages: StageRunner::new(settings.backend, clock, stage_limits),
             settings,
         })
     }
@@ -196,7 +196,7 @@
             "process": "clementine-agent",
             "version": env!("CARGO_PKG_VERSION"),
             "description": self.describe(),
-            "backend": self.settings.backend,
+            "backend": self.settings.backend.to_string(),
             "in_progress": self.drain.in_progress(),
             "gate": {
                 "epoch": self.once.borrow().epoch(),
--- a/crates/agent/src/core/work.rs
+++ b/crates/agent/src/core/work.rs
@@ -21,6 +21,9 @@
 /// Longest wait for the first progress of accepted work.
 const FIRST_PROGRESS_WAIT: Millis = Millis(200);
 
+/// Time for which an attachment waits for the order that it attaches to.
+const ORDER_PATIENCE: Millis = Millis(250);
+
 /// Pause that a refused suspect is told, while another one runs here.
 const SUSPECT_PAUSE: Millis = Millis(100);
 
@@ -33,6 +36,7 @@
     pub(crate) async fn run(self: &Rc<Self>, order: RunOrder) -> RunStart {
         let (work, repeat) = (order.tag.work, order.repeat);
         let verdict = self.gate(repeat).borrow_mut().accept(&order.tag);
+        self.accepted.notify_waiters();
         match verdict {
             AcceptVerdict::Run(permit) => {
                 if let Err(refusal) = self.admit(order, permit) {
@@ -62,7 +66,16 @@
     }
 
     /// Attaches to an operation, sealing it where it was not accepted.
-    pub(crate) fn attach(&self, tag: &WorkTag) -> AttachStart {
+    ///
+    /// The order to run it may be under way from another entry: it is given
+    /// time to arrive, so that simultaneous repetitions do not seal each other.
+    pub(crate) async fn attach(&self, tag: &WorkTag) -> AttachStart {
+        let decided = async {
+            while !self.once.borrow().is_decided(tag) {
+                self.accepted.notified().await;
+            }
+        };
+        let _ = timeout(ORDER_PATIENCE.duration(), decided).await;
         match self.once.borrow_mut().attach(tag) {
             AttachVerdict::Accepted if self.shelf.borrow().get(tag.work).is_some() => {
                 AttachStart::Accepted
@@ -198,7 +211,7 @@
 
     async fn send(self: &Rc<Self>, order: &RunOrder, answer: &AnswerBuffer) -> CallEnd {
         match &order.split {
-            None => call_backend(&self.backend, order, answer, &self.clock).await,
+            None => call_backend(self.settings.backend, order, answer, &self.clock).await,
             Some(plan) => run_chain(self.stages(), order, plan, answer, &self.clock).await,
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -32,7 +32,8 @@
     let drain = Drain::default();
     watch_signals(drain.clone()).context(SignalsSnafu)?;
     let metrics = Metrics::start()?;
-    let core = Core::new(settings.clone(), address, drain.clone(), &metrics.meter());
+    let advertised = settings.advertise.unwrap_or(address);
+    let core = Core::new(settings.clone(), advertised, drain.clone(), &metrics.meter());
     serve_admin(&settings.process.admin, metrics, Rc::clone(&core), None)?;
     core.probe_backend();
     spawn_local(Rc::clone(&core).sweep());
--- a/crates/agent/src/service/mod.rs
+++ b/crates/agent/src/service/mod.rs
@@ -41,7 +41,7 @@
     }
 
     async fn attach(self, _: Context, tag: WorkTag) -> AttachStart {
-        self.core.attach(&tag)
+        self.core.attach(&tag).await
     }
 
     async fn cancel(self, _: Context, work: WorkId) {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the agent.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use clap::{ArgMatches, Command};
 use clementine_objects::{Millis, PoolName};
@@ -9,6 +10,8 @@
 };
 use compact_str::CompactString;
 
+use crate::backend::BackendAddress;
+
 /// Settings of the agent.
 #[derive(Debug, Clone)]
 pub(crate) struct AgentSettings {
@@ -16,8 +19,11 @@
     pub(crate) process: ProcessSettings,
     /// Address for entries and other agents.
     pub(crate) listen: SocketAddr,
-    /// Base URL of the backend server.
-    pub(crate) backend: CompactString,
+    /// Address at which others reach the agent; the listening address when
+    /// absent.
+    pub(crate) advertise: Option<SocketAddr>,
+    /// Address of the backend server.
+    pub(crate) backend: BackendAddress,
     /// Pool of the backend server.
     pub(crate) pool: PoolName,
     /// Failure domain of the instance.
@@ -54,7 +60,12 @@
         )
         .version(env!("CARGO_PKG_VERSION"))
         .arg(setting("listen", "ADDRESS", "Address for entries and other agents"))
-        .arg(setting("backend", "URL", "Base URL of the backend server"))
+        .arg(setting(
+            "advertise",
+            "ADDRESS",
+            "Address at which others reach the agent [default: the listening one]",
+        ))
+        .arg(setting("backend", "URL", "Backend server, http://IP:PORT"))
         .arg(setting("pool", "NAME", "Pool of the backend server"))
         .arg(setting("domain", "NAME", "Failure domain of the instance"))
         .arg(setting("queue", "COUNT", "Requests that wait at a time [default: 256]"))
@@ -91,16 +102,16 @@
     pub(crate) fn read(matches: &ArgMatches) -> Result<Self, SettingFaults> {
         let mut reader = SettingsReader::new(matches);
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let backend: CompactString = reader.required("backend", CompactString::default());
-        let is_url = backend.is_empty() || backend.starts_with("http://");
-        reader.require(is_url, "backend", "must begin with `http://`");
+        let nowhere = BackendAddress::from_str("http://127.0.0.1:1");
+        let nowhere = nowhere.expect("a valid address");
         let pool = reader.optional("pool");
         reader.require(pool.is_some(), "pool", "is required");
         let fallback: Option<PoolName> = "none".parse().ok();
         let settings = pool.or(fallback).map(|pool| Self {
             process: ProcessSettings::read(&mut reader),
             listen: reader.required("listen", loopback),
-            backend: backend.trim_end_matches('/').into(),
+            advertise: reader.optional("advertise"),
+            backend: reader.required("backend", nowhere),
             pool,
             domain: reader.required("domain", CompactString::default()),
             queue: reader.or("queue", 256),
--- a/crates/agent/src/stages/engine.rs
+++ b/crates/agent/src/stages/engine.rs
@@ -2,15 +2,32 @@
 
 use std::time::Duration;
 
+use awc::{Client, Connector};
 use bytes::Bytes;
 use clementine_decide::stage::StageInput;
 use serde::{Deserialize, Serialize};
 
-use crate::backend::BackendClient;
+use crate::backend::BackendAddress;
 
 /// Longest time of one step at the engine.
 const STEP_TIME: Duration = Duration::from_secs(30);
 
+/// Connections to the engine.
+const CONNECTIONS: usize = 4_096;
+
+/// The engine's interface for steps.
+#[derive(Clone)]
+pub(super) struct StageEngine {
+    client: Client,
+    url: String,
+}
+
+impl std::fmt::Debug for StageEngine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StageEngine").field("url", &self.url).finish_non_exhaustive()
+    }
+}
+
 #[derive(Serialize)]
 struct Step<'a> {
     request: String,
@@ -24,27 +41,29 @@
     activation: String,
 }
 
-/// Runs one step at the engine; `None` when the engine fails or has lost the
-/// request's state.
-pub(super) async fn forward(
-    client: &BackendClient,
-    input: StageInput,
-    activation: &Bytes,
-) -> Option<Bytes> {
-    let step = Step {
-        request: input.work.to_string(),
-        epoch: input.epoch.0,
-        token: input.token.0,
-        activation: std::str::from_utf8(activation).ok()?,
-    };
-    let request = client
-        .for_requests(clementine_objects::Repeat::Safe)
-        .post(client.url("/v1/stages/forward"))
-        .timeout(STEP_TIME);
-    let mut response = request.send_json(&step).await.ok()?;
-    if !response.status().is_success() {
-        return None;
+impl StageEngine {
+    /// The engine at an address.
+    pub(super) fn new(backend: BackendAddress) -> Self {
+        let connector = Connector::new().limit(CONNECTIONS);
+        let client = Client::builder().connector(connector).disable_redirects().finish();
+        Self { client, url: format!("{backend}/v1/stages/forward") }
+    }
+
+    /// Runs one step; `None` when the engine fails or has lost the request's
+    /// state.
+    pub(super) async fn forward(&self, input: StageInput, activation: &Bytes) -> Option<Bytes> {
+        let step = Step {
+            request: input.work.to_string(),
+            epoch: input.epoch.0,
+            token: input.token.0,
+            activation: std::str::from_utf8(activation).ok()?,
+        };
+        let request = self.client.post(&self.url).timeout(STEP_TIME);
+        let mut response = request.send_json(&step).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let output: StepOutput = response.json().await.ok()?;
+        Some(output.activation.into_bytes().into())
     }
-    let output: StepOutput = response.json().await.ok()?;
-    Some(output.activation.into_bytes().into())
 }
--- a/crates/agent/src/stages/runner.rs
+++ b/crates/agent/src/stages/runner.rs
@@ -14,8 +14,8 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-use super::engine;
-use crate::backend::BackendClient;
+use super::engine::StageEngine;
+use crate::backend::BackendAddress;
 
 /// Time after which an unused request is forgotten.
 const UNUSED_LIMIT: Millis = Millis(60_000);
@@ -32,7 +32,7 @@
 /// Runs the steps of this agent's stage.
 #[derive(Debug)]
 pub(crate) struct StageRunner {
-    engine: BackendClient,
+    engine: StageEngine,
     clock: Clock,
     gate: RefCell<StageGate<Bytes>>,
     hops: RefCell<HashMap<WorkId, HopChoice>>,
@@ -42,9 +42,9 @@
 
 impl StageRunner {
     /// A stage at an engine.
-    pub(crate) fn new(engine: BackendClient, clock: Clock, limits: StageLimits) -> Rc<Self> {
+    pub(crate) fn new(backend: BackendAddress, clock: Clock, limits: StageLimits) -> Rc<Self> {
         Rc::new(Self {
-            engine,
+            engine: StageEngine::new(backend),
             clock,
             gate: RefCell::new(StageGate::new(limits)),
             hops: RefCell::default(),
@@ -139,7 +139,7 @@
     fn start(self: &Rc<Self>, input: StageInput, activation: Bytes) {
         let runner = Rc::clone(self);
         spawn_local(async move {
-            match engine::forward(&runner.engine, input, &activation).await {
+            match runner.engine.forward(input, &activation).await {
                 Some(output) => drop(runner.gate.borrow_mut().complete(input, output)),
                 None => runner.gate.borrow_mut().abandon(input),
             }
--- a/crates/decide/src/gate/records.rs
+++ b/crates/decide/src/gate/records.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Whether attaching to work can be decided without sealing it.
+    pub fn is_decided(&self, tag: &WorkTag) -> bool {
+        let current = tag.incarnation == self.incarnation && self.covers(tag.epoch);
+        !current || self.record(tag.work).is_some()
+    }
+
     /// Decides on a request to attach to work, and seals work that has not
     /// been accepted.
     pub fn attach(&mut self, tag: &WorkTag) -> AttachVerdict {
--- /dev/null
+++ b/crates/e2e/tests/split.rs
@@ -0,0 +1,145 @@
+//! Split models while stages fail. The engines' records are the oracle.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use clementine_e2e::{Hub, HubPlan, ProxyMode, eventually};
+use serde_json::Value;
+
+const TOKENS: u32 = 24;
+const PROMPT: &str = "Which stage comes next?";
+
+/// What is done to a stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    KillAgent,
+    KillServer,
+    FreezeAgent,
+    SilenceConnection,
+    SilenceAddress,
+}
+
+fn plan() -> HubPlan {
+    HubPlan::new(1).engines(1, "0ms").stages("halves-first", 2, "0-15", "10ms").stages(
+        "halves-last",
+        2,
+        "16-31",
+        "10ms",
+    )
+}
+
+fn steps(record: &Value) -> Vec<String> {
+    let steps = record["steps"].as_array().cloned().unwrap_or_default();
+    let name = |step: &Value| format!("{}/{}/{}", step["request"], step["epoch"], step["token"]);
+    steps.iter().map(name).collect()
+}
+
+/// Number of the backend server of a pool that has run steps.
+async fn busy_stage(hub: &Hub, pool: &str) -> usize {
+    for (number, backend) in hub.backends.iter().enumerate() {
+        if backend.pool() == pool && !steps(&backend.record().await).is_empty() {
+            return number;
+        }
+    }
+    panic!("no stage of {pool} is busy");
+}
+
+fn strike(hub: &mut Hub, number: usize, fault: Fault) {
+    let backend = &mut hub.backends[number];
+    match fault {
+        Fault::KillAgent => backend.agent.kill(),
+        Fault::KillServer => backend.server.kill(),
+        Fault::FreezeAgent => backend.agent.freeze(),
+        Fault::SilenceConnection => backend.proxy.silence_open(),
+        Fault::SilenceAddress => {
+            backend.proxy.set_mode(ProxyMode::Silent);
+            backend.proxy.silence_open();
+        }
+    }
+}
+
+/// Streams an answer, strikes the busy stages of the pools after some tokens,
+/// and checks the answer and that no engine ran a step of an epoch twice.
+async fn check(pools: &[&str], fault: Fault) {
+    let mut hub = Hub::start(plan()).await;
+    let caller = hub.caller(0);
+    let expected = caller.chat("key-advisor", PROMPT, TOKENS).await.expect("an answer");
+    let count = Rc::new(Cell::new(0));
+    let streaming = {
+        let count = Rc::clone(&count);
+        actix_rt::spawn(async move {
+            caller.stream_chat("key-advisor-large", PROMPT, TOKENS, |n| count.set(n)).await
+        })
+    };
+    let started = || {
+        let count = Rc::clone(&count);
+        async move { count.get() >= 6 }
+    };
+    eventually("the stream starts", started).await;
+    let mut struck = Vec::new();
+    for pool in pools {
+        struck.push(busy_stage(&hub, pool).await);
+    }
+    for number in &struck {
+        strike(&mut hub, *number, fault);
+    }
+    let answer = streaming.await.expect("the task ends").expect("a stream");
+    assert_eq!(answer.error, None, "{fault:?}");
+    assert_eq!(answer.text, expected.chat_text(), "{fault:?}");
+    assert!(answer.done);
+    for (number, backend) in hub.backends.iter().enumerate() {
+        if struck.contains(&number) {
+            continue;
+        }
+        let steps = steps(&backend.record().await);
+        let distinct: BTreeSet<_> = steps.iter().collect();
+        assert_eq!(distinct.len(), steps.len(), "a step ran twice: {steps:?}");
+        assert!(steps.len() <= TOKENS as usize, "{} steps", steps.len());
+    }
+}
+
+#[actix_rt::test]
+async fn the_last_stage_dies() {
+    check(&["halves-last"], Fault::KillAgent).await;
+}
+
+#[actix_rt::test]
+async fn the_last_stage_s_engine_dies() {
+    check(&["halves-last"], Fault::KillServer).await;
+}
+
+#[actix_rt::test]
+async fn the_last_stage_freezes() {
+    check(&["halves-last"], Fault::FreezeAgent).await;
+}
+
+#[actix_rt::test]
+async fn the_connection_to_the_last_stage_goes_silent() {
+    check(&["halves-last"], Fault::SilenceConnection).await;
+}
+
+#[actix_rt::test]
+async fn the_address_of_the_last_stage_goes_silent() {
+    check(&["halves-last"], Fault::SilenceAddress).await;
+}
+
+#[actix_rt::test]
+async fn the_head_dies() {
+    check(&["halves-first"], Fault::KillAgent).await;
+}
+
+#[actix_rt::test]
+async fn the_head_s_engine_dies() {
+    check(&["halves-first"], Fault::KillServer).await;
+}
+
+#[actix_rt::test]
+async fn the_head_freezes() {
+    check(&["halves-first"], Fault::FreezeAgent).await;
+}
+
+#[actix_rt::test]
+async fn both_stages_die_at_once() {
+    check(&["halves-first", "halves-last"], Fault::KillAgent).await;
+}
--- a/crates/entry/src/once/gates.rs
+++ b/crates/entry/src/once/gates.rs
@@ -24,6 +24,9 @@
 /// Time in which an agent answers an order, beyond its own wait for progress.
 const RUN_WAIT: Millis = Millis(250);
 
+/// Time in which an agent decides on an attachment.
+const ATTACH_WAIT: Millis = Millis(300);
+
 /// Pause between attempts to reach an agent.
 const ATTACH_PAUSE: Duration = Duration::from_millis(100);
 
@@ -172,7 +175,7 @@
         loop {
             let call = member
                 .link
-                .call(Millis(0), |client, cx| async move { client.attach(cx, tag).await });
+                .call(ATTACH_WAIT, |client, cx| async move { client.attach(cx, tag).await });
             match call.await {
                 Ok(AttachStart::Accepted) => {
                     return match self.follow(member, tag.work, None).await {
