Stop a crashing request at the second backend server, whichever entry it comes by

Cause: each entry counted crashes alone, so that a request that crashes engines, sent again through two entries, cost four of eight engines. Ruled out: the count at one entry, which refused after two. Change: on a crash the entry tells the pool's agents before it retries and learns from them; agents refuse at once. A refusal of a request that did not run now says not-run, one that crashed backend servers says unknown.

--- a/crates/agent/src/core/job.rs
+++ b/crates/agent/src/core/job.rs
@@ -21,6 +21,8 @@
     pub(crate) answer: Rc<AnswerBuffer>,
     /// Time by which the answer has to be there.
     pub(crate) deadline: Tick,
+    /// Counts the job among the suspects until it has ended, if it is one.
+    pub(crate) suspect: Option<InProgress>,
     /// Keeps a drain waiting until the job has ended.
     pub(crate) in_progress: InProgress,
 }
--- a/crates/agent/src/core/state.rs
+++ b/crates/agent/src/core/state.rs
@@ -43,7 +43,8 @@
     pub(super) admission: RefCell<Admission<Job>>,
     pub(super) shelf: RefCell<Shelf>,
     pub(super) quarantine: RefCell<Quarantine>,
-    pub(super) suspects_running: Cell<u32>,
+    /// Admitted requests that have crashed a backend server; one at most.
+    pub(super) suspects: Drain,
     pub(super) backend_up: Cell<bool>,
     pub(super) drain: Drain,
     pub(super) metrics: AgentMetrics,
@@ -80,7 +81,7 @@
             admission: RefCell::new(Admission::new(limits)),
             shelf: RefCell::new(Shelf::new(shelf)),
             quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
-            suspects_running: Cell::new(0),
+            suspects: Drain::default(),
             backend_up: Cell::new(false),
             drain,
             metrics: AgentMetrics::new(meter),
--- a/crates/agent/src/core/work.rs
+++ b/crates/agent/src/core/work.rs
@@ -5,6 +5,7 @@
 use clementine_decide::admission::{Offer, Urgency};
 use clementine_decide::gate::{AcceptVerdict, AttachVerdict, RunPermit, WorkTag};
 use clementine_decide::ids::{Tick, WorkId};
+use clementine_decide::quarantine::Fingerprint;
 use clementine_objects::{Millis, Repeat};
 use clementine_wire::{
     AnswerEnd, AttachStart, NotRunReason, Progress, ReadOrder, ReadReply, RunOrder, RunRefusal,
@@ -99,6 +100,15 @@
         }
     }
 
+    /// Learns how many backend servers a request has crashed, and returns how
+    /// many are known of here.
+    pub(crate) fn note_crashes(&self, request: Fingerprint, crashes: u32) -> u32 {
+        let now = self.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.learn(request, crashes, now);
+        quarantine.crashes(request, now)
+    }
+
     /// Starts jobs that have got a slot.
     pub(super) fn start_all(self: &Rc<Self>, jobs: Vec<Job>) {
         for job in jobs {
@@ -125,8 +135,11 @@
         let (work, repeat) = (order.tag.work, order.repeat);
         let urgency = Urgency { level: order.level, deadline: now.after(order.time_left) };
         let answer = self.shelf.borrow_mut().open(work, repeat);
+        let suspected = self.quarantine.borrow().must_run_alone(order.fingerprint, now);
+        let suspect = suspected.then(|| self.suspects.enter());
         let in_progress = self.drain.enter();
-        let job = Job { order, permit, answer, deadline: urgency.deadline, in_progress };
+        let deadline = urgency.deadline;
+        let job = Job { order, permit, answer, deadline, suspect, in_progress };
         let offer = self.admission.borrow_mut().offer(work, job, urgency, now);
         match offer {
             Offer::Start(job) => self.start_all(vec![job]),
@@ -151,8 +164,8 @@
             return Some(self.refusal(NotRunReason::Quarantined, None));
         }
         let suspect = quarantine.must_run_alone(order.fingerprint, now);
-        if suspect && self.suspects_running.get() > 0 {
-            return Some(self.refusal(NotRunReason::Overloaded, Some(SUSPECT_PAUSE)));
+        if suspect && self.suspects.in_progress() > 0 {
+            return Some(self.refusal(NotRunReason::SuspectsApart, Some(SUSPECT_PAUSE)));
         }
         (!self.backend_up.get()).then(|| self.refusal(NotRunReason::BackendDown, None))
     }
@@ -175,11 +188,7 @@
 
     async fn execute(self: &Rc<Self>, job: Job) {
         let started = self.clock.now();
-        let fingerprint = job.order.fingerprint;
-        let suspect = self.quarantine.borrow().must_run_alone(fingerprint, started);
-        self.suspects_running.update(|n| n + u32::from(suspect));
         let end = self.call(&job).await;
-        self.suspects_running.update(|n| n - u32::from(suspect));
         let took = self.clock.now().since(started);
         let freed = match end {
             CallEnd::NeverSent => {
@@ -190,7 +199,7 @@
             CallEnd::Sent(end) => {
                 self.note_end(&job, end);
                 job.answer.finish(end, self.clock.now());
-                drop(job.in_progress);
+                drop((job.suspect, job.in_progress));
                 self.admission.borrow_mut().finish(took)
             }
         };
@@ -239,6 +248,7 @@
 const fn reason_label(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::Overloaded => "overloaded",
+        NotRunReason::SuspectsApart => "suspects_apart",
         NotRunReason::DeadlinePassed => "deadline_passed",
         NotRunReason::Leaving => "leaving",
         NotRunReason::NotCurrent => "not_current",
--- a/crates/agent/src/service/mod.rs
+++ b/crates/agent/src/service/mod.rs
@@ -5,6 +5,7 @@
 use clementine_decide::config::ConfigUpdate;
 use clementine_decide::gate::WorkTag;
 use clementine_decide::ids::WorkId;
+use clementine_decide::quarantine::Fingerprint;
 use clementine_objects::Revision;
 use clementine_wire::{
     Agent, AgentDescription, AttachStart, ReadOrder, ReadReply, RunOrder, RunStart, StageOrder,
@@ -48,6 +49,10 @@
         self.core.cancel(work);
     }
 
+    async fn note_crashes(self, _: Context, request: Fingerprint, crashes: u32) -> u32 {
+        self.core.note_crashes(request, crashes)
+    }
+
     async fn configure(self, _: Context, update: ConfigUpdate) -> Revision {
         self.core.configure(&update)
     }
--- a/crates/decide/src/outcome/error_kind.rs
+++ b/crates/decide/src/outcome/error_kind.rs
@@ -39,8 +39,10 @@
     DeadlineBeforeRun,
     /// The process is shutting down.
     ShuttingDown,
-    /// The request has crashed backend servers.
+    /// The request is refused because it has crashed backend servers before.
     Quarantined,
+    /// The request crashed backend servers and is not run again.
+    CrashedBackends,
     /// The backend server failed while it ran the request.
     BackendFailed,
     /// The connection to the backend server was lost during the request.
@@ -80,7 +82,7 @@
 
 impl ErrorKind {
     /// All kinds, for tests and documentation.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::InvalidRequest,
         Self::InvalidToken,
         Self::NotPermitted,
@@ -96,6 +98,7 @@
         Self::DeadlineBeforeRun,
         Self::ShuttingDown,
         Self::Quarantined,
+        Self::CrashedBackends,
         Self::BackendFailed,
         Self::BackendLost,
         Self::AgentUnreachable,
@@ -121,7 +124,8 @@
             Self::ClaimUnreadable => rule(503, "unavailable_error", Unknown, LATER),
             Self::DeadlineBeforeRun => rule(504, "timeout_error", NotRun, SOON),
             Self::ShuttingDown => rule(503, "unavailable_error", NotRun, SOON),
-            Self::Quarantined => rule(422, "quarantine_error", Unknown, None),
+            Self::Quarantined => rule(422, "quarantine_error", NotRun, None),
+            Self::CrashedBackends => rule(422, "quarantine_error", Unknown, None),
             Self::BackendFailed => rule(502, "backend_error", Ran, None),
             Self::BackendLost => rule(502, "backend_error", Unknown, None),
             Self::AgentUnreachable => rule(503, "unavailable_error", Unknown, LATER),
@@ -148,6 +152,7 @@
             Self::DeadlineBeforeRun => "deadline_before_run",
             Self::ShuttingDown => "shutting_down",
             Self::Quarantined => "quarantined",
+            Self::CrashedBackends => "crashed_backends",
             Self::BackendFailed => "backend_failed",
             Self::BackendLost => "backend_lost",
             Self::AgentUnreachable => "agent_unreachable",
--- a/crates/e2e/src/proxy/mod.rs
+++ b/crates/e2e/src/proxy/mod.rs
@@ -93,7 +93,7 @@
                     ProxyMode::Silent => {
                         let hold = async move {
                             let _held = inbound;
-                            std::future::pending().await
+                            std::future::pending::<()>().await;
                         };
                         tasks.borrow_mut().push(spawn_local(hold));
                     }
--- /dev/null
+++ b/crates/e2e/tests/drain.rs
@@ -0,0 +1,162 @@
+//! Instances that leave: no request is cut short.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use clementine_e2e::{Caller, Hub, HubPlan, RecordFile, eventually};
+
+/// Requests in progress at a time.
+const WORKERS: usize = 8;
+
+/// Counts of a load that runs until it is stopped.
+#[derive(Debug, Default)]
+struct Load {
+    answered: Cell<usize>,
+    failed: Cell<usize>,
+    stopped: Cell<bool>,
+}
+
+impl Load {
+    fn note(&self, succeeded: bool) {
+        let count = if succeeded { &self.answered } else { &self.failed };
+        count.set(count.get() + 1);
+    }
+}
+
+/// Sends short streams, lookups and orders in turn, each of which must
+/// succeed.
+async fn work(caller: Caller, worker: usize, load: Rc<Load>) {
+    let mut round = 0;
+    while !load.stopped.get() {
+        round += 1;
+        let succeeded = match round % 3 {
+            0 => caller.lookup().await.is_some_and(|answer| answer.outcome == "ran"),
+            1 => {
+                let stream = caller.stream_chat("key-advisor", "Which?", 10, |_| {}).await;
+                stream.is_some_and(|stream| stream.done && stream.tokens == 10)
+            }
+            _ => {
+                let answer = caller.order(&format!("w{worker}-{round}"), "{}").await;
+                answer.is_some_and(|answer| answer.outcome == "ran")
+            }
+        };
+        load.note(succeeded);
+    }
+}
+
+async fn answered_more(load: &Rc<Load>, more: usize) {
+    let wanted = load.answered.get() + load.failed.get() + more;
+    let reached = || {
+        let load = Rc::clone(load);
+        async move { load.answered.get() + load.failed.get() >= wanted }
+    };
+    eventually("the load goes on", reached).await;
+}
+
+#[actix_rt::test]
+async fn replacing_all_agents_cuts_no_request() {
+    let record = RecordFile::new("drain-agents");
+    let plan = HubPlan::new(1).engines(2, "5ms").services(2, record.path(), "2ms");
+    let mut hub = Hub::start(plan).await;
+    let load = Rc::new(Load::default());
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|worker| actix_rt::spawn(work(hub.caller(0), worker, Rc::clone(&load))))
+        .collect();
+    for number in 0..hub.backends.len() {
+        answered_more(&load, 30).await;
+        hub.backends[number].agent.terminate();
+        let mut old = hub.backends[number].replace_agent();
+        for _ in 0..2_000 {
+            if old.has_ended() {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        hub.wait_until_serving().await;
+    }
+    load.stopped.set(true);
+    for worker in workers {
+        worker.await.expect("the task ends");
+    }
+    assert_eq!(load.failed.get(), 0, "{} answered", load.answered.get());
+    let keys = record.keys();
+    let distinct: std::collections::BTreeSet<_> = keys.iter().collect();
+    assert_eq!(distinct.len(), keys.len(), "an order ran twice");
+}
+
+#[actix_rt::test]
+async fn a_leaving_entry_cuts_no_request() {
+    let record = RecordFile::new("drain-entry");
+    let plan = HubPlan::new(1).engines(2, "10ms").services(1, record.path(), "100ms");
+    let mut hub = Hub::start(plan).await;
+    let caller = hub.caller(0);
+    let streams: Vec<_> = (0..6)
+        .map(|_| {
+            let caller = caller.clone();
+            actix_rt::spawn(
+                async move { caller.stream_chat("key-advisor", "Which?", 60, |_| {}).await },
+            )
+        })
+        .collect();
+    let orders: Vec<_> = (0..6)
+        .map(|n| {
+            let caller = caller.clone();
+            actix_rt::spawn(async move { caller.order(&format!("k{n}"), "{}").await })
+        })
+        .collect();
+    eventually("the orders run", || async { record.keys().len() == 6 }).await;
+    hub.entries[0].process.terminate();
+    for stream in streams {
+        let stream = stream.await.expect("the task ends").expect("a stream");
+        assert_eq!((stream.tokens, stream.done), (60, true));
+    }
+    for order in orders {
+        assert_eq!(order.await.expect("the task ends").expect("an answer").outcome, "ran");
+    }
+    for _ in 0..1_000 {
+        if hub.entries[0].process.has_ended() {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("the entry did not end");
+}
+
+#[actix_rt::test]
+async fn an_agent_that_says_it_leaves_gets_no_new_work_while_the_list_lags() {
+    let hub = Hub::start(HubPlan::new(1).engines(2, "0ms").agent_flag("leave-notice", "30s")).await;
+    let caller = hub.caller(0);
+    hub.backends[0].agent.terminate();
+    let leaving = || async {
+        let state = hub.entry_state(0).await;
+        let fleet = state["fleet"].as_array().cloned().unwrap_or_default();
+        fleet.iter().any(|member| member["news"]["state"] == "Leaving")
+    };
+    eventually("the entry knows", leaving).await;
+    let count =
+        || async { hub.backends[0].record().await["completions"].as_array().map_or(0, Vec::len) };
+    let before = count().await;
+    for _ in 0..30 {
+        let answer = caller.chat("key-advisor", "Which?", 2).await.expect("an answer");
+        assert_eq!(answer.outcome, "ran");
+    }
+    assert_eq!(count().await, before);
+}
+
+#[actix_rt::test]
+async fn a_backend_server_that_the_list_shows_as_leaving_gets_no_new_work() {
+    let hub = Hub::start(HubPlan::new(1).engines(2, "0ms")).await;
+    let caller = hub.caller(0);
+    hub.publish_list(&[0]).await;
+    let known = || async {
+        let state = hub.entry_state(0).await;
+        let fleet = state["fleet"].as_array().cloned().unwrap_or_default();
+        fleet.iter().any(|member| member["listed"] == "Leaving")
+    };
+    eventually("the entry knows", known).await;
+    for _ in 0..30 {
+        let answer = caller.chat("key-advisor", "Which?", 2).await.expect("an answer");
+        assert_eq!(answer.outcome, "ran");
+    }
+    assert_eq!(hub.backends[0].record().await["completions"], serde_json::json!([]));
+}
--- a/crates/e2e/tests/path.rs
+++ b/crates/e2e/tests/path.rs
@@ -33,6 +33,9 @@
     assert_eq!(record.runs_of("k1"), 1);
 }
 
+/// Method, path, headers and body; the expected status and error code.
+type Case<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
 #[actix_rt::test]
 async fn refuses_what_it_must() {
     let record = RecordFile::new("refusals");
@@ -43,7 +46,7 @@
     let body_too_large = "x".repeat(5 << 20);
     let ok = r#"{"model":"key-advisor","messages":[{"role":"user","content":"a"}]}"#;
     let no_model = r#"{"model":"key-adviser","messages":[]}"#;
-    let cases: [(&str, &str, &[(&str, &str)], &str, u16, &str); 12] = [
+    let cases: [Case<'_>; 12] = [
         ("POST", chat, &[], "{", 400, "invalid_request"),
         ("POST", chat, &[], "", 400, "invalid_request"),
         ("POST", chat, &[], r#"{"model":"key-advisor"}"#, 400, "invalid_request"),
--- a/crates/entry/src/model/mod.rs
+++ b/crates/entry/src/model/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod completion;
+mod crashes;
 mod pools;
 mod reader;
 mod resume;
--- a/crates/entry/src/model/pools.rs
+++ b/crates/entry/src/model/pools.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Pools whose backend servers may run the request.
+    pub(super) fn pools(&self) -> Vec<PoolName> {
+        match self {
+            Self::Whole(pools) => pools.clone(),
+            Self::Split { pools, .. } => pools.iter().map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
     /// The plan of an attempt, when the model is split.
     pub(super) fn plan(
         &self,
--- a/crates/entry/src/model/safe_run.rs
+++ b/crates/entry/src/model/safe_run.rs
@@ -23,6 +23,9 @@
 /// Attempts for one request.
 const ATTEMPTS_MAX: u32 = 8;
 
+/// Rounds in which no backend server takes the request.
+const EMPTY_ROUNDS_MAX: u32 = 8;
+
 /// Pause before agents that have failed are tried again.
 const SECOND_ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -47,9 +50,10 @@
     /// and not started again.
     streamed: Option<Endpoint>,
     fingerprint: Fingerprint,
-    crashes: u32,
+    crashed_here: bool,
     avoid: Choice,
     attempts: u32,
+    empty_rounds: u32,
     attempt: Option<Attempt>,
     /// Status and headers, once known.
     pub(super) head: Option<AnswerHead>,
@@ -74,9 +78,10 @@
             places,
             streamed,
             fingerprint,
-            crashes: 0,
+            crashed_here: false,
             avoid: Choice::default(),
             attempts: 0,
+            empty_rounds: 0,
             attempt: None,
             head: None,
             delivered: Delivered::default(),
@@ -101,7 +106,7 @@
                 self.attempt = Some(attempt);
                 Ok(part)
             }
-            Err(fault) => self.failed(fault),
+            Err(fault) => self.failed(fault).await,
         }
     }
 
@@ -139,7 +144,7 @@
                 self.attempt = Some(attempt);
                 Ok(Part::Chunks(Vec::new()))
             }
-            Err(fault) => self.failed(fault),
+            Err(fault) => self.failed(fault).await,
         }
     }
 
@@ -166,15 +171,15 @@
             time_left: self.caller.time_left(self.entry.clock.now()),
             level: self.caller.level,
             fingerprint: self.fingerprint,
-            crashes: self.crashes,
+            crashes: self.entry.known_crashes(self.fingerprint),
             split,
         })
     }
 
     /// Every agent has been tried, or there is none.
     async fn none_left(&mut self) -> Result<Part, Refusal> {
-        self.attempts += 1;
-        if self.attempts >= ATTEMPTS_MAX {
+        self.empty_rounds += 1;
+        if self.empty_rounds >= EMPTY_ROUNDS_MAX {
             return Err(Refusal::new(ErrorKind::NoBackend, "no backend server takes the request"));
         }
         sleep(SECOND_ROUND_PAUSE).await;
@@ -183,14 +188,25 @@
     }
 
     /// Decides whether a failed attempt is followed by another one.
-    fn failed(&mut self, fault: AttemptFault) -> Result<Part, Refusal> {
+    async fn failed(&mut self, fault: AttemptFault) -> Result<Part, Refusal> {
         if fault == AttemptFault::BackendLost {
-            self.crashes += 1;
-            let now = self.entry.clock.now();
-            self.entry.quarantine.borrow_mut().note_crash(self.fingerprint, now);
+            self.crashed_here = true;
+            self.entry.spread_crash(self.fingerprint, &self.places.pools()).await;
             self.check_quarantine()?;
         }
-        let refusal = refusal(fault);
+        if is_kept_apart(fault) {
+            // Wait for a backend server without a suspect, while there is time.
+            self.empty_rounds = 0;
+            self.attempts -= 1;
+            return Ok(Part::Chunks(Vec::new()));
+        }
+        let mut refusal = refusal(fault);
+        if refusal.kind == ErrorKind::Quarantined {
+            self.entry.learn_quarantine(self.fingerprint);
+            if self.crashed_here {
+                refusal.kind = ErrorKind::CrashedBackends;
+            }
+        }
         if !is_retryable(fault) || self.attempts >= ATTEMPTS_MAX {
             return Err(refusal);
         }
@@ -207,17 +223,19 @@
     }
 
     fn check_quarantine(&self) -> Result<(), Refusal> {
-        let now = self.entry.clock.now();
-        if self.entry.quarantine.borrow().is_quarantined(self.fingerprint, now) {
-            return Err(refusal(AttemptFault::NotRun {
-                reason: NotRunReason::Quarantined,
-                retry_after: None,
-            }));
+        if !self.entry.is_quarantined(self.fingerprint) {
+            return Ok(());
         }
-        Ok(())
+        let kind =
+            if self.crashed_here { ErrorKind::CrashedBackends } else { ErrorKind::Quarantined };
+        Err(Refusal::new(kind, "the request has crashed backend servers"))
     }
 }
 
+fn is_kept_apart(fault: AttemptFault) -> bool {
+    matches!(fault, AttemptFault::NotRun { reason: NotRunReason::SuspectsApart, .. })
+}
+
 fn is_retryable(fault: AttemptFault) -> bool {
     match fault {
         AttemptFault::AgentLost | AttemptFault::BackendLost => true,
@@ -232,7 +250,7 @@
     match fault {
         AttemptFault::NotRun { reason, retry_after } => {
             let (kind, message) = match reason {
-                NotRunReason::Overloaded => {
+                NotRunReason::Overloaded | NotRunReason::SuspectsApart => {
                     (ErrorKind::Overloaded, "no backend server can answer in time")
                 }
                 NotRunReason::DeadlinePassed => {
--- a/crates/entry/src/once/gates.rs
+++ b/crates/entry/src/once/gates.rs
@@ -86,16 +86,22 @@
             body: self.caller.body.clone(),
             time_left: self.caller.time_left(self.entry.clock.now()),
             level: self.caller.level,
-            fingerprint: Fingerprint::of_request(
-                &self.caller.workspace.name,
-                &self.caller.path,
-                &self.caller.body,
-            ),
-            crashes: 0,
+            fingerprint: self.fingerprint(),
+            crashes: self.entry.known_crashes(self.fingerprint()),
             split: None,
         }
     }
 
+    fn fingerprint(&self) -> Fingerprint {
+        let caller = self.caller;
+        Fingerprint::of_request(&caller.workspace.name, &caller.path, &caller.body)
+    }
+
+    /// Notes that the backend server broke off while it ran the operation.
+    async fn note_crash(&self) {
+        self.entry.spread_crash(self.fingerprint(), std::slice::from_ref(self.pool)).await;
+    }
+
     fn out_of_time(&self) -> bool {
         self.caller.time_left(self.entry.clock.now()) <= ANSWER_MARGIN
     }
@@ -149,7 +155,10 @@
                 match self.follow(Rc::clone(&member), tag.work, Some(progress)).await {
                     Followed::Answered(answer) => RunReply::Answered(answer),
                     Followed::NotRun { retry_after } => RunReply::Refused { retry_after },
-                    Followed::BackendLost => RunReply::BackendLost,
+                    Followed::BackendLost => {
+                        self.note_crash().await;
+                        RunReply::BackendLost
+                    }
                     Followed::Forgotten | Followed::Unreachable => RunReply::Unreachable,
                 }
             }
--- a/crates/wire/src/messages/answer.rs
+++ b/crates/wire/src/messages/answer.rs
@@ -28,6 +28,8 @@
 pub enum NotRunReason {
     /// It could not have been answered within its deadline.
     Overloaded,
+    /// It has crashed a backend server, and another such request runs here.
+    SuspectsApart,
     /// Its deadline passed while it waited.
     DeadlinePassed,
     /// The agent is shutting down.
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -3,6 +3,7 @@
 use clementine_decide::config::ConfigUpdate;
 use clementine_decide::gate::WorkTag;
 use clementine_decide::ids::WorkId;
+use clementine_decide::quarantine::Fingerprint;
 use clementine_objects::Revision;
 
 use crate::messages::{
@@ -27,6 +28,10 @@
     /// Gives up work.
     async fn cancel(work: WorkId);
 
+    /// Learns how many backend servers a request has crashed, and returns how
+    /// many the agent knows of.
+    async fn note_crashes(request: Fingerprint, crashes: u32) -> u32;
+
     /// Takes an update of the configuration and returns the revision held.
     async fn configure(update: ConfigUpdate) -> Revision;
 
