--- a/crates/agent/src/core/work.rs
+++ b/crates/agent/src/core/work.rs
@@ -36,7 +36,10 @@
     /// progress.
     pub(crate) async fn run(self: &Rc<Self>, order: RunOrder) -> RunStart {
         let (work, repeat) = (order.tag.work, order.repeat);
-        let verdict = self.gate(repeat).borrow_mut().accept(&order.tag);
+        let verdict = match repeat {
+            Repeat::Never => self.once.borrow_mut().accept(&order.tag),
+            Repeat::Safe => self.repeatable.borrow_mut().accept_repeatable(work),
+        };
         self.accepted.notify_waiters();
         match verdict {
             AcceptVerdict::Run(permit) => {
--- a/crates/decide/src/gate/records.rs
+++ b/crates/decide/src/gate/records.rs
@@ -67,12 +67,22 @@
         if tag.incarnation != self.incarnation || !self.covers(tag.epoch) {
             return AcceptVerdict::NotCurrent;
         }
-        match self.record(tag.work) {
+        self.accept_work(tag.work)
+    }
+
+    /// Decides on an order to run work that may be run again under another
+    /// work id, for whichever incarnation and epoch it was made.
+    pub fn accept_repeatable(&mut self, work: WorkId) -> AcceptVerdict {
+        self.accept_work(work)
+    }
+
+    fn accept_work(&mut self, work: WorkId) -> AcceptVerdict {
+        match self.record(work) {
             Some(Record::Accepted) => AcceptVerdict::Accepted,
             Some(Record::Sealed) => AcceptVerdict::Sealed,
             None => {
-                self.insert(tag.work, Record::Accepted);
-                AcceptVerdict::Run(RunPermit::new(tag.work))
+                self.insert(work, Record::Accepted);
+                AcceptVerdict::Run(RunPermit::new(work))
             }
         }
     }
--- a/crates/e2e/tests/once.rs
+++ b/crates/e2e/tests/once.rs
@@ -203,3 +203,20 @@
         assert_eq!(record.runs_of("new"), 1);
     }
 }
+
+#[actix_rt::test]
+async fn requests_go_on_when_the_gates_forget() {
+    let record = RecordFile::new("epochs");
+    let plan = HubPlan::new(2).services(2, record.path(), "0ms").agent_flag("gate-records", "2");
+    let hub = Hub::start(plan).await;
+    for number in 0..30 {
+        let answer = hub.caller(number % 2).lookup().await.expect("an answer");
+        assert_eq!(answer.outcome, "ran", "lookup {number}");
+    }
+    for number in 0..30 {
+        let caller = hub.caller(number % 2);
+        let key = format!("k{number}");
+        assert_eq!(caller.order(&key, BODY).await.expect("an answer").outcome, "ran");
+        assert_eq!(record.runs_of(&key), 1);
+    }
+}
