Talk over TLS: mutual between own processes, optional for callers

Cause: issue asks for rustls on all connections off loopback; there was none. Ways weighed: certificates by IP address (each replacement needs its own) or by one internal name. Chosen: one name, checked against one authority. Change: a crate for connections; entry and agent take certificate files, read them again when they change, and refuse to listen or dial off loopback without them. Figures: 3 tests of the handshakes (another authority, a mixed pair, a plain dialler are refused; changed files are taken, broken ones are not), a whole system over mutual TLS, and all faults of the settings told at once. Not measured: the cost of TLS for each token.

--- a/crates/agent/src/core/state.rs
+++ b/crates/agent/src/core/state.rs
@@ -11,6 +11,7 @@
 use clementine_decide::ids::{AgentRef, IncarnationId};
 use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
 use clementine_decide::stage::StageLimits;
+use clementine_net::Dialer;
 use clementine_objects::{Repeat, Revision};
 use clementine_process::admin::AdminProcess;
 use clementine_process::clock::Clock;
@@ -61,6 +62,7 @@
     pub(crate) fn new(
         settings: AgentSettings,
         address: SocketAddr,
+        dialer: Rc<Dialer>,
         drain: Drain,
         meter: &Meter,
     ) -> Rc<Self> {
@@ -91,7 +93,7 @@
             address,
             incarnation,
             config: RefCell::default(),
-            stages: StageRunner::new(settings.backend, clock, stage_limits),
+            stages: StageRunner::new(settings.backend, dialer, clock, stage_limits),
             settings,
         })
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use clementine_net::{Acceptor, Dialer, watch_certificates};
 use clementine_process::admin::serve_admin;
 use clementine_process::http::bind_reusable;
 use clementine_process::logging::start_logging;
@@ -9,7 +10,7 @@
 use clementine_process::shutdown::{Drain, watch_signals};
 use clementine_wire::transport::serve_agent;
 use snafu::ResultExt;
-use spdlog::{info, warn};
+use spdlog::{debug, info, warn};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -29,28 +30,35 @@
     let listen = settings.listen;
     let listener = bind_reusable(listen).context(BindSnafu { listen })?;
     let address = listener.local_addr().context(BindSnafu { listen })?;
+    let acceptor = Rc::new(Acceptor::new(settings.internal_tls.clone())?);
+    let dialer = Rc::new(Dialer::new(settings.internal_tls.clone())?);
+    spawn_local(watch_certificates(Rc::clone(&acceptor), Some(Rc::clone(&dialer))));
     let drain = Drain::default();
     watch_signals(drain.clone()).context(SignalsSnafu)?;
     let metrics = Metrics::start()?;
     let advertised = settings.advertise.unwrap_or(address);
-    let core = Core::new(settings.clone(), advertised, drain.clone(), &metrics.meter());
+    let core = Core::new(settings.clone(), advertised, dialer, drain.clone(), &metrics.meter());
     serve_admin(&settings.process.admin, metrics, Rc::clone(&core), None)?;
     core.probe_backend();
     spawn_local(Rc::clone(&core).sweep());
     info!("agent: listening on {} as {}", address, core.agent_ref());
-    spawn_local(accept(listener, core));
+    spawn_local(accept(listener, acceptor, core));
     drain.started().await;
     leave(&settings, &drain).await;
     Ok(())
 }
 
-async fn accept(listener: TcpListener, core: Rc<Core>) {
+async fn accept(listener: TcpListener, acceptor: Rc<Acceptor>, core: Rc<Core>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if stream.set_nodelay(true).is_ok() {
-                    spawn_local(serve_agent(stream, AgentService::new(Rc::clone(&core))));
-                }
+                let (acceptor, core) = (Rc::clone(&acceptor), Rc::clone(&core));
+                spawn_local(async move {
+                    match acceptor.accept(stream).await {
+                        Ok(stream) => serve_agent(stream, AgentService::new(core)).await,
+                        Err(error) => debug!("agent: handshake failed: {}", error),
+                    }
+                });
             }
             Err(error) => {
                 warn!("agent: accept failed: {}", error);
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -4,9 +4,11 @@
 use std::str::FromStr;
 
 use clap::{ArgMatches, Command};
+use clementine_net::TlsFiles;
 use clementine_objects::{Millis, PoolName};
 use clementine_process::settings::{
-    ProcessSettings, SettingFaults, SettingsReader, process_args, setting,
+    ProcessSettings, SettingFaults, SettingsReader, internal_tls_args, process_args,
+    read_internal_tls, setting,
 };
 use compact_str::CompactString;
 
@@ -19,6 +21,8 @@
     pub(crate) process: ProcessSettings,
     /// Address for entries and other agents.
     pub(crate) listen: SocketAddr,
+    /// Certificates between the system's own processes.
+    pub(crate) internal_tls: Option<TlsFiles>,
     /// Address at which others reach the agent; the listening address when
     /// absent.
     pub(crate) advertise: Option<SocketAddr>,
@@ -94,6 +98,7 @@
             "DURATION",
             "Time between refusing work and closing [default: 2s]",
         ))
+        .args(internal_tls_args())
         .args(process_args())
 }
 
@@ -102,6 +107,7 @@
     pub(crate) fn read(matches: &ArgMatches) -> Result<Self, SettingFaults> {
         let mut reader = SettingsReader::new(matches);
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listen = reader.required("listen", loopback);
         let nowhere = BackendAddress::from_str("http://127.0.0.1:1");
         let nowhere = nowhere.expect("a valid address");
         let pool = reader.optional("pool");
@@ -109,7 +115,8 @@
         let fallback: Option<PoolName> = "none".parse().ok();
         let settings = pool.or(fallback).map(|pool| Self {
             process: ProcessSettings::read(&mut reader),
-            listen: reader.required("listen", loopback),
+            internal_tls: read_internal_tls(&mut reader, Some(listen)),
+            listen,
             advertise: reader.optional("advertise"),
             backend: reader.required("backend", nowhere),
             pool,
--- a/crates/agent/src/stages/runner.rs
+++ b/crates/agent/src/stages/runner.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use clementine_decide::ids::WorkId;
 use clementine_decide::stage::{StageEpoch, StageGate, StageInput, StageLimits, StageVerdict};
+use clementine_net::Dialer;
 use clementine_objects::Millis;
 use clementine_process::clock::Clock;
 use clementine_wire::{AgentLink, LinkLimits, StageOrder, StageReply};
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct StageRunner {
     engine: StageEngine,
+    dialer: Rc<Dialer>,
     clock: Clock,
     gate: RefCell<StageGate<Bytes>>,
     hops: RefCell<HashMap<WorkId, HopChoice>>,
@@ -42,9 +44,15 @@
 
 impl StageRunner {
     /// A stage at an engine.
-    pub(crate) fn new(backend: BackendAddress, clock: Clock, limits: StageLimits) -> Rc<Self> {
+    pub(crate) fn new(
+        backend: BackendAddress,
+        dialer: Rc<Dialer>,
+        clock: Clock,
+        limits: StageLimits,
+    ) -> Rc<Self> {
         Rc::new(Self {
             engine: StageEngine::new(backend),
+            dialer,
             clock,
             gate: RefCell::new(StageGate::new(limits)),
             hops: RefCell::default(),
@@ -94,7 +102,8 @@
     /// The link to another agent.
     pub(super) fn link(&self, address: SocketAddr) -> Rc<AgentLink> {
         let mut links = self.links.borrow_mut();
-        let new = || Rc::new(AgentLink::new(address, LinkLimits::default()));
+        let new =
+            || Rc::new(AgentLink::new(address, Rc::clone(&self.dialer), LinkLimits::default()));
         Rc::clone(links.entry(address).or_insert_with(new))
     }
 
--- a/crates/e2e/src/process/mod.rs
+++ b/crates/e2e/src/process/mod.rs
@@ -53,6 +53,13 @@
         Self { child, lines }
     }
 
+    /// What a program prints that ends at once.
+    pub fn output_of(program: &str, args: &[String]) -> String {
+        let output = Command::new(program_path(program)).args(args).output();
+        let output = output.unwrap_or_else(|error| panic!("{program}: {error}"));
+        String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
+    }
+
     /// The address that the process prints after a text.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/e2e/tests/secure.rs
@@ -0,0 +1,60 @@
+//! TLS between the processes, and the checks of settings.
+
+#[path = "../../net/tests/certificates/mod.rs"]
+mod certificates;
+
+use certificates::Authority;
+use clementine_e2e::{Hub, HubPlan, Process, RecordFile};
+
+#[actix_rt::test]
+async fn entries_and_agents_talk_over_mutual_tls() {
+    let authority = Authority::new("hub");
+    let files = authority.files();
+    let record = RecordFile::new("tls");
+    let mut plan = HubPlan::new(1)
+        .engines(1, "0ms")
+        .stages("halves-first", 1, "0-15", "0ms")
+        .stages("halves-last", 1, "16-31", "0ms")
+        .services(1, record.path(), "0ms");
+    let ca = files.authority.expect("an authority");
+    let flags = [("cert", files.certificate), ("key", files.key), ("ca", ca)];
+    for (name, path) in flags {
+        let (name, path) = (format!("internal-{name}"), path.display().to_string());
+        plan = plan.agent_flag(&name, &path).entry_flag(&name, &path);
+    }
+    let hub = Hub::start(plan).await;
+    let caller = hub.caller(0);
+    let whole = caller.chat("key-advisor", "Which?", 4).await.expect("an answer");
+    let split = caller.chat("key-advisor-large", "Which?", 4).await.expect("an answer");
+    assert_eq!(whole.chat_text(), split.chat_text());
+    assert_eq!(caller.order("k", "{}").await.expect("an answer").outcome, "ran");
+}
+
+#[test]
+fn all_faults_of_the_settings_are_told_at_once() {
+    let agent = ["--listen", "0.0.0.0:7000", "--backend", "https://here", "--queue", "many"];
+    let agent = agent.map(str::to_owned);
+    let output = Process::output_of("clementine-agent", &agent);
+    let expected = [
+        "--pool: is required",
+        "--domain: is required",
+        "--backend: `https://here`: `https://here` must be written like",
+        "--queue: `many`: invalid digit",
+        "--internal-cert: is required when --listen is not on loopback",
+    ];
+    for line in expected {
+        assert!(output.contains(line), "`{line}` is missing in:\n{output}");
+    }
+    let entry = ["--admin-listen", "0.0.0.0:7001", "--table-url", "ftp://x"].map(str::to_owned);
+    let output = Process::output_of("clementine-entry", &entry);
+    let expected = [
+        "--admin-token: is required when --admin-listen is not on loopback",
+        "--listen: is required",
+        "--table-url: must begin with `http://`",
+        "--objects-url: is required",
+        "--instances-url: is required",
+    ];
+    for line in expected {
+        assert!(output.contains(line), "`{line}` is missing in:\n{output}");
+    }
+}
--- a/crates/entry/src/entry/state.rs
+++ b/crates/entry/src/entry/state.rs
@@ -7,6 +7,7 @@
 use clementine_decide::config::HeldConfig;
 use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
+use clementine_net::Dialer;
 use clementine_platform::{DynamoTable, EndpointSlices, Guard, GuardLimits, S3Objects};
 use clementine_process::admin::AdminProcess;
 use clementine_process::clock::Clock;
@@ -45,7 +46,7 @@
 
 impl Entry {
     /// The state of a starting entry.
-    pub(crate) fn new(settings: EntrySettings, drain: Drain, meter: &Meter) -> Rc<Self> {
+    pub(crate) fn new(settings: EntrySettings, dialer: Rc<Dialer>, meter: &Meter) -> Rc<Self> {
         let platform = settings.platform.clone();
         let limits = GuardLimits {
             calls_per_second: platform.calls_per_second,
@@ -65,9 +66,9 @@
         Rc::new(Self {
             clock: Clock::start(),
             leaving: Cell::new(false),
-            drain,
+            drain: Drain::default(),
             metrics: EntryMetrics::new(meter),
-            fleet: Fleet::new(settings.subset),
+            fleet: Fleet::new(settings.subset, dialer),
             config: RefCell::default(),
             config_changed: Notify::new(),
             config_rows: ConfigRows::new(table.clone()),
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use clementine_net::TlsError;
 use clementine_process::admin::AdminError;
 use clementine_process::logging::LoggingError;
 use clementine_process::metrics::MetricsError;
@@ -30,6 +31,12 @@
         /// Cause.
         source: MetricsError,
     },
+    /// The certificates can't be used.
+    #[snafu(transparent)]
+    Tls {
+        /// Cause.
+        source: TlsError,
+    },
     /// The administration address can't be served.
     #[snafu(transparent)]
     Admin {
--- a/crates/entry/src/fleet/fleet_view.rs
+++ b/crates/entry/src/fleet/fleet_view.rs
@@ -7,6 +7,7 @@
 
 use clementine_decide::balance::{Candidate, Choice, choose, choose_subset};
 use clementine_decide::ids::{AgentRef, Tick};
+use clementine_net::Dialer;
 use clementine_objects::PoolName;
 use clementine_platform::ListedInstance;
 use rand::SeedableRng;
@@ -20,6 +21,7 @@
 pub(crate) struct Fleet {
     members: RefCell<BTreeMap<SocketAddr, Rc<Member>>>,
     listed: RefCell<BTreeSet<SocketAddr>>,
+    dialer: Rc<Dialer>,
     subset: usize,
     seed: u64,
     rng: RefCell<SmallRng>,
@@ -28,10 +30,11 @@
 
 impl Fleet {
     /// A fleet of which nothing is known.
-    pub(crate) fn new(subset: usize) -> Self {
+    pub(crate) fn new(subset: usize, dialer: Rc<Dialer>) -> Self {
         Self {
             members: RefCell::default(),
             listed: RefCell::default(),
+            dialer,
             subset,
             seed: rand::random(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
@@ -54,6 +57,11 @@
         self.members.borrow().get(&address).cloned()
     }
 
+    /// A member that is not part of the fleet.
+    pub(crate) fn make_member(&self, instance: &ListedInstance) -> Rc<Member> {
+        Member::new(instance, Rc::clone(&self.dialer))
+    }
+
     /// All members.
     pub(crate) fn members(&self) -> Vec<Rc<Member>> {
         self.members.borrow().values().cloned().collect()
@@ -84,7 +92,7 @@
                 member.note_listed(instance.state);
                 continue;
             }
-            let member = Member::new(instance);
+            let member = self.make_member(instance);
             members.insert(instance.address, Rc::clone(&member));
             joined.push(member);
         }
--- a/crates/entry/src/fleet/member.rs
+++ b/crates/entry/src/fleet/member.rs
@@ -6,6 +6,7 @@
 
 use clementine_decide::balance::{Candidate, Health, HealthLimits};
 use clementine_decide::ids::{IncarnationId, Tick, WorkId};
+use clementine_net::Dialer;
 use clementine_objects::PoolName;
 use clementine_platform::{InstanceState, ListedInstance};
 use clementine_wire::{AgentDescription, AgentLink, AgentNews, AgentState, LinkLimits};
@@ -43,10 +44,10 @@
 
 impl Member {
     /// A member of which only the list has told.
-    pub(crate) fn new(instance: &ListedInstance) -> Rc<Self> {
+    pub(super) fn new(instance: &ListedInstance, dialer: Rc<Dialer>) -> Rc<Self> {
         Rc::new(Self {
             lanes: ReadLanes::default(),
-            link: AgentLink::new(instance.address, LinkLimits::default()),
+            link: AgentLink::new(instance.address, dialer, LinkLimits::default()),
             pool: instance.pool.clone(),
             domain: instance.domain.clone(),
             listed: Cell::new(instance.state),
--- a/crates/entry/src/once/gates.rs
+++ b/crates/entry/src/once/gates.rs
@@ -66,7 +66,7 @@
     fn member(&self, agent: &AgentRef) -> Rc<Member> {
         let known = self.entry.fleet.member(agent.address);
         known.unwrap_or_else(|| {
-            Member::new(&ListedInstance {
+            self.entry.fleet.make_member(&ListedInstance {
                 address: agent.address,
                 pool: self.pool.clone(),
                 domain: "".into(),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use clementine_net::{Acceptor, Dialer, watch_certificates};
 use clementine_process::admin::serve_admin;
 use clementine_process::http::{HttpLimits, bind_reusable, serve_http};
 use clementine_process::logging::start_logging;
@@ -28,24 +29,30 @@
     let listen = settings.listen;
     let listener = bind_reusable(listen).context(BindSnafu { listen })?;
     let address = listener.local_addr().context(BindSnafu { listen })?;
+    let acceptor = Rc::new(Acceptor::new(settings.caller_tls.clone())?);
+    let internal = Rc::new(Acceptor::new(settings.internal_tls.clone())?);
+    let dialer = Rc::new(Dialer::new(settings.internal_tls.clone())?);
+    spawn_local(watch_certificates(Rc::clone(&acceptor), None));
+    spawn_local(watch_certificates(internal, Some(Rc::clone(&dialer))));
     let leaving = Drain::default();
     watch_signals(leaving.clone()).context(SignalsSnafu)?;
     let metrics = Metrics::start()?;
-    let entry = Entry::new(settings.clone(), Drain::default(), &metrics.meter());
+    let entry = Entry::new(settings.clone(), dialer, &metrics.meter());
     let handler = admin_handler(Rc::clone(&entry));
     serve_admin(&settings.process.admin, metrics, Rc::clone(&entry), Some(handler))?;
     spawn_local(Rc::clone(&entry).watch_instances());
     spawn_local(Rc::clone(&entry).follow_config());
     let closing = Drain::default();
-    spawn_local(accept(listener, closing.clone(), Rc::clone(&entry)));
+    spawn_local(accept(listener, acceptor, closing.clone(), Rc::clone(&entry)));
     info!("entry: listening on {}", address);
     leaving.started().await;
     leave(&settings, &entry, &closing).await;
     Ok(())
 }
 
-async fn accept(listener: TcpListener, closing: Drain, entry: Rc<Entry>) {
-    let serve = serve_http(listener, HttpLimits::default(), closing, move |req| {
+async fn accept(listener: TcpListener, acceptor: Rc<Acceptor>, closing: Drain, entry: Rc<Entry>) {
+    let limits = HttpLimits::default();
+    let serve = serve_http(listener, acceptor, limits, closing, move |req| {
         Rc::clone(&entry).answer_caller(req)
     });
     if let Err(error) = serve.await {
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use clap::{ArgMatches, Command};
+use clementine_net::TlsFiles;
 use clementine_objects::Millis;
 use clementine_process::settings::{
-    ProcessSettings, SettingFaults, SettingsReader, process_args, setting,
+    ProcessSettings, SettingFaults, SettingsReader, internal_tls_args, process_args,
+    read_internal_tls, read_tls, setting,
 };
 use compact_str::CompactString;
 
@@ -16,6 +18,10 @@
     pub(crate) process: ProcessSettings,
     /// Address for callers.
     pub(crate) listen: SocketAddr,
+    /// Certificate for callers.
+    pub(crate) caller_tls: Option<TlsFiles>,
+    /// Certificates between the system's own processes.
+    pub(crate) internal_tls: Option<TlsFiles>,
     /// Where the platform's services are.
     pub(crate) platform: PlatformSettings,
     /// Bounds of callers' requests.
@@ -132,6 +138,9 @@
             "Time between failing /readyz and closing [default: 2s]",
         ))
         .arg(setting("keep-claims", "DURATION", "Time to keep claims [default: 168h]"))
+        .arg(setting("tls-cert", "FILE", "Certificate for callers, PEM"))
+        .arg(setting("tls-key", "FILE", "Private key of --tls-cert, PEM"))
+        .args(internal_tls_args())
         .args(process_args())
 }
 
@@ -139,9 +148,12 @@
     /// Reads the settings.
     pub(crate) fn read(matches: &ArgMatches) -> Result<Self, SettingFaults> {
         let mut reader = SettingsReader::new(matches);
+        let listen = reader.required("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
         let settings = Self {
             process: ProcessSettings::read(&mut reader),
-            listen: reader.required("listen", SocketAddr::from(([127, 0, 0, 1], 0))),
+            caller_tls: read_tls(&mut reader, "tls-cert", "tls-key", Some(listen)),
+            internal_tls: read_internal_tls(&mut reader, None),
+            listen,
             platform: PlatformSettings::read(&mut reader),
             limits: RequestLimits::read(&mut reader),
             domain: reader.required("domain", CompactString::default()),
--- /dev/null
+++ b/crates/net/src/files.rs
@@ -0,0 +1,81 @@
+//! Certificate files.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use snafu::ResultExt;
+
+use crate::error::{PemSnafu, RustlsSnafu, TlsError, VerifierSnafu};
+
+/// Certificate files, in PEM format.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// Own certificate, followed by its chain.
+    pub certificate: PathBuf,
+    /// Own private key.
+    pub key: PathBuf,
+    /// Authority whose certificates the other side has to show; none when any
+    /// client is admitted.
+    pub authority: Option<PathBuf>,
+}
+
+impl TlsFiles {
+    /// Times of the files' last changes.
+    pub(crate) fn modified(&self) -> Vec<Option<SystemTime>> {
+        let files = [Some(&self.certificate), Some(&self.key), self.authority.as_ref()];
+        let modified = |path: &PathBuf| std::fs::metadata(path).and_then(|m| m.modified()).ok();
+        files.into_iter().flatten().map(modified).collect()
+    }
+
+    /// Configuration of the accepting side.
+    pub(crate) fn server_config(&self) -> Result<Arc<ServerConfig>, TlsError> {
+        let builder = ServerConfig::builder();
+        let builder = match &self.authority {
+            None => builder.with_no_client_auth(),
+            Some(path) => {
+                let roots = Arc::new(roots(path)?);
+                let verifier = WebPkiClientVerifier::builder(roots).build();
+                builder.with_client_cert_verifier(verifier.context(VerifierSnafu)?)
+            }
+        };
+        let config = builder.with_single_cert(self.chain()?, self.private_key()?);
+        config.map(Arc::new).context(RustlsSnafu)
+    }
+
+    /// Configuration of the dialling side.
+    pub(crate) fn client_config(&self) -> Result<Arc<ClientConfig>, TlsError> {
+        let roots = match &self.authority {
+            Some(path) => roots(path)?,
+            None => RootCertStore::empty(),
+        };
+        let builder = ClientConfig::builder().with_root_certificates(roots);
+        let config = builder.with_client_auth_cert(self.chain()?, self.private_key()?);
+        config.map(Arc::new).context(RustlsSnafu)
+    }
+
+    fn chain(&self) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+        certificates(&self.certificate)
+    }
+
+    fn private_key(&self) -> Result<PrivateKeyDer<'static>, TlsError> {
+        PrivateKeyDer::from_pem_file(&self.key).context(PemSnafu { path: &self.key })
+    }
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let found = CertificateDer::pem_file_iter(path).context(PemSnafu { path })?;
+    found.collect::<Result<_, _>>().context(PemSnafu { path })
+}
+
+fn roots(path: &Path) -> Result<RootCertStore, TlsError> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(path)? {
+        roots.add(certificate).context(RustlsSnafu)?;
+    }
+    Ok(roots)
+}
--- /dev/null
+++ b/crates/net/tests/certificates/mod.rs
@@ -0,0 +1,57 @@
+//! Certificates for tests.
+
+use std::path::{Path, PathBuf};
+
+use clementine_net::{INTERNAL_NAME, TlsFiles};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+
+/// A folder with certificates of one authority, removed when dropped.
+#[derive(Debug)]
+pub struct Authority {
+    folder: PathBuf,
+}
+
+impl Authority {
+    /// Makes an authority and a certificate of it.
+    pub fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("clementine-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let authority = Self { folder };
+        authority.issue();
+        authority
+    }
+
+    /// Replaces all files by new ones.
+    pub fn issue(&self) {
+        let mut params = CertificateParams::new(Vec::new()).expect("parameters");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let ca_key = KeyPair::generate().expect("a key");
+        let ca = params.self_signed(&ca_key).expect("a certificate");
+        let issuer = Issuer::new(params, ca_key);
+        let key = KeyPair::generate().expect("a key");
+        let own = CertificateParams::new(vec![INTERNAL_NAME.to_owned()]).expect("parameters");
+        let own = own.signed_by(&key, &issuer).expect("a certificate");
+        write(&self.folder.join("ca.pem"), &ca.pem());
+        write(&self.folder.join("cert.pem"), &own.pem());
+        write(&self.folder.join("key.pem"), &key.serialize_pem());
+    }
+
+    /// The files of a process that trusts this authority.
+    pub fn files(&self) -> TlsFiles {
+        TlsFiles {
+            certificate: self.folder.join("cert.pem"),
+            key: self.folder.join("key.pem"),
+            authority: Some(self.folder.join("ca.pem")),
+        }
+    }
+}
+
+impl Drop for Authority {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn write(path: &Path, text: &str) {
+    std::fs::write(path, text).expect("a writable folder");
+}
--- /dev/null
+++ b/crates/net/tests/mutual.rs
@@ -0,0 +1,75 @@
+//! Mutual TLS between the system's own processes.
+
+mod certificates;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use certificates::Authority;
+use clementine_net::{Acceptor, Dialer, TlsFiles};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Echoes one byte on each connection.
+async fn echo(acceptor: Rc<Acceptor>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let Ok(mut stream) = acceptor.accept(stream).await else { continue };
+            if let Ok(byte) = stream.read_u8().await {
+                let _ = stream.write_u8(byte).await;
+                let _ = stream.flush().await;
+            }
+        }
+    });
+    address
+}
+
+/// Whether a byte comes back over a connection.
+async fn reaches(dialer: &Dialer, address: SocketAddr) -> bool {
+    let Ok(mut stream) = dialer.connect(address).await else { return false };
+    let sent = stream.write_u8(7).await.is_ok() && stream.flush().await.is_ok();
+    sent && stream.read_u8().await.is_ok_and(|byte| byte == 7)
+}
+
+#[actix_rt::test]
+async fn only_processes_of_the_authority_are_admitted() {
+    let (own, other) = (Authority::new("own"), Authority::new("other"));
+    let address = echo(Rc::new(Acceptor::tls(own.files()).expect("usable files"))).await;
+    let dialer = |files: TlsFiles| Dialer::tls(files).expect("usable files");
+    assert!(reaches(&dialer(own.files()), address).await);
+    assert!(!reaches(&dialer(other.files()), address).await);
+    // Trusts the right authority but shows a certificate of another one.
+    let mixed = TlsFiles { authority: own.files().authority, ..other.files() };
+    assert!(!reaches(&dialer(mixed), address).await);
+    assert!(!reaches(&Dialer::plain(), address).await);
+}
+
+#[actix_rt::test]
+async fn changed_certificates_are_taken_into_use() {
+    let own = Authority::new("changed");
+    let acceptor = Rc::new(Acceptor::tls(own.files()).expect("usable files"));
+    let address = echo(Rc::clone(&acceptor)).await;
+    let dialer = Dialer::tls(own.files()).expect("usable files");
+    own.issue();
+    acceptor.reload().expect("usable files");
+    assert!(!reaches(&dialer, address).await);
+    dialer.reload().expect("usable files");
+    assert!(reaches(&dialer, address).await);
+
+    std::fs::write(own.files().certificate, "no certificate").expect("a writable file");
+    assert!(acceptor.reload().is_err());
+    assert!(reaches(&dialer, address).await);
+}
+
+#[actix_rt::test]
+async fn without_tls_only_loopback_is_dialled() {
+    let address = echo(Rc::new(Acceptor::plain())).await;
+    assert!(reaches(&Dialer::plain(), address).await);
+    let elsewhere = SocketAddr::from(([192, 0, 2, 1], 7));
+    let refused = Dialer::plain().connect(elsewhere).await;
+    let refused = refused.expect_err("the address is not on loopback");
+    assert_eq!(refused.kind(), std::io::ErrorKind::PermissionDenied);
+}
--- a/crates/process/src/admin/server.rs
+++ b/crates/process/src/admin/server.rs
@@ -5,6 +5,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
+use clementine_net::Acceptor;
 use serde_json::Value;
 use snafu::{ResultExt, Snafu};
 use spdlog::{error, info};
@@ -54,7 +55,9 @@
     let token = settings.token.clone();
     let admin = Rc::new(Admin { metrics, process, handler });
     spawn_local(async move {
-        let serve = serve_http(listener, HttpLimits::default(), Drain::default(), move |req| {
+        let plain = Rc::new(Acceptor::plain());
+        let limits = HttpLimits::default();
+        let serve = serve_http(listener, plain, limits, Drain::default(), move |req| {
             let authorization = req.headers().get("authorization").and_then(|v| v.to_str().ok());
             let admitted =
                 token.as_ref().is_none_or(|t| t.admits(authorization.unwrap_or_default()));
--- a/crates/process/src/http/serve.rs
+++ b/crates/process/src/http/serve.rs
@@ -2,12 +2,14 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_http::{HttpServiceBuilder, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
+use clementine_net::{Acceptor, NetStream};
 use clementine_objects::Millis;
 use snafu::Snafu;
 use spdlog::{debug, warn};
@@ -49,6 +51,7 @@
 /// Fails when the service can't be set up.
 pub async fn serve_http<H, F>(
     listener: TcpListener,
+    acceptor: Rc<Acceptor>,
     limits: HttpLimits,
     drain: Drain,
     handler: H,
@@ -59,7 +62,7 @@
 {
     let handler = Rc::new(handler);
     let drain_signal = drain.clone();
-    let factory = HttpService::build()
+    let factory = HttpServiceBuilder::<NetStream, _, _, _>::default()
         .keep_alive(KeepAlive::Timeout(limits.keep_alive.duration()))
         .client_request_timeout(limits.head_time.duration())
         .graceful_shutdown_signal(move || {
@@ -69,8 +72,7 @@
         .h1(fn_service(move |req: Request| {
             let response = handler(req);
             async move { Ok::<_, Infallible>(response.await) }
-        }))
-        .tcp();
+        }));
     let service = factory.new_service(()).await.map_err(|()| ServeError)?;
     let service = Rc::new(service);
     let connections = Drain::default();
@@ -79,25 +81,32 @@
             accepted = listener.accept() => accepted,
             () = drain.started() => return Ok(()),
         };
-        let Some(stream) = prepare(accepted).await else { continue };
+        let Some((stream, peer)) = accepted_or_pause(accepted).await else { continue };
         if connections.in_progress() >= limits.connections {
             warn!("http: connection refused, {} are open", limits.connections);
             continue;
         }
-        let service = Rc::clone(&service);
+        let (service, acceptor) = (Rc::clone(&service), Rc::clone(&acceptor));
         let open = connections.enter();
         spawn_local(async move {
-            if let Err(error) = service.call(stream).await {
-                debug!("http: connection ended: {}", error);
+            match acceptor.accept(stream).await {
+                Ok(stream) => {
+                    if let Err(error) = service.call((stream, Some(peer))).await {
+                        debug!("http: connection ended: {}", error);
+                    }
+                }
+                Err(error) => debug!("http: handshake failed: {}", error),
             }
             drop(open);
         });
     }
 }
 
-async fn prepare(accepted: io::Result<(TcpStream, std::net::SocketAddr)>) -> Option<TcpStream> {
+async fn accepted_or_pause(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+) -> Option<(TcpStream, SocketAddr)> {
     match accepted {
-        Ok((stream, _)) => stream.set_nodelay(true).ok().map(|()| stream),
+        Ok(accepted) => Some(accepted),
         Err(error) => {
             warn!("http: accept failed: {}", error);
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/process/src/settings/mod.rs
+++ b/crates/process/src/settings/mod.rs
@@ -2,6 +2,8 @@
 
 mod common;
 mod reader;
+mod tls;
 
 pub use common::{AdminSettings, ProcessSettings, process_args};
 pub use reader::{SettingFaults, SettingsReader, setting};
+pub use tls::{internal_tls_args, read_internal_tls, read_tls};
--- /dev/null
+++ b/crates/process/src/settings/tls.rs
@@ -0,0 +1,48 @@
+//! Settings of certificates.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clementine_net::TlsFiles;
+
+use super::{SettingsReader, setting};
+
+/// Flags of the certificates between the system's own processes.
+pub fn internal_tls_args() -> [Arg; 3] {
+    [
+        setting("internal-cert", "FILE", "Certificate for the system's own processes, PEM"),
+        setting("internal-key", "FILE", "Private key of --internal-cert, PEM"),
+        setting("internal-ca", "FILE", "Authority of the system's own processes, PEM"),
+    ]
+}
+
+/// Reads the certificates between the system's own processes. They may be
+/// absent only when the address listened on is on loopback.
+pub fn read_internal_tls(
+    reader: &mut SettingsReader<'_>,
+    listen: Option<SocketAddr>,
+) -> Option<TlsFiles> {
+    let authority: Option<PathBuf> = reader.optional("internal-ca");
+    let files = read_tls(reader, "internal-cert", "internal-key", listen)?;
+    reader.require(authority.is_some(), "internal-ca", "is required with --internal-cert");
+    Some(TlsFiles { authority, ..files })
+}
+
+/// Reads a certificate and its key. They may be absent only when the address
+/// listened on is on loopback.
+pub fn read_tls(
+    reader: &mut SettingsReader<'_>,
+    certificate_name: &str,
+    key_name: &str,
+    listen: Option<SocketAddr>,
+) -> Option<TlsFiles> {
+    let certificate: Option<PathBuf> = reader.optional(certificate_name);
+    let key: Option<PathBuf> = reader.optional(key_name);
+    let together = certificate.is_some() == key.is_some();
+    let message = format!("--{certificate_name} and --{key_name} go together");
+    reader.require(together, certificate_name, &message);
+    let guarded = certificate.is_some() || listen.is_none_or(|listen| listen.ip().is_loopback());
+    reader.require(guarded, certificate_name, "is required when --listen is not on loopback");
+    Some(TlsFiles { certificate: certificate?, key: key?, authority: None })
+}
--- a/crates/standin/src/web/mod.rs
+++ b/crates/standin/src/web/mod.rs
@@ -1,9 +1,11 @@
 //! Serving and small responses of the stand-ins.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
+use clementine_net::Acceptor;
 use clementine_process::http::{HttpLimits, bind_reusable, json_response, read_body, serve_http};
 use clementine_process::shutdown::Drain;
 use serde_json::{Value, json};
@@ -23,7 +25,9 @@
     actix_rt::System::new().block_on(async move {
         let listener = bind_reusable(listen).context(BindSnafu { listen })?;
         println!("listening on {}", listener.local_addr().context(BindSnafu { listen })?);
-        let served = serve_http(listener, HttpLimits::default(), Drain::default(), handler);
+        let plain = Rc::new(Acceptor::plain());
+        let limits = HttpLimits::default();
+        let served = serve_http(listener, plain, limits, Drain::default(), handler);
         if let Err(error) = served.await {
             eprintln!("clementine-standin: {error}");
         }
--- a/crates/wire/src/link/agent_link.rs
+++ b/crates/wire/src/link/agent_link.rs
@@ -2,12 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant as StdInstant};
 
+use clementine_net::Dialer;
 use clementine_objects::Millis;
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
-use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
@@ -39,6 +40,7 @@
 #[derive(Debug)]
 pub struct AgentLink {
     address: SocketAddr,
+    dialer: Rc<Dialer>,
     limits: LinkLimits,
     open: Mutex<()>,
     live: RefCell<Option<Live>>,
@@ -61,9 +63,10 @@
 
 impl AgentLink {
     /// A link that is not connected yet.
-    pub fn new(address: SocketAddr, limits: LinkLimits) -> Self {
+    pub fn new(address: SocketAddr, dialer: Rc<Dialer>, limits: LinkLimits) -> Self {
         Self {
             address,
+            dialer,
             limits,
             open: Mutex::new(()),
             live: RefCell::new(None),
@@ -159,10 +162,9 @@
         if let Some(found) = self.present() {
             return Ok(found);
         }
-        let connect = TcpStream::connect(self.address);
+        let connect = self.dialer.connect(self.address);
         let stream = timeout(self.limits.connect_time.duration(), connect).await;
         let stream = stream.ok().and_then(Result::ok).ok_or(LinkFault::NotSent)?;
-        stream.set_nodelay(true).map_err(|_| LinkFault::NotSent)?;
         let (client, dispatch) = agent_client(stream);
         let number = self.opened.get() + 1;
         self.opened.set(number);
