Let only the entry end a split request; measure recovery

Cause: when the address of a head goes silent one way, the entry starts a new head, but the old one runs on, finishes and ends the request at the other stages; the new head then finds it ended. Ruled out: the rebuild from kept outputs (no stream lost when the head is frozen or killed). Change: orders carry the head's number; stages refuse earlier heads; the entry ends the request at the agents of its plans when it needs no further head.

--- a/crates/agent/src/backend/headers.rs
+++ b/crates/agent/src/backend/headers.rs
@@ -3,23 +3,13 @@
 use actix_http::header::HeaderMap;
 use clementine_wire::Header;
 
-/// Headers that concern one connection only, and those that are set anew.
-const NOT_PASSED_ON: [&str; 9] = [
-    "connection",
-    "content-length",
-    "date",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// The headers of an answer that are passed on to the caller.
+/// The headers of an answer that are passed on to the caller. The date is set
+/// anew.
 pub(super) fn passed_on(headers: &HeaderMap) -> Vec<Header> {
-    let all = headers.iter().filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()));
-    all.map(|(name, value)| Header {
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !Header::is_of_connection(name.as_str()) && name.as_str() != "date");
+    kept.map(|(name, value)| Header {
         name: name.as_str().into(),
         value: value.as_bytes().to_vec().into(),
     })
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -3,7 +3,6 @@
 mod answers;
 mod backend;
 mod core;
-mod error;
 mod run;
 mod service;
 mod settings;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,6 +8,7 @@
 use clementine_process::logging::start_logging;
 use clementine_process::metrics::Metrics;
 use clementine_process::shutdown::{Drain, watch_signals};
+use clementine_process::start::{BindSnafu, SignalsSnafu, StartError};
 use clementine_wire::transport::serve_agent;
 use snafu::ResultExt;
 use spdlog::{debug, info, warn};
@@ -16,17 +17,16 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core::Core;
-use crate::error::{AgentError, BindSnafu, SignalsSnafu};
 use crate::service::AgentService;
 use crate::settings::AgentSettings;
 
 /// Runs the agent until it has drained.
-pub(crate) fn run(settings: AgentSettings) -> Result<(), AgentError> {
+pub(crate) fn run(settings: AgentSettings) -> Result<(), StartError> {
     start_logging(settings.process.log_format, settings.process.log_level)?;
     actix_rt::System::new().block_on(serve(settings))
 }
 
-async fn serve(settings: AgentSettings) -> Result<(), AgentError> {
+async fn serve(settings: AgentSettings) -> Result<(), StartError> {
     let listen = settings.listen;
     let listener = bind_reusable(listen).context(BindSnafu { listen })?;
     let address = listener.local_addr().context(BindSnafu { listen })?;
--- a/crates/agent/src/stages/head.rs
+++ b/crates/agent/src/stages/head.rs
@@ -1,12 +1,11 @@
 //! The head of a chain: feeds tokens and writes the answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use clementine_decide::stage::{StageEpoch, StageInput, TokenIndex};
-use clementine_objects::Millis;
 use clementine_wire::{AnswerEnd, RunOrder, SplitPlan, StageOrder, StageReply};
-use futures::future::join_all;
 
 use super::completion::SplitCompletion;
 use super::runner::StageRunner;
@@ -26,11 +25,10 @@
     answer: &AnswerBuffer,
 ) -> CallEnd {
     let Some(completion) = SplitCompletion::parse(order) else { return CallEnd::NeverSent };
-    let head = Head { runner, plan, completion: &completion, answer };
+    let head = Head { runner, plan, completion: &completion, epoch: Cell::default(), answer };
     if head.generate().await.is_none() {
         return CallEnd::Sent(AnswerEnd::BackendLost);
     }
-    close_everywhere(runner, plan).await;
     CallEnd::Sent(AnswerEnd::Complete)
 }
 
@@ -38,6 +36,8 @@
     runner: &'a Rc<StageRunner>,
     plan: &'a SplitPlan,
     completion: &'a SplitCompletion,
+    /// Epoch of the request at this agent's own stage.
+    epoch: Cell<StageEpoch>,
     answer: &'a AnswerBuffer,
 }
 
@@ -69,12 +69,19 @@
     }
 
     async fn step(&self, token: TokenIndex, activation: Bytes) -> Option<Bytes> {
-        let input = StageInput { work: self.plan.work, epoch: StageEpoch::default(), token };
-        let stages = self.plan.stages.clone();
-        let order = StageOrder { input, activation, stages, rebuild: false };
-        match self.runner.step(order).await {
-            StageReply::Token(token) => Some(token),
-            _ => None,
+        loop {
+            let SplitPlan { work, head, ref stages, .. } = *self.plan;
+            let input = StageInput { work, head, epoch: self.epoch.get(), token };
+            let (activation, stages) = (activation.clone(), stages.clone());
+            let order = StageOrder { input, activation, stages, rebuild: false };
+            match self.runner.step(order).await {
+                StageReply::Token(token) => return Some(token),
+                // An earlier head has driven the request at this agent.
+                StageReply::Replaced { open } if token == TokenIndex::default() => {
+                    self.epoch.set(open);
+                }
+                _ => return None,
+            }
         }
     }
 
@@ -82,20 +89,3 @@
         self.answer.push(chunk).await;
     }
 }
-
-/// Ends the request at every agent that may hold it.
-async fn close_everywhere(runner: &StageRunner, plan: &SplitPlan) {
-    let work = plan.work;
-    runner.close(work);
-    let targets = plan.stages.iter().flat_map(|stage| &stage.0);
-    let closes = targets.map(|target| {
-        let link = runner.link(target.agent.address);
-        async move {
-            let close = link
-                .call(Millis(0), |client, cx| async move { client.close_stage(cx, work).await });
-            // An agent that can't be reached sweeps the request in time.
-            let _ = close.await;
-        }
-    });
-    join_all(closes).await;
-}
--- a/crates/agent/src/stages/passing.rs
+++ b/crates/agent/src/stages/passing.rs
@@ -99,7 +99,7 @@
         activation: Bytes,
         rebuild: bool,
     ) -> Option<StageReply> {
-        let input = StageInput { work: self.input.work, epoch, token };
+        let input = StageInput { epoch, token, ..self.input };
         let order = StageOrder { input, activation, stages: self.rest.to_vec(), rebuild };
         let link = self.runner.link(self.target.agent.address);
         let call = link
--- a/crates/agent/src/stages/runner.rs
+++ b/crates/agent/src/stages/runner.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use clementine_decide::ids::WorkId;
-use clementine_decide::stage::{StageEpoch, StageGate, StageInput, StageLimits, StageVerdict};
+use clementine_decide::stage::{
+    HeadNumber, StageEpoch, StageGate, StageInput, StageLimits, StageVerdict,
+};
 use clementine_net::Dialer;
 use clementine_objects::Millis;
 use clementine_process::clock::Clock;
@@ -84,9 +86,9 @@
         self.pass_on(order.input, output, &order.stages).await
     }
 
-    /// Ends a request.
-    pub(crate) fn close(&self, work: WorkId) {
-        self.gate.borrow_mut().close(work, self.clock.now());
+    /// Ends a request on behalf of a head.
+    pub(crate) fn close(&self, work: WorkId, head: HeadNumber) {
+        self.gate.borrow_mut().close(work, head, self.clock.now());
         self.hops.borrow_mut().remove(&work);
     }
 
@@ -136,7 +138,7 @@
                 StageVerdict::Ran(output) => return Ok(output),
                 StageVerdict::Gap { expected } => return Err(StageReply::Gap { expected }),
                 StageVerdict::Replaced { open } => return Err(StageReply::Replaced { open }),
-                StageVerdict::Lost | StageVerdict::Closed | StageVerdict::Full => {
+                StageVerdict::Lost | StageVerdict::Ended | StageVerdict::Full => {
                     return Err(StageReply::Failed);
                 }
             }
--- a/crates/ctl/src/cmd/apply.rs
+++ b/crates/ctl/src/cmd/apply.rs
@@ -3,10 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use clementine_objects::{Change, Revision, Snapshot};
 
-use super::change;
+use super::{args, change};
 use crate::error::CliError;
 use crate::files::DeclaredObjects;
 use crate::server::ServerClient;
@@ -33,15 +33,6 @@
 
 /// The command's flags.
 pub(super) fn command() -> Command {
-    let files = Arg::new("file")
-        .short('f')
-        .long("file")
-        .value_name("FILE")
-        .help("YAML file, `-` for standard input")
-        .num_args(1..)
-        .action(ArgAction::Append)
-        .value_parser(value_parser!(PathBuf))
-        .required_unless_present("revision");
     let revision = Arg::new("revision")
         .long("revision")
         .value_name("N")
@@ -51,35 +42,35 @@
     Command::new(NAME)
         .about("Store objects")
         .long_about(USAGE)
-        .arg(files)
+        .arg(args::files().required_unless_present("revision"))
         .arg(revision)
-        .arg(change::dry_run_arg())
-        .arg(change::author_arg())
+        .arg(args::dry_run())
+        .arg(args::author())
 }
 
 /// Runs the command.
 pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let args = Args {
+    let given = Args {
         files: matches.get_many("file").into_iter().flatten().cloned().collect(),
         revision: matches.get_one("revision").copied().map(Revision),
         dry_run: matches.get_flag("dry-run"),
         author: matches.get_one("author").cloned().unwrap_or_default(),
     };
-    let declared = DeclaredObjects::read(&args.files)?;
+    let declared = DeclaredObjects::read(&given.files)?;
     let stored = client.objects().await?;
     let catalog = stored.catalog();
-    let wanted = match args.revision {
+    let wanted = match given.revision {
         Some(revision) => Change::between(&catalog, &restored(client, revision).await?.catalog),
         None => Change { puts: declared.objects.clone(), deletes: Vec::new() },
     };
     let effective = Change::between(&catalog, &catalog.with(&wanted));
     change::check(&catalog, &effective, &declared)?;
     change::print(&catalog, &effective);
-    if args.dry_run {
+    if given.dry_run {
         println!("checked against revision {}, nothing published", stored.revision);
         return Ok(ExitCode::SUCCESS);
     }
-    change::publish(client, stored.revision, &args.author, &effective, &declared).await?;
+    change::publish(client, stored.revision, &given.author, &effective, &declared).await?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/ctl/src/cmd/change.rs
+++ b/crates/ctl/src/cmd/change.rs
@@ -1,30 +1,11 @@
 //! What the commands that change objects share.
 
-use clap::Arg;
 use clementine_objects::{Catalog, Change, Revision, check_catalog};
 
 use crate::error::CliError;
 use crate::files::DeclaredObjects;
 use crate::server::{ChangeOutcome, ServerClient};
 
-/// The flag that names the author of a change.
-pub(super) fn author_arg() -> Arg {
-    Arg::new("author")
-        .long("author")
-        .value_name("NAME")
-        .help("Who makes the change")
-        .env("USER")
-        .default_value("operator")
-}
-
-/// The flag that checks a change without publishing it.
-pub(super) fn dry_run_arg() -> Arg {
-    Arg::new("dry-run")
-        .long("dry-run")
-        .help("Check the change and publish nothing")
-        .action(clap::ArgAction::SetTrue)
-}
-
 /// Checks a change against a catalog; reports all faults with their files.
 pub(super) fn check(
     catalog: &Catalog,
--- a/crates/ctl/src/cmd/delete.rs
+++ b/crates/ctl/src/cmd/delete.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgMatches, Command};
 use clementine_objects::{Change, ObjectKind, ObjectRef};
 
-use super::change;
+use super::{args, change};
 use crate::error::CliError;
 use crate::files::DeclaredObjects;
 use crate::server::ServerClient;
@@ -28,40 +28,35 @@
 
 /// The command's flags.
 pub(super) fn command() -> Command {
-    let kind = Arg::new("kind")
-        .value_name("KIND")
-        .help("pool, route, model, workspace or priority")
-        .required(true)
-        .value_parser(|text: &str| text.parse::<ObjectKind>());
     Command::new(NAME)
         .about("Delete an object")
         .long_about(USAGE)
-        .arg(kind)
+        .arg(args::kind())
         .arg(Arg::new("name").value_name("NAME").help("Name of the object").required(true))
-        .arg(change::dry_run_arg())
-        .arg(change::author_arg())
+        .arg(args::dry_run())
+        .arg(args::author())
 }
 
 /// Runs the command.
 pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let kind = matches.get_one("kind").copied().unwrap_or(ObjectKind::Pool);
     let name: String = matches.get_one("name").cloned().unwrap_or_default();
-    let args = Args {
+    let given = Args {
         object: ObjectRef { kind, name: name.into() },
         dry_run: matches.get_flag("dry-run"),
         author: matches.get_one("author").cloned().unwrap_or_default(),
     };
     let stored = client.objects().await?;
     let catalog = stored.catalog();
-    if catalog.object(args.object.kind, &args.object.name).is_none() {
-        return Err(CliError::NotFound { object: args.object.to_string() });
+    if catalog.object(given.object.kind, &given.object.name).is_none() {
+        return Err(CliError::NotFound { object: given.object.to_string() });
     }
-    let deletion = Change { puts: Vec::new(), deletes: vec![args.object] };
+    let deletion = Change { puts: Vec::new(), deletes: vec![given.object] };
     let declared = DeclaredObjects::default();
     change::check(&catalog, &deletion, &declared)?;
     change::print(&catalog, &deletion);
-    if !args.dry_run {
-        change::publish(client, stored.revision, &args.author, &deletion, &declared).await?;
+    if !given.dry_run {
+        change::publish(client, stored.revision, &given.author, &deletion, &declared).await?;
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/ctl/src/cmd/diff.rs
+++ b/crates/ctl/src/cmd/diff.rs
@@ -3,9 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use clementine_objects::{Change, Object};
 
+use super::args;
 use crate::error::CliError;
 use crate::files::DeclaredObjects;
 use crate::server::ServerClient;
@@ -26,22 +27,16 @@
 
 /// The command's flags.
 pub(super) fn command() -> Command {
-    let files = Arg::new("file")
-        .short('f')
-        .long("file")
-        .value_name("FILE")
-        .help("YAML file, `-` for standard input")
-        .num_args(1..)
-        .action(ArgAction::Append)
-        .value_parser(value_parser!(PathBuf))
-        .required(true);
-    Command::new(NAME).about("Show what apply would change").long_about(USAGE).arg(files)
+    Command::new(NAME)
+        .about("Show what apply would change")
+        .long_about(USAGE)
+        .arg(args::files().required(true))
 }
 
 /// Runs the command.
 pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let args = Args { files: matches.get_many("file").into_iter().flatten().cloned().collect() };
-    let declared = DeclaredObjects::read(&args.files)?;
+    let given = Args { files: matches.get_many("file").into_iter().flatten().cloned().collect() };
+    let declared = DeclaredObjects::read(&given.files)?;
     let catalog = client.objects().await?.catalog();
     let wanted = Change { puts: declared.objects, deletes: Vec::new() };
     let change = Change::between(&catalog, &catalog.with(&wanted));
--- a/crates/ctl/src/cmd/get.rs
+++ b/crates/ctl/src/cmd/get.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgMatches, Command};
 use clementine_objects::{Object, ObjectKind};
 
+use super::args;
 use crate::error::CliError;
 use crate::server::ServerClient;
 
@@ -26,11 +27,6 @@
 
 /// The command's flags.
 pub(super) fn command() -> Command {
-    let kind = Arg::new("kind")
-        .value_name("KIND")
-        .help("pool, route, model, workspace or priority")
-        .required(true)
-        .value_parser(|text: &str| text.parse::<ObjectKind>());
     let output = Arg::new("output")
         .short('o')
         .long("output")
@@ -40,27 +36,27 @@
     Command::new(NAME)
         .about("Show the objects in force")
         .long_about(USAGE)
-        .arg(kind)
+        .arg(args::kind())
         .arg(Arg::new("name").value_name("NAME").help("Name of one object"))
         .arg(output)
 }
 
 /// Runs the command.
 pub(super) async fn run(client: &ServerClient, matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let args = Args {
+    let given = Args {
         kind: matches.get_one("kind").copied().unwrap_or(ObjectKind::Pool),
         name: matches.get_one("name").cloned(),
         output: matches.get_one("output").cloned().unwrap_or_default(),
     };
     let catalog = client.objects().await?.catalog();
-    let objects: Vec<Object> = match &args.name {
-        None => catalog.objects().into_iter().filter(|o| o.kind() == args.kind).collect(),
+    let objects: Vec<Object> = match &given.name {
+        None => catalog.objects().into_iter().filter(|o| o.kind() == given.kind).collect(),
         Some(name) => {
-            let object = format!("{} `{name}`", args.kind);
-            vec![catalog.object(args.kind, name).ok_or(CliError::NotFound { object })?]
+            let object = format!("{} `{name}`", given.kind);
+            vec![catalog.object(given.kind, name).ok_or(CliError::NotFound { object })?]
         }
     };
-    match args.output.as_str() {
+    match given.output.as_str() {
         "yaml" => print_yaml(&objects)?,
         "json" => println!("{}", json(&objects)?),
         _ => print_table(&objects)?,
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod apply;
+mod args;
 mod change;
 mod completions;
 mod delete;
--- a/crates/decide/src/stage/gate.rs
+++ b/crates/decide/src/stage/gate.rs
@@ -14,6 +14,13 @@
 )]
 pub struct StageEpoch(pub u32);
 
+/// Number of a head of a request's chain; a later head replaces an earlier
+/// one, which may still run somewhere.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct HeadNumber(pub u32);
+
 /// Index of a step of a request: 0 is the prompt, `n` the `n`-th token.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
@@ -33,7 +40,9 @@
 pub struct StageInput {
     /// The request at all stages.
     pub work: WorkId,
-    /// The attempt.
+    /// The head that drives the request.
+    pub head: HeadNumber,
+    /// The attempt at this stage.
     pub epoch: StageEpoch,
     /// The step.
     pub token: TokenIndex,
@@ -61,8 +70,8 @@
     },
     /// The engine has lost the request's state; a higher epoch may open it.
     Lost,
-    /// The request has ended.
-    Closed,
+    /// The request has ended, or a later head drives it.
+    Ended,
     /// The stage holds as many requests or outputs as it may.
     Full,
 }
@@ -102,6 +111,7 @@
 /// Invariant: `outputs[n]` is the output of step `n` in the open epoch.
 #[derive(Debug)]
 struct Progress<O> {
+    head: HeadNumber,
     epoch: StageEpoch,
     phase: Phase,
     outputs: Vec<O>,
@@ -150,8 +160,15 @@
             return self.open(input, now);
         };
         progress.used = now;
-        if progress.phase == Phase::Closed {
-            return StageVerdict::Closed;
+        let closed = progress.phase == Phase::Closed;
+        if input.head < progress.head || (closed && input.head == progress.head) {
+            return StageVerdict::Ended;
+        }
+        progress.head = input.head;
+        if closed {
+            // Closed by a head that was given up on: start over.
+            progress.phase = Phase::Idle;
+            progress.epoch = StageEpoch(progress.epoch.0 + 1);
         }
         if input.epoch < progress.epoch {
             return StageVerdict::Replaced { open: progress.epoch };
@@ -192,9 +209,14 @@
         self.requests.get(&work)?.outputs.get(token.0 as usize).cloned()
     }
 
-    /// Ends a request. Its steps are refused until it is swept.
-    pub fn close(&mut self, work: WorkId, now: Tick) {
+    /// Ends a request on behalf of a head. Its steps are refused until it is
+    /// swept or a later head drives it.
+    pub fn close(&mut self, work: WorkId, head: HeadNumber, now: Tick) {
         let Some(progress) = self.requests.get_mut(&work) else { return };
+        if head < progress.head {
+            return;
+        }
+        progress.head = head;
         progress.phase = Phase::Closed;
         progress.used = now;
         self.output_size -= sizes(&progress.outputs);
@@ -232,8 +254,13 @@
         if !known && self.requests.len() >= self.limits.requests {
             return StageVerdict::Full;
         }
-        let opened =
-            Progress { epoch: input.epoch, phase: Phase::Running, outputs: Vec::new(), used: now };
+        let opened = Progress {
+            head: input.head,
+            epoch: input.epoch,
+            phase: Phase::Running,
+            outputs: Vec::new(),
+            used: now,
+        };
         if let Some(replaced) = self.requests.insert(input.work, opened) {
             self.output_size -= sizes(&replaced.outputs);
         }
--- a/crates/decide/src/stage/mod.rs
+++ b/crates/decide/src/stage/mod.rs
@@ -4,6 +4,7 @@
 mod plan;
 
 pub use gate::{
-    StageEpoch, StageGate, StageInput, StageLimits, StageOutput, StageVerdict, TokenIndex,
+    HeadNumber, StageEpoch, StageGate, StageInput, StageLimits, StageOutput, StageVerdict,
+    TokenIndex,
 };
 pub use plan::{PlannedStage, StagePool, plan_chain};
--- /dev/null
+++ b/crates/decide/tests/guards.rs
@@ -0,0 +1,80 @@
+//! Circuit breaker, call budget, retry budget, quarantine, and the table from
+//! error kind to answer.
+
+use std::collections::BTreeSet;
+
+use clementine_decide::circuit::{CallBudget, CircuitBreaker, CircuitLimits};
+use clementine_decide::ids::Tick;
+use clementine_decide::outcome::{ErrorKind, Outcome};
+use clementine_decide::quarantine::{Fingerprint, Quarantine, QuarantineLimits};
+use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
+use clementine_objects::Millis;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+#[test]
+fn an_open_circuit_lets_one_probe_through() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut circuit = CircuitBreaker::new(CircuitLimits::default());
+    for _ in 0..3 {
+        assert!(circuit.try_call(Tick(0)));
+        circuit.note_failure(Tick(0), &mut rng);
+    }
+    assert!(!circuit.try_call(Tick(100)));
+    assert!(circuit.try_call(Tick(250)), "the probe");
+    assert!(!circuit.try_call(Tick(250)), "a second call beside the probe");
+    circuit.note_failure(Tick(250), &mut rng);
+    assert!(!circuit.try_call(Tick(450)), "the pause is doubled");
+    assert!(circuit.try_call(Tick(750)));
+    circuit.note_success();
+    assert!(circuit.is_closed() && circuit.try_call(Tick(750)));
+}
+
+#[test]
+fn budgets_fill_with_time_and_with_traffic() {
+    let mut calls = CallBudget::new(10.0, 2.0);
+    let taken = |calls: &mut CallBudget, now| (0..5).filter(|_| calls.try_take(Tick(now))).count();
+    assert_eq!(taken(&mut calls, 0), 2);
+    assert_eq!(taken(&mut calls, 100), 1);
+    assert_eq!(taken(&mut calls, 10_000), 2);
+
+    let mut retries = RetryBudget::new(RetryBudgetLimits { share: 0.25, reserve: 1.0 });
+    assert!(retries.try_retry() && !retries.try_retry());
+    for _ in 0..4 {
+        retries.note_request();
+    }
+    assert!(retries.try_retry() && !retries.try_retry());
+}
+
+#[test]
+fn quarantine_counts_forgets_and_is_bounded() {
+    let limits = QuarantineLimits { crashes: 2, memory: Millis(100), capacity: 2 };
+    let mut quarantine = Quarantine::new(limits);
+    let [a, b, c] = [1, 2, 3].map(Fingerprint);
+    quarantine.note_crash(a, Tick(0));
+    assert!(quarantine.must_run_alone(a, Tick(1)) && !quarantine.is_quarantined(a, Tick(1)));
+    quarantine.learn(a, 2, Tick(10));
+    assert!(quarantine.is_quarantined(a, Tick(109)) && !quarantine.is_quarantined(a, Tick(110)));
+    quarantine.note_crash(b, Tick(20));
+    quarantine.note_crash(c, Tick(30));
+    assert_eq!(quarantine.len(), 2);
+    assert_eq!(quarantine.crashes(a, Tick(30)), 0, "the oldest is forgotten");
+    quarantine.note_success(b);
+    assert!(!quarantine.must_run_alone(b, Tick(31)));
+}
+
+#[test]
+fn each_kind_has_one_answer_of_its_own() {
+    let codes: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| kind.code()).collect();
+    assert_eq!(codes.len(), ErrorKind::ALL.len());
+    for kind in ErrorKind::ALL {
+        let rule = kind.rule();
+        assert!((400..600).contains(&rule.status), "{kind:?}");
+        // Whoever asks too early is told when to come back.
+        let unavailable = [429, 503].contains(&rule.status);
+        assert!(!unavailable || rule.retry_after.is_some(), "{kind:?}");
+        // Only a client error can be final without having run.
+        let blames_caller = rule.status < 500;
+        assert!(!blames_caller || rule.outcome != Outcome::Ran, "{kind:?}");
+    }
+}
--- a/crates/decide/tests/stage_interleavings.rs
+++ b/crates/decide/tests/stage_interleavings.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use clementine_decide::ids::{Tick, WorkId};
 use clementine_decide::stage::{
-    StageEpoch, StageGate, StageInput, StageLimits, StageVerdict, TokenIndex,
+    HeadNumber, StageEpoch, StageGate, StageInput, StageLimits, StageVerdict, TokenIndex,
 };
 use clementine_objects::Millis;
 use support::Choices;
@@ -20,7 +20,8 @@
 struct Engine {
     ran: BTreeSet<(WorkId, StageEpoch, TokenIndex)>,
     next: BTreeMap<(WorkId, StageEpoch), TokenIndex>,
-    closed: BTreeSet<WorkId>,
+    closed: BTreeMap<WorkId, HeadNumber>,
+    last_head: BTreeMap<WorkId, HeadNumber>,
     sound: bool,
 }
 
@@ -30,7 +31,11 @@
         let next = self.next.entry((input.work, input.epoch)).or_default();
         let in_order = *next == input.token;
         *next = input.token.next();
-        self.sound &= first && in_order && !self.closed.contains(&input.work);
+        let last_head = self.last_head.entry(input.work).or_default();
+        self.sound &= input.head >= *last_head;
+        *last_head = input.head;
+        self.sound &=
+            first && in_order && self.closed.get(&input.work).is_none_or(|head| input.head > *head);
     }
 }
 
@@ -58,13 +63,15 @@
             4 if choices.below(6) == 0 => {
                 let work = WorkId(choices.below(4) as u128);
                 if gate.output(work, TokenIndex(0)).is_some() {
-                    gate.close(work, now);
-                    engine.closed.insert(work);
+                    let head = HeadNumber(choices.below(2) as u32);
+                    gate.close(work, head, now);
+                    engine.closed.insert(work, head);
                 }
             }
             _ => {
                 let input = StageInput {
                     work: WorkId(choices.below(4) as u128),
+                    head: HeadNumber(choices.below(2) as u32),
                     epoch: StageEpoch(choices.below(3) as u32),
                     token: TokenIndex(choices.below(6) as u32),
                 };
@@ -91,7 +98,12 @@
 #[test]
 fn a_swept_stage_holds_nothing() {
     let mut gate = StageGate::new(LIMITS);
-    let input = StageInput { work: WorkId(1), epoch: StageEpoch(0), token: TokenIndex(0) };
+    let input = StageInput {
+        work: WorkId(1),
+        head: HeadNumber(0),
+        epoch: StageEpoch(0),
+        token: TokenIndex(0),
+    };
     assert_eq!(gate.offer(input, Tick(0)), StageVerdict::Run);
     assert!(gate.complete(input, output(input)));
     assert!(gate.sweep(Millis(10), Tick(9)).is_empty());
@@ -103,7 +115,12 @@
 #[test]
 fn outputs_over_the_bound_end_the_request() {
     let mut gate = StageGate::new(StageLimits { requests: 1, output_size: 4 });
-    let input = StageInput { work: WorkId(1), epoch: StageEpoch(0), token: TokenIndex(0) };
+    let input = StageInput {
+        work: WorkId(1),
+        head: HeadNumber(0),
+        epoch: StageEpoch(0),
+        token: TokenIndex(0),
+    };
     assert_eq!(gate.offer(input, Tick(0)), StageVerdict::Run);
     assert!(!gate.complete(input, Bytes::from_static(b"12345")));
     assert_eq!(gate.offer(input, Tick(1)), StageVerdict::Lost);
--- /dev/null
+++ b/crates/e2e/examples/recovery.rs
@@ -0,0 +1,147 @@
+//! Measures recovery times: the longest gap between two tokens of a stream
+//! whose backend server, agent, stage or connection fails in its middle.
+//!
+//! Usage: `cargo run --release -p clementine-e2e --example recovery [ROUNDS]`,
+//! after `cargo build --release --workspace`.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clementine_e2e::{Hub, HubPlan, ProxyMode, eventually};
+use serde_json::Value;
+
+/// Rounds for each fault.
+const ROUNDS: usize = 20;
+
+/// Tokens of each stream.
+const TOKENS: u32 = 60;
+
+/// Tokens before the fault.
+const BEFORE_FAULT: usize = 10;
+
+/// Time of one token at an engine; a split model takes twice as long.
+const TOKEN_TIME: &str = "10ms";
+
+/// What fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    KillServer,
+    KillAgent,
+    FreezeAgent,
+    SilenceConnection,
+    SilenceAddress,
+}
+
+const FAULTS: [Fault; 6] = [
+    Fault::None,
+    Fault::KillServer,
+    Fault::KillAgent,
+    Fault::FreezeAgent,
+    Fault::SilenceConnection,
+    Fault::SilenceAddress,
+];
+
+/// One case: a model and the pool whose busy backend server fails.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    model: &'static str,
+    pool: &'static str,
+}
+
+const CASES: [Case; 3] = [
+    Case { model: "key-advisor", pool: "assistants" },
+    Case { model: "key-advisor-large", pool: "halves-first" },
+    Case { model: "key-advisor-large", pool: "halves-last" },
+];
+
+fn plan() -> HubPlan {
+    HubPlan::new(1).engines(3, TOKEN_TIME).stages("halves-first", 2, "0-15", TOKEN_TIME).stages(
+        "halves-last",
+        2,
+        "16-31",
+        TOKEN_TIME,
+    )
+}
+
+/// Number of the backend server of a pool that has run something.
+async fn busy(hub: &Hub, pool: &str) -> usize {
+    let ran = |record: &Value, what: &str| record[what].as_array().is_some_and(|r| !r.is_empty());
+    for (number, backend) in hub.backends.iter().enumerate() {
+        let record = backend.record().await;
+        if backend.pool() == pool && (ran(&record, "completions") || ran(&record, "steps")) {
+            return number;
+        }
+    }
+    panic!("no backend server of {pool} is busy");
+}
+
+fn strike(hub: &mut Hub, number: usize, fault: Fault) {
+    let backend = &mut hub.backends[number];
+    match fault {
+        Fault::None => {}
+        Fault::KillServer => backend.server.kill(),
+        Fault::KillAgent => backend.agent.kill(),
+        Fault::FreezeAgent => backend.agent.freeze(),
+        Fault::SilenceConnection => backend.proxy.silence_open(),
+        Fault::SilenceAddress => {
+            backend.proxy.set_mode(ProxyMode::Silent);
+            backend.proxy.silence_open();
+        }
+    }
+}
+
+/// Longest gap between two tokens; `None` when the stream was not whole.
+async fn longest_gap(case: Case, fault: Fault) -> Option<Duration> {
+    let mut hub = Hub::start(plan()).await;
+    let caller = hub.caller(0);
+    let count = Rc::new(Cell::new(0));
+    let times = Rc::new(RefCell::new(Vec::new()));
+    let streaming = {
+        let (count, times) = (Rc::clone(&count), Rc::clone(&times));
+        let stream = async move {
+            let note = |n| {
+                count.set(n);
+                times.borrow_mut().push(Instant::now());
+            };
+            caller.stream_chat(case.model, "Which?", TOKENS, note).await
+        };
+        actix_rt::spawn(stream)
+    };
+    let started = || {
+        let count = Rc::clone(&count);
+        async move { count.get() >= BEFORE_FAULT }
+    };
+    eventually("the stream starts", started).await;
+    let number = busy(&hub, case.pool).await;
+    strike(&mut hub, number, fault);
+    let answer = streaming.await.ok()??;
+    let whole = answer.done && answer.tokens == TOKENS as usize && answer.error.is_none();
+    let times = times.borrow();
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    if whole { gaps.max() } else { None }
+}
+
+fn main() {
+    let rounds = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(ROUNDS);
+    println!("| model | what fails | fault | median | worst | lost |");
+    println!("|---|---|---|---|---|---|");
+    for case in CASES {
+        for fault in FAULTS {
+            let mut gaps = Vec::new();
+            for _ in 0..rounds {
+                gaps.push(actix_rt::System::new().block_on(longest_gap(case, fault)));
+            }
+            let lost = gaps.iter().filter(|gap| gap.is_none()).count();
+            let mut times: Vec<_> = gaps.into_iter().flatten().map(|gap| gap.as_millis()).collect();
+            times.sort_unstable();
+            let median = times.get(times.len() / 2).copied().unwrap_or(0);
+            let worst = times.last().copied().unwrap_or(0);
+            let Case { model, pool } = case;
+            println!(
+                "| {model} | {pool} | {fault:?} | {median} ms | {worst} ms | {lost} of {rounds} |"
+            );
+        }
+    }
+}
--- a/crates/e2e/tests/split.rs
+++ b/crates/e2e/tests/split.rs
@@ -139,6 +139,11 @@
     check(&["halves-first"], Fault::FreezeAgent).await;
 }
 
+#[actix_rt::test]
+async fn the_address_of_the_head_goes_silent() {
+    check(&["halves-first"], Fault::SilenceAddress).await;
+}
+
 #[actix_rt::test]
 async fn both_stages_die_at_once() {
     check(&["halves-first", "halves-last"], Fault::KillAgent).await;
--- a/crates/entry/src/callers/authorize.rs
+++ b/crates/entry/src/callers/authorize.rs
@@ -1,5 +1,7 @@
 //! Checks that all callers' requests share.
 
+use std::rc::Rc;
+
 use actix_http::{HttpMessage as _, Request};
 use bytes::Bytes;
 use clementine_decide::ids::{RequestId, Tick};
@@ -27,7 +29,7 @@
         self.check_room()?;
         self.check_header_size(req)?;
         let snapshot = self.snapshot();
-        let workspace = workspace(&snapshot.catalog, req)?;
+        let workspace = self.workspace(req)?;
         let level = priority_level(&snapshot.catalog, &workspace, req)?;
         let deadline = self.deadline(&workspace, req)?;
         let body = self.body(req).await?;
@@ -61,6 +63,17 @@
         Ok(())
     }
 
+    fn workspace(&self, req: &Request) -> Result<Rc<Workspace>, Refusal> {
+        let refuse = |message: &str| Refusal::new(ErrorKind::InvalidToken, message);
+        let authorization =
+            header(req, "authorization").ok_or_else(|| refuse("no bearer token given"))?;
+        let token = authorization
+            .strip_prefix("Bearer ")
+            .ok_or_else(|| refuse("the authorization is not a bearer token"))?;
+        let found = self.workspace_by_token(&TokenDigest::of_token(token.trim()));
+        found.ok_or_else(|| refuse("the bearer token selects no workspace"))
+    }
+
     fn deadline(&self, workspace: &Workspace, req: &Request) -> Result<Tick, Refusal> {
         let wanted = match header(req, DEADLINE_HEADER) {
             None => workspace.deadline,
@@ -84,17 +97,6 @@
     }
 }
 
-fn workspace(catalog: &Catalog, req: &Request) -> Result<Workspace, Refusal> {
-    let refuse = |message: &str| Refusal::new(ErrorKind::InvalidToken, message);
-    let authorization =
-        header(req, "authorization").ok_or_else(|| refuse("no bearer token given"))?;
-    let token = authorization
-        .strip_prefix("Bearer ")
-        .ok_or_else(|| refuse("the authorization is not a bearer token"))?;
-    let found = catalog.workspace_by_token(&TokenDigest::of_token(token.trim()));
-    found.cloned().ok_or_else(|| refuse("the bearer token selects no workspace"))
-}
-
 fn priority_level(catalog: &Catalog, workspace: &Workspace, req: &Request) -> Result<u8, Refusal> {
     let name = match header(req, PRIORITY_HEADER) {
         None => workspace.priority.clone(),
--- a/crates/entry/src/callers/request.rs
+++ b/crates/entry/src/callers/request.rs
@@ -1,5 +1,7 @@
 //! A caller's request after the checks that all requests share.
 
+use std::rc::Rc;
+
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use clementine_decide::ids::{RequestId, Tick};
@@ -7,23 +9,9 @@
 use clementine_wire::Header;
 use compact_str::CompactString;
 
-/// Request headers that are not passed on to backend servers: those of one
-/// connection, those that are set anew, and the caller's credentials.
-const NOT_PASSED_ON: [&str; 13] = [
-    "authorization",
-    "clementine-deadline",
-    "clementine-priority",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-request-id",
-];
+/// Request headers that are for the entry itself.
+const OWN_HEADERS: [&str; 5] =
+    ["authorization", "clementine-deadline", "clementine-priority", "expect", "x-request-id"];
 
 /// A caller's request.
 #[derive(Debug, Clone)]
@@ -31,7 +19,7 @@
     /// Identity of the request.
     pub(crate) id: RequestId,
     /// The caller's workspace.
-    pub(crate) workspace: Workspace,
+    pub(crate) workspace: Rc<Workspace>,
     /// HTTP method.
     pub(crate) method: CompactString,
     /// Path and query.
@@ -61,7 +49,8 @@
 
 /// The headers of a request that are passed on to backend servers.
 pub(crate) fn passed_on_headers(headers: &HeaderMap) -> Vec<Header> {
-    let kept = headers.iter().filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()));
+    let is_own = |name: &str| Header::is_of_connection(name) || OWN_HEADERS.contains(&name);
+    let kept = headers.iter().filter(|(name, _)| !is_own(name.as_str()));
     kept.map(|(name, value)| Header {
         name: name.as_str().into(),
         value: Bytes::copy_from_slice(value.as_bytes()),
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -3,5 +3,7 @@
 
 mod follow;
 mod publish;
+mod workspaces;
 
 pub(crate) use publish::PublishRequest;
+pub(crate) use workspaces::WorkspaceIndex;
--- /dev/null
+++ b/crates/entry/src/config/workspaces.rs
@@ -0,0 +1,39 @@
+//! Workspaces by bearer token.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clementine_objects::{Revision, Snapshot, TokenDigest, Workspace};
+
+use crate::entry::Entry;
+
+/// Workspaces by bearer token, at one revision.
+#[derive(Debug, Default)]
+pub(crate) struct WorkspaceIndex {
+    revision: Revision,
+    by_token: HashMap<TokenDigest, Rc<Workspace>>,
+}
+
+impl WorkspaceIndex {
+    fn of(snapshot: &Snapshot) -> Self {
+        let mut by_token = HashMap::new();
+        for workspace in snapshot.catalog.workspaces() {
+            let workspace = Rc::new(workspace.clone());
+            for token in &workspace.token_sha256 {
+                by_token.insert(*token, Rc::clone(&workspace));
+            }
+        }
+        Self { revision: snapshot.revision, by_token }
+    }
+}
+
+impl Entry {
+    /// The workspace that accepts a bearer token, in the configuration held.
+    pub(crate) fn workspace_by_token(&self, token: &TokenDigest) -> Option<Rc<Workspace>> {
+        let held = self.config.borrow().revision();
+        if self.workspaces.borrow().revision != held {
+            *self.workspaces.borrow_mut() = WorkspaceIndex::of(&self.snapshot());
+        }
+        self.workspaces.borrow().by_token.get(token).cloned()
+    }
+}
--- a/crates/entry/src/entry/state.rs
+++ b/crates/entry/src/entry/state.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::EntryMetrics;
+use crate::config::WorkspaceIndex;
 use crate::fleet::Fleet;
 use crate::settings::EntrySettings;
 use crate::store::{ClaimTable, ConfigRows};
@@ -33,6 +34,7 @@
     pub(crate) metrics: EntryMetrics,
     pub(crate) fleet: Fleet,
     pub(crate) config: RefCell<HeldConfig>,
+    pub(crate) workspaces: RefCell<WorkspaceIndex>,
     pub(crate) config_changed: Notify,
     pub(crate) config_rows: ConfigRows,
     pub(crate) claims: ClaimTable,
@@ -70,6 +72,7 @@
             metrics: EntryMetrics::new(meter),
             fleet: Fleet::new(settings.subset, dialer),
             config: RefCell::default(),
+            workspaces: RefCell::default(),
             config_changed: Notify::new(),
             config_rows: ConfigRows::new(table.clone()),
             claims: ClaimTable::new(table, settings.keep_claims),
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -5,7 +5,6 @@
 mod callers;
 mod config;
 mod entry;
-mod error;
 mod fleet;
 mod model;
 mod once;
--- /dev/null
+++ b/crates/entry/src/model/chain_end.rs
@@ -0,0 +1,52 @@
+//! Ends requests of split models at the agents that may hold them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clementine_decide::ids::WorkId;
+use clementine_decide::stage::HeadNumber;
+use clementine_objects::Millis;
+use clementine_wire::SplitPlan;
+use tokio::task::spawn_local;
+
+use crate::entry::Entry;
+
+/// The agents that may hold a request of a split model. Dropped, it ends the
+/// request there: the entry alone knows when no further head will drive it.
+#[derive(Debug)]
+pub(super) struct ChainEnd {
+    entry: Rc<Entry>,
+    plan: Option<(WorkId, HeadNumber)>,
+    agents: BTreeSet<SocketAddr>,
+}
+
+impl ChainEnd {
+    /// Nothing to end yet.
+    pub(super) const fn new(entry: Rc<Entry>) -> Self {
+        Self { entry, plan: None, agents: BTreeSet::new() }
+    }
+
+    /// Notes the plan of an order to a head.
+    pub(super) fn note(&mut self, head: SocketAddr, plan: &SplitPlan) {
+        self.plan = Some((plan.work, plan.head));
+        self.agents.insert(head);
+        let targets = plan.stages.iter().flat_map(|stage| &stage.0);
+        self.agents.extend(targets.map(|target| target.agent.address));
+    }
+}
+
+impl Drop for ChainEnd {
+    fn drop(&mut self) {
+        let Some((work, head)) = self.plan else { return };
+        for member in self.agents.iter().filter_map(|address| self.entry.fleet.member(*address)) {
+            spawn_local(async move {
+                let close = member.link.call(Millis(0), |client, cx| async move {
+                    client.close_stage(cx, work, head).await
+                });
+                // An agent that can't be reached sweeps the request in time.
+                let _ = close.await;
+            });
+        }
+    }
+}
--- a/crates/entry/src/model/mod.rs
+++ b/crates/entry/src/model/mod.rs
@@ -2,6 +2,7 @@
 //! calls of plain services.
 
 mod attempt;
+mod chain_end;
 mod completion;
 mod crashes;
 mod pools;
--- a/crates/entry/src/model/pools.rs
+++ b/crates/entry/src/model/pools.rs
@@ -2,7 +2,7 @@
 
 use clementine_decide::balance::Candidate;
 use clementine_decide::ids::{Tick, WorkId};
-use clementine_decide::stage::{PlannedStage, StagePool, plan_chain};
+use clementine_decide::stage::{HeadNumber, PlannedStage, StagePool, plan_chain};
 use clementine_objects::{Catalog, LayerRange, Model, PoolName};
 use clementine_wire::{SplitPlan, StageTarget, StageTargets};
 
@@ -68,11 +68,12 @@
     pub(super) fn plan(
         &self,
         stages: Option<Vec<StageTargets>>,
+        head: HeadNumber,
         delivered: u32,
     ) -> Option<SplitPlan> {
         match (self, stages) {
             (Self::Split { work, .. }, Some(stages)) => {
-                Some(SplitPlan { work: *work, stages, delivered })
+                Some(SplitPlan { work: *work, head, stages, delivered })
             }
             _ => None,
         }
--- a/crates/entry/src/model/safe_run.rs
+++ b/crates/entry/src/model/safe_run.rs
@@ -9,12 +9,14 @@
 use clementine_decide::ids::AgentRef;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::stage::HeadNumber;
 use clementine_objects::{Millis, Repeat};
 use clementine_wire::{AnswerEnd, AnswerHead, NotRunReason, Progress, RunOrder};
 use tokio::time::sleep;
 
 use super::Endpoint;
 use super::attempt::{Attempt, AttemptFault, fresh_tag};
+use super::chain_end::ChainEnd;
 use super::pools::Places;
 use super::resume::Delivered;
 use crate::callers::{CallerRequest, Refusal};
@@ -54,6 +56,9 @@
     avoid: Choice,
     attempts: u32,
     empty_rounds: u32,
+    /// Orders sent; each names a new head of a split model.
+    heads: u32,
+    chain_end: ChainEnd,
     attempt: Option<Attempt>,
     /// Status and headers, once known.
     pub(super) head: Option<AnswerHead>,
@@ -73,6 +78,7 @@
             Fingerprint::of_request(&caller.workspace.name, &caller.path, &caller.body);
         entry.retries.borrow_mut().note_request();
         Self {
+            chain_end: ChainEnd::new(Rc::clone(&entry)),
             entry,
             caller,
             places,
@@ -82,6 +88,7 @@
             avoid: Choice::default(),
             attempts: 0,
             empty_rounds: 0,
+            heads: 0,
             attempt: None,
             head: None,
             delivered: Delivered::default(),
@@ -134,9 +141,13 @@
         let member = chosen.and_then(|agent| self.entry.fleet.member(agent.address));
         let (Some(agent), Some(member)) = (chosen, member) else { return self.none_left().await };
         self.attempts += 1;
+        self.heads += 1;
         let Some(order) = self.order(&agent, found.stages) else {
             return Err(Refusal::new(ErrorKind::BackendFailed, "the answer can't be continued"));
         };
+        if let Some(plan) = &order.split {
+            self.chain_end.note(agent.address, plan);
+        }
         self.avoid.tried.push(agent);
         match Attempt::start(&self.entry, member, order).await {
             Ok(attempt) => {
@@ -153,7 +164,7 @@
         stages: Option<Vec<clementine_wire::StageTargets>>,
     ) -> Option<RunOrder> {
         let delivered = self.streamed.map_or(0, |endpoint| self.delivered.tokens(endpoint));
-        let split = self.places.plan(stages, delivered);
+        let split = self.places.plan(stages, HeadNumber(self.heads), delivered);
         let continued = self.streamed.filter(|_| split.is_none() && !self.delivered.is_empty());
         let body = match continued {
             Some(endpoint) => self.delivered.continued(&self.caller.body, endpoint)?,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,6 +8,7 @@
 use clementine_process::logging::start_logging;
 use clementine_process::metrics::Metrics;
 use clementine_process::shutdown::{Drain, watch_signals};
+use clementine_process::start::{BindSnafu, SignalsSnafu, StartError};
 use snafu::ResultExt;
 use spdlog::{error, info, warn};
 use tokio::net::TcpListener;
@@ -16,16 +17,15 @@
 
 use crate::admin::admin_handler;
 use crate::entry::Entry;
-use crate::error::{BindSnafu, EntryError, SignalsSnafu};
 use crate::settings::EntrySettings;
 
 /// Runs the entry until it has drained.
-pub(crate) fn run(settings: EntrySettings) -> Result<(), EntryError> {
+pub(crate) fn run(settings: EntrySettings) -> Result<(), StartError> {
     start_logging(settings.process.log_format, settings.process.log_level)?;
     actix_rt::System::new().block_on(serve(settings))
 }
 
-async fn serve(settings: EntrySettings) -> Result<(), EntryError> {
+async fn serve(settings: EntrySettings) -> Result<(), StartError> {
     let listen = settings.listen;
     let listener = bind_reusable(listen).context(BindSnafu { listen })?;
     let address = listener.local_addr().context(BindSnafu { listen })?;
--- a/crates/objects/src/catalog/whole.rs
+++ b/crates/objects/src/catalog/whole.rs
@@ -9,7 +9,7 @@
 use super::{CatalogDigest, Change};
 use crate::{
     Model, ModelName, Object, ObjectKind, Pool, PoolName, Priority, PriorityName, Route, RouteName,
-    TokenDigest, Workspace, WorkspaceName,
+    Workspace, WorkspaceName,
 };
 
 /// All declared objects at one revision, by kind and name.
@@ -134,9 +134,9 @@
         self.priorities.get(name)
     }
 
-    /// The workspace that accepts a bearer token.
-    pub fn workspace_by_token(&self, digest: &TokenDigest) -> Option<&Workspace> {
-        self.workspaces.values().find(|workspace| workspace.token_sha256.contains(digest))
+    /// All workspaces, sorted by name.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
+        self.workspaces.values()
     }
 
     /// The route with the longest prefix of a request path.
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod metrics;
 pub mod settings;
 pub mod shutdown;
+pub mod start;
--- a/crates/agent/src/error.rs
+++ b/crates/process/src/start/error.rs
@@ -1,18 +1,19 @@
-//! Errors of the agent.
+//! Why a process can't start.
 
 use std::net::SocketAddr;
 
 use clementine_net::TlsError;
-use clementine_process::admin::AdminError;
-use clementine_process::logging::LoggingError;
-use clementine_process::metrics::MetricsError;
-use clementine_process::settings::SettingFaults;
 use snafu::Snafu;
 
-/// Why the agent can't run.
+use crate::admin::AdminError;
+use crate::logging::LoggingError;
+use crate::metrics::MetricsError;
+use crate::settings::SettingFaults;
+
+/// Why a process can't start.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub(crate) enum AgentError {
+#[snafu(visibility(pub))]
+pub enum StartError {
     /// Some settings can't be used.
     #[snafu(transparent)]
     Settings {
@@ -43,7 +44,7 @@
         /// Cause.
         source: AdminError,
     },
-    /// The internal address can't be bound.
+    /// The address can't be bound.
     #[snafu(display("{listen} can't be bound: {source}"))]
     Bind {
         /// The address.
--- a/crates/wire/src/messages/answer.rs
+++ b/crates/wire/src/messages/answer.rs
@@ -14,6 +14,26 @@
     pub value: Bytes,
 }
 
+/// Headers that concern one connection only, or that are set anew on each.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+impl Header {
+    /// Whether a header, named in lower case, concerns one connection only and
+    /// is not passed on.
+    pub fn is_of_connection(name: &str) -> bool {
+        CONNECTION_HEADERS.contains(&name)
+    }
+}
+
 /// Status and headers of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerHead {
--- a/crates/wire/src/messages/stage.rs
+++ b/crates/wire/src/messages/stage.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use clementine_decide::ids::{AgentRef, WorkId};
-use clementine_decide::stage::{StageEpoch, StageInput, TokenIndex};
+use clementine_decide::stage::{HeadNumber, StageEpoch, StageInput, TokenIndex};
 use clementine_objects::LayerRange;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,8 @@
     /// The request at all stages. It stays the same when the head is replaced,
     /// so that the other stages run nothing again.
     pub work: WorkId,
+    /// Number of the head that receives the plan.
+    pub head: HeadNumber,
     /// Stages after the head, in order of layers.
     pub stages: Vec<StageTargets>,
     /// Tokens of the answer that the caller has already.
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -4,6 +4,7 @@
 use clementine_decide::gate::WorkTag;
 use clementine_decide::ids::WorkId;
 use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::stage::HeadNumber;
 use clementine_objects::{Millis, Revision};
 
 use crate::messages::{
@@ -42,6 +43,6 @@
     /// Runs one step of a split model.
     async fn stage(order: StageOrder) -> StageReply;
 
-    /// Forgets a request of a split model.
-    async fn close_stage(work: WorkId);
+    /// Ends a request of a split model on behalf of a head.
+    async fn close_stage(work: WorkId, head: HeadNumber);
 }
