Describe agents less often and believe their answers to updates

Change: descriptions each 2.5 s (answers to orders carry the news meanwhile); the revision that an agent returns for an update is taken at its word.

--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -57,9 +57,11 @@
             let call = member.link.call(Millis(1_000), |client, cx| async move {
                 client.configure(cx, update).await
             });
-            // An agent that can't take the changes is sent the whole.
-            if call.await.is_ok_and(|revision| revision < ours) {
-                self.push_snapshot(member).await;
+            match call.await {
+                // An agent that can't take the changes is sent the whole.
+                Ok(revision) if revision < ours => self.push_snapshot(member).await,
+                Ok(revision) => member.note_revision(revision),
+                Err(_) => {}
             }
         }
     }
@@ -89,8 +91,9 @@
         let call = member.link.call(Millis(1_000), |client, cx| async move {
             client.configure(cx, ConfigUpdate::Snapshot(encoded)).await
         });
-        if call.await.is_err() {
-            debug!("config: {} could not be sent the snapshot", member.address());
+        match call.await {
+            Ok(revision) => member.note_revision(revision),
+            Err(_) => debug!("config: {} could not be sent the snapshot", member.address()),
         }
     }
 
--- a/crates/entry/src/fleet/member.rs
+++ b/crates/entry/src/fleet/member.rs
@@ -7,7 +7,7 @@
 use clementine_decide::balance::{Candidate, Health, HealthLimits};
 use clementine_decide::ids::{IncarnationId, Tick, WorkId};
 use clementine_net::Dialer;
-use clementine_objects::PoolName;
+use clementine_objects::{PoolName, Revision};
 use clementine_platform::{InstanceState, ListedInstance};
 use clementine_wire::{AgentDescription, AgentLink, AgentNews, AgentState, LinkLimits};
 use compact_str::CompactString;
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Takes in the configuration that the agent says it holds.
+    pub(crate) fn note_revision(&self, revision: Revision) {
+        self.news.update(|news| news.map(|news| AgentNews { revision, ..news }));
+    }
+
     /// Takes in what the agent says of itself.
     pub(crate) fn note_news(&self, news: AgentNews) {
         if news.state == AgentState::Leaving {
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -130,7 +130,7 @@
         .arg(setting(
             "describe-pause",
             "DURATION",
-            "Pause between descriptions of an agent [default: 1s]",
+            "Pause between descriptions of an agent [default: 2500ms]",
         ))
         .arg(setting(
             "leave-notice",
@@ -160,7 +160,7 @@
             subset: positive(&mut reader, "subset", 40),
             config_pause: reader.or("config-pause", Millis(5_000)),
             list_pause: reader.or("list-pause", Millis(1_000)),
-            describe_pause: reader.or("describe-pause", Millis(1_000)),
+            describe_pause: reader.or("describe-pause", Millis(2_500)),
             leave_notice: reader.or("leave-notice", Millis(2_000)),
             keep_claims: reader.or("keep-claims", Millis(7 * 24 * 3_600_000)),
         };
