Tell slow from silent, and refused continuations from answers

Ruled out: kept connections to the engine (more of them did not help). Change: a connection counts as silent only when nothing was heard on it since the call was asked for again; an agent that answers others is waited for up to 5 s.

--- a/crates/agent/src/backend/idle.rs
+++ b/crates/agent/src/backend/idle.rs
@@ -12,7 +12,7 @@
 pub(super) type BackendConnection = Framed<TcpStream, ClientCodec>;
 
 /// Connections kept.
-const KEPT_MAX: usize = 64;
+const KEPT_MAX: usize = 512;
 
 /// Time for which a connection is kept; far under the time after which
 /// servers close idle connections.
--- a/crates/e2e/examples/recovery.rs
+++ b/crates/e2e/examples/recovery.rs
@@ -1,7 +1,7 @@
 //! Measures recovery times: the longest gap between two tokens of a stream
 //! whose backend server, agent, stage or connection fails in its middle.
 //!
-//! Usage: `cargo run --release -p clementine-e2e --example recovery [ROUNDS]`,
+//! Usage: `cargo run --release -p clementine-e2e --example recovery [ROUNDS [FAULT]]`,
 //! after `cargo build --release --workspace`.
 
 use std::cell::{Cell, RefCell};
@@ -125,10 +125,14 @@
 
 fn main() {
     let rounds = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(ROUNDS);
+    let wanted = std::env::args().nth(2);
     println!("| model | what fails | fault | median | worst | lost |");
     println!("|---|---|---|---|---|---|");
     for case in CASES {
         for fault in FAULTS {
+            if wanted.as_ref().is_some_and(|wanted| *wanted != format!("{fault:?}")) {
+                continue;
+            }
             let mut gaps = Vec::new();
             for _ in 0..rounds {
                 gaps.push(actix_rt::System::new().block_on(longest_gap(case, fault)));
--- a/crates/e2e/tests/drain.rs
+++ b/crates/e2e/tests/drain.rs
@@ -160,3 +160,24 @@
     }
     assert_eq!(hub.backends[0].record().await["completions"], serde_json::json!([]));
 }
+
+#[actix_rt::test]
+async fn a_second_signal_ends_the_process_at_once() {
+    let mut hub =
+        Hub::start(HubPlan::new(1).engines(1, "50ms").agent_flag("leave-notice", "1h")).await;
+    hub.backends[0].agent.terminate();
+    let leaving = || async {
+        let state = hub.entry_state(0).await;
+        state["fleet"][0]["news"]["state"] == "Leaving"
+    };
+    eventually("the agent drains", leaving).await;
+    assert!(!hub.backends[0].agent.has_ended());
+    hub.backends[0].agent.terminate();
+    for _ in 0..500 {
+        if hub.backends[0].agent.has_ended() {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("the agent did not end");
+}
--- a/crates/e2e/tests/path.rs
+++ b/crates/e2e/tests/path.rs
@@ -73,3 +73,37 @@
     let answer = stranger.lookup().await.expect("an answer");
     assert_eq!((answer.status, answer.error_code().as_str()), (401, "invalid_token"));
 }
+
+/// What the entry answers to raw bytes, as far as it comes.
+async fn raw(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(address).await.expect("a connection");
+    let _ = stream.write_all(bytes).await;
+    let mut answer = vec![0; 1_024];
+    let read = tokio::time::timeout(std::time::Duration::from_secs(5), stream.read(&mut answer));
+    let length = read.await.map_or(0, |read| read.unwrap_or(0));
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+#[actix_rt::test]
+async fn malformed_http_gets_a_client_error() {
+    let hub = Hub::start(HubPlan::new(1).engines(1, "0ms")).await;
+    let entry = hub.entries[0].address;
+    let cases: [&[u8]; 6] = [
+        b"no http at all\r\n\r\n",
+        b"GET /v1/models HTTP/1.1\r\nbad header\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\ncontent-length: many\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
+        b"GET /\x00 HTTP/1.1\r\nhost: a\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\nauthorization: Bearer kiosk-demo-token\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    ];
+    for case in cases {
+        let answer = raw(entry, case).await;
+        assert!(answer.starts_with("HTTP/1.1 4"), "{answer:?} to {}", case.escape_ascii());
+    }
+    let long = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200_000));
+    let answer = raw(entry, long.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 4"), "{answer:?} to a long head");
+    let answer = hub.caller(0).chat("key-advisor", "Which?", 2).await.expect("an answer");
+    assert_eq!(answer.outcome, "ran");
+}
--- a/crates/entry/src/model/safe_run.rs
+++ b/crates/entry/src/model/safe_run.rs
@@ -11,7 +11,8 @@
 use clementine_decide::quarantine::Fingerprint;
 use clementine_decide::stage::HeadNumber;
 use clementine_objects::{Millis, Repeat};
-use clementine_wire::{AnswerEnd, AnswerHead, NotRunReason, Progress, RunOrder};
+use clementine_wire::{AnswerEnd, AnswerHead, NotRunReason, Progress, RunOrder, StageTargets};
+use compact_str::CompactString;
 use tokio::time::sleep;
 
 use super::Endpoint;
@@ -54,6 +55,8 @@
     fingerprint: Fingerprint,
     crashed_here: bool,
     avoid: Choice,
+    /// Failure domain of the present attempt.
+    domain: CompactString,
     attempts: u32,
     empty_rounds: u32,
     /// Orders sent; each names a new head of a split model.
@@ -86,6 +89,7 @@
             fingerprint,
             crashed_here: false,
             avoid: Choice::default(),
+            domain: CompactString::default(),
             attempts: 0,
             empty_rounds: 0,
             heads: 0,
@@ -108,7 +112,11 @@
         }
         let Some(attempt) = &mut self.attempt else { return self.start().await };
         match attempt.next(&self.entry).await {
-            Ok(progress) => Ok(self.take(progress)),
+            Ok(progress) if self.continues(&progress) => Ok(self.take(progress)),
+            Ok(_) => {
+                let message = "the backend server could not continue the answer";
+                Err(Refusal::new(ErrorKind::BackendFailed, message))
+            }
             Err(fault) => {
                 self.attempt = None;
                 self.failed(fault).await
@@ -116,6 +124,13 @@
         }
     }
 
+    /// Whether progress belongs to the answer that the caller has in part: a
+    /// backend server may refuse to continue it.
+    fn continues(&self, progress: &Progress) -> bool {
+        let statuses = self.head.as_ref().zip(progress.head.as_ref());
+        statuses.is_none_or(|(ours, theirs)| ours.status == theirs.status)
+    }
+
     fn take(&mut self, progress: Progress) -> Part {
         if self.head.is_none() {
             self.head = progress.head;
@@ -149,6 +164,8 @@
             self.chain_end.note(agent.address, plan);
         }
         self.avoid.tried.push(agent);
+        let candidate = found.candidates.iter().find(|candidate| candidate.agent == agent);
+        self.domain = candidate.map(|candidate| candidate.domain.clone()).unwrap_or_default();
         match Attempt::start(&self.entry, member, order).await {
             Ok(attempt) => {
                 self.attempt = Some(attempt);
@@ -158,11 +175,7 @@
         }
     }
 
-    fn order(
-        &self,
-        agent: &AgentRef,
-        stages: Option<Vec<clementine_wire::StageTargets>>,
-    ) -> Option<RunOrder> {
+    fn order(&self, agent: &AgentRef, stages: Option<Vec<StageTargets>>) -> Option<RunOrder> {
         let delivered = self.streamed.map_or(0, |endpoint| self.delivered.tokens(endpoint));
         let split = self.places.plan(stages, HeadNumber(self.heads), delivered);
         let continued = self.streamed.filter(|_| split.is_none() && !self.delivered.is_empty());
@@ -200,6 +213,9 @@
 
     /// Decides whether a failed attempt is followed by another one.
     async fn failed(&mut self, fault: AttemptFault) -> Result<Part, Refusal> {
+        if matches!(fault, AttemptFault::AgentLost | AttemptFault::BackendLost) {
+            self.avoid.failed_domains.push(std::mem::take(&mut self.domain));
+        }
         if fault == AttemptFault::BackendLost {
             self.crashed_here = true;
             self.entry.spread_crash(self.fingerprint, &self.places.pools()).await;
--- a/crates/wire/src/link/agent_link.rs
+++ b/crates/wire/src/link/agent_link.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant as StdInstant};
 
@@ -17,6 +18,9 @@
 use crate::AgentClient;
 use crate::transport::agent_client;
 
+/// Longest wait for an agent that answers other calls.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// Bounds of a link.
 #[derive(Debug, Clone, Copy)]
 pub struct LinkLimits {
@@ -45,6 +49,8 @@
     open: Mutex<()>,
     live: RefCell<Option<Live>>,
     opened: Cell<u64>,
+    /// When an answer last came.
+    heard: Cell<Option<Instant>>,
     round_trip_us: Cell<u64>,
 }
 
@@ -71,6 +77,7 @@
             open: Mutex::new(()),
             live: RefCell::new(None),
             opened: Cell::new(0),
+            heard: Cell::new(None),
             round_trip_us: Cell::new(0),
         }
     }
@@ -90,8 +97,12 @@
         self.round_trip_us.get()
     }
 
-    /// Makes a call that the agent answers within `wait`. A later answer means
-    /// that the connection is silent: it is dropped, other calls on it fail.
+    /// Makes a call that the agent answers within `wait`.
+    ///
+    /// When the answer is late and nothing else was heard on the connection
+    /// meanwhile, the connection is silent: it is dropped, and other calls on
+    /// it fail. An agent that answers other calls is slow, not silent, and is
+    /// waited for up to `PATIENCE`.
     ///
     /// # Errors
     ///
@@ -106,8 +117,16 @@
     {
         let (number, client) = self.connected().await?;
         let limit = wait.duration() + self.limits.silence.duration();
-        let result = timeout(limit, call(client, context_for(limit))).await;
-        self.settle(number, result.ok())
+        let mut answer = pin!(call(client, context_for(limit + PATIENCE)));
+        let sent = Instant::now();
+        loop {
+            let asked = Instant::now();
+            match timeout(limit, answer.as_mut()).await {
+                Ok(result) => return self.settle(number, Some(result)),
+                Err(_) if self.heard_since(asked) && sent.elapsed() < PATIENCE => {}
+                Err(_) => return self.settle(number, None),
+            }
+        }
     }
 
     /// Makes a call of any length, with pings on the connection meanwhile.
@@ -191,8 +210,13 @@
         }
     }
 
+    fn heard_since(&self, time: Instant) -> bool {
+        self.heard.get().is_some_and(|heard| heard > time)
+    }
+
     fn settle<T>(&self, number: u64, result: Option<Result<T, RpcError>>) -> Result<T, LinkFault> {
         if let Some(Ok(answer)) = result {
+            self.heard.set(Some(Instant::now()));
             return Ok(answer);
         }
         let mut live = self.live.borrow_mut();
