--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -57,11 +57,11 @@
             let call = member.link.call(Millis(1_000), |client, cx| async move {
                 client.configure(cx, update).await
             });
-            match call.await {
-                // An agent that can't take the changes is sent the whole.
-                Ok(revision) if revision < ours => self.push_snapshot(member).await,
-                Ok(revision) => member.note_revision(revision),
-                Err(_) => {}
+            let Ok(held) = call.await else { return };
+            member.note_revision(held);
+            // An agent that can't take the changes is sent the whole.
+            if held < ours {
+                self.push_snapshot(member).await;
             }
         }
     }
@@ -91,9 +91,10 @@
         let call = member.link.call(Millis(1_000), |client, cx| async move {
             client.configure(cx, ConfigUpdate::Snapshot(encoded)).await
         });
-        match call.await {
-            Ok(revision) => member.note_revision(revision),
-            Err(_) => debug!("config: {} could not be sent the snapshot", member.address()),
+        if let Ok(held) = call.await {
+            member.note_revision(held);
+        } else {
+            debug!("config: {} could not be sent the snapshot", member.address());
         }
     }
 
--- a/crates/entry/src/model/attempt.rs
+++ b/crates/entry/src/model/attempt.rs
@@ -12,7 +12,8 @@
 use crate::entry::Entry;
 use crate::fleet::{Member, Outstanding};
 
-/// Time in which an agent answers an order, beyond its own wait for progress.
+/// Time in which an agent answers an order; it waits for first progress a
+/// little less.
 pub(crate) const RUN_WAIT: Millis = Millis(250);
 
 /// Why an attempt failed.
--- a/crates/entry/src/model/mod.rs
+++ b/crates/entry/src/model/mod.rs
@@ -11,5 +11,6 @@
 mod safe_run;
 mod serve;
 
+pub(crate) use attempt::RUN_WAIT;
 pub(crate) use completion::Endpoint;
 pub(crate) use reader::{ReadFault, WorkReader};
--- a/crates/entry/src/once/gates.rs
+++ b/crates/entry/src/once/gates.rs
@@ -19,10 +19,7 @@
 use crate::callers::CallerRequest;
 use crate::entry::Entry;
 use crate::fleet::Member;
-use crate::model::{ReadFault, WorkReader};
-
-/// Time in which an agent answers an order, beyond its own wait for progress.
-const RUN_WAIT: Millis = Millis(250);
+use crate::model::{RUN_WAIT, ReadFault, WorkReader};
 
 /// Time in which an agent decides on an attachment.
 const ATTACH_WAIT: Millis = Millis(300);
