--- a/crates/wire/src/link/agent_link.rs
+++ b/crates/wire/src/link/agent_link.rs
@@ -35,7 +35,7 @@
 
 impl Default for LinkLimits {
     fn default() -> Self {
-        Self { connect_time: Millis(300), silence: Millis(400), ping_pause: Millis(200) }
+        Self { connect_time: Millis(300), silence: Millis(300), ping_pause: Millis(200) }
     }
 }
 
--- /dev/null
+++ b/crates/wire/tests/fake_agent/mod.rs
@@ -0,0 +1,98 @@
+//! An agent whose attachments take their time.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use clementine_decide::balance::LoadReport;
+use clementine_decide::config::ConfigUpdate;
+use clementine_decide::gate::WorkTag;
+use clementine_decide::ids::{AgentRef, Epoch, IncarnationId, WorkId};
+use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::stage::HeadNumber;
+use clementine_objects::{Millis, Revision};
+use clementine_wire::transport::serve_agent;
+use clementine_wire::{
+    Agent, AgentDescription, AgentNews, AgentState, AttachStart, NotRunReason, ReadOrder,
+    ReadReply, RunOrder, RunRefusal, RunStart, StageOrder, StageReply,
+};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// The agent that the fake says it is.
+pub fn agent_ref() -> AgentRef {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    AgentRef { address, incarnation: IncarnationId(1), epoch: Epoch(0) }
+}
+
+/// An agent whose attachments take their time.
+#[derive(Debug, Clone)]
+pub struct FakeAgent {
+    /// Time of an attachment.
+    pub attach_time: Duration,
+    /// Time of a description.
+    pub describe_time: Duration,
+}
+
+impl FakeAgent {
+    /// Serves the fake on a free port.
+    pub async fn serve(self) -> SocketAddr {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serve_agent(stream, self.clone()));
+            }
+        });
+        address
+    }
+}
+
+fn news() -> AgentNews {
+    AgentNews {
+        agent: agent_ref(),
+        state: AgentState::Ready,
+        load: LoadReport::default(),
+        revision: Revision(0),
+    }
+}
+
+impl Agent for FakeAgent {
+    async fn describe(self, _: Context) -> AgentDescription {
+        tokio::time::sleep(self.describe_time).await;
+        AgentDescription { pool: "p".parse().expect("a name"), domain: "d".into(), news: news() }
+    }
+
+    async fn run(self, _: Context, _: RunOrder) -> RunStart {
+        RunStart::Refused(RunRefusal { reason: NotRunReason::Leaving, retry_after: None }, news())
+    }
+
+    async fn read(self, _: Context, orders: Vec<ReadOrder>, _: Millis) -> Vec<ReadReply> {
+        vec![ReadReply::NotHeld; orders.len()]
+    }
+
+    async fn attach(self, _: Context, _: WorkTag) -> AttachStart {
+        tokio::time::sleep(self.attach_time).await;
+        AttachStart::Sealed
+    }
+
+    async fn cancel(self, _: Context, _: WorkId) {}
+
+    async fn note_crashes(self, _: Context, _: Fingerprint, crashes: u32) -> u32 {
+        crashes
+    }
+
+    async fn configure(self, _: Context, _: ConfigUpdate) -> Revision {
+        Revision(0)
+    }
+
+    async fn config_since(self, _: Context, _: Revision) -> ConfigUpdate {
+        ConfigUpdate::None
+    }
+
+    async fn stage(self, _: Context, _: StageOrder) -> StageReply {
+        StageReply::Failed
+    }
+
+    async fn close_stage(self, _: Context, _: WorkId, _: HeadNumber) {}
+}
