--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -8,7 +8,7 @@
 
 use clementine_decide::fleet::{BackendState, EngineSpec, Fleet, Member};
 use clementine_decide::ids::{BackendId, PoolId};
-use clementine_decide::placement::{Holder, Move, plan_layers};
+use clementine_decide::placement::{Holder, Move, Settling, plan_layers};
 use clementine_objects::LayerRange;
 use clementine_platform::engines::{EngineReport, OrderAnswer, PlaceOrder};
 use spdlog::{info, warn};
@@ -34,11 +34,12 @@
 pub(super) struct Orders {
     hub: Rc<Hub>,
     pending: Pending,
+    settling: HashMap<PoolId, Settling>,
 }
 
 impl Orders {
     pub(super) fn new(hub: Rc<Hub>) -> Self {
-        Self { hub, pending: Pending::default() }
+        Self { hub, pending: Pending::default(), settling: HashMap::new() }
     }
 
     /// Gives the orders that are due, as many as may load at a time.
@@ -53,6 +54,10 @@
 
     fn step_pool(&mut self, pool: &PoolId, engine: &Rc<EngineSpec>, term: u64) {
         let holders = self.holders(pool, engine);
+        let settling = self.settling.entry(pool.clone()).or_default();
+        if !settling.is_settled(engine.layers, &holders, self.hub.now()) {
+            return;
+        }
         let at_once = engine.loads_at_once.max(1) as usize;
         let room = at_once.saturating_sub(self.pending.borrow().len());
         for step in plan_layers(engine.layers, &holders).into_iter().take(room) {
