--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -1,12 +1,13 @@
 //! All backend servers that this process knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use rand::{Rng, RngExt};
 
 use super::{Backend, EngineSpec, Member};
 use crate::ids::{BackendId, PoolId, Tick};
 use crate::paths::Stop;
+use crate::peers::{BackendLoad, BackendTag};
 
 /// All backend servers that this process knows.
 #[derive(Debug, Default)]
@@ -75,6 +76,15 @@
         self.members.values().filter(move |member| member.backend.pool == *pool)
     }
 
+    /// Takes in the other entries' work; where nothing is said, there is none.
+    pub fn note_others(&mut self, totals: &HashMap<BackendTag, BackendLoad>) {
+        for member in self.members.values_mut() {
+            let load = totals.get(&BackendTag::from(&member.backend.id));
+            member.others_in_flight = load.map_or(0, |load| load.in_flight);
+            member.others_tokens = load.map_or(0.0, |load| load.tokens.into());
+        }
+    }
+
     /// Engines of a pool that a request may pass through now.
     pub fn stops(&self, pool: &PoolId, spec: &EngineSpec, now: Tick, avoid: &[BackendId]) -> Vec<Stop> {
         let usable = self.pool(pool).filter(|member| member.is_usable(now));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operation;
 pub mod outcome;
 pub mod paths;
+pub mod peers;
 pub mod placement;
 pub mod publish;
 pub mod quarantine;
--- /dev/null
+++ b/crates/decide/src/peers/message.rs
@@ -0,0 +1,43 @@
+//! What one entry tells the others.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{BackendId, EntryId, IncarnationId};
+
+/// Short form of a backend server's identity, for messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BackendTag(pub u64);
+
+impl From<&BackendId> for BackendTag {
+    fn from(id: &BackendId) -> Self {
+        Self(xxh3_64(id.as_str().as_bytes()))
+    }
+}
+
+/// Work of one entry at one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendLoad {
+    /// The backend server.
+    pub backend: BackendTag,
+    /// Requests in progress.
+    pub in_flight: u32,
+    /// Tokens of context that they take.
+    pub tokens: u32,
+}
+
+/// What one entry tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// Who tells.
+    pub from: EntryId,
+    /// Start of the process that tells.
+    pub incarnation: IncarnationId,
+    /// Grows with each message of a process; older ones are passed over.
+    pub number: u64,
+    /// Whether the process is stopping and takes no more callers.
+    pub leaving: bool,
+    /// Work at each backend server where there is any. One that is not named
+    /// has none.
+    pub loads: Vec<BackendLoad>,
+}
--- /dev/null
+++ b/crates/decide/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! What the other entries say of the work that they have at backend servers.
+
+mod message;
+mod view;
+
+pub use message::{BackendLoad, BackendTag, PeerMessage};
+pub use view::{PeerNews, PeerView};
--- /dev/null
+++ b/crates/decide/src/peers/view.rs
@@ -0,0 +1,79 @@
+//! The other entries as this one sees them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use clementine_objects::Millis;
+
+use super::{BackendLoad, BackendTag, PeerMessage};
+use crate::ids::{EntryId, Tick};
+
+/// Time after its last message for which an entry counts as alive.
+const ALIVE_FOR: Millis = Millis(1_500);
+
+/// What a message changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerNews {
+    /// An entry that was not known, or was taken for gone.
+    Joined,
+    /// A further message of a known entry.
+    Same,
+    /// An older message than one that has come before.
+    Stale,
+}
+
+#[derive(Debug)]
+struct Peer {
+    last: PeerMessage,
+    heard_at: Tick,
+}
+
+/// The other entries as this one sees them.
+#[derive(Debug, Default)]
+pub struct PeerView {
+    peers: BTreeMap<EntryId, Peer>,
+}
+
+impl PeerView {
+    /// Takes in a message.
+    pub fn note(&mut self, message: PeerMessage, now: Tick) -> PeerNews {
+        let known = self.peers.get(&message.from);
+        let stale = known.is_some_and(|peer| {
+            peer.last.incarnation == message.incarnation && peer.last.number >= message.number
+        });
+        if stale {
+            return PeerNews::Stale;
+        }
+        let joined = known.is_none_or(|peer| now.since(peer.heard_at) >= ALIVE_FOR);
+        self.peers.insert(message.from.clone(), Peer { last: message, heard_at: now });
+        if joined { PeerNews::Joined } else { PeerNews::Same }
+    }
+
+    /// Forgets the entries that have not been heard for some time, and names
+    /// them.
+    pub fn drop_silent(&mut self, now: Tick) -> Vec<EntryId> {
+        let silent = |peer: &Peer| now.since(peer.heard_at) >= ALIVE_FOR;
+        let gone: Vec<EntryId> =
+            self.peers.iter().filter(|(_, peer)| silent(peer)).map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.peers.remove(id);
+        }
+        gone
+    }
+
+    /// Entries that take callers, this one included.
+    pub fn serving(&self) -> usize {
+        1 + self.peers.values().filter(|peer| !peer.last.leaving).count()
+    }
+
+    /// Work of all other entries, by backend server.
+    pub fn totals(&self) -> HashMap<BackendTag, BackendLoad> {
+        let mut totals = HashMap::new();
+        for load in self.peers.values().flat_map(|peer| &peer.last.loads) {
+            let none = BackendLoad { in_flight: 0, tokens: 0, ..*load };
+            let total = totals.entry(load.backend).or_insert(none);
+            total.in_flight = total.in_flight.saturating_add(load.in_flight);
+            total.tokens = total.tokens.saturating_add(load.tokens);
+        }
+        totals
+    }
+}
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -7,6 +7,7 @@
 use actix_http::ServiceConfig;
 use clementine_decide::fleet::Fleet;
 use clementine_decide::ids::{BackendId, IncarnationId, Tick};
+use clementine_decide::peers::PeerView;
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
@@ -34,6 +35,8 @@
     pub(crate) codec: ServiceConfig,
     pub(crate) store: StoreClient,
     pub(crate) fleet: RefCell<Fleet>,
+    /// The other entries.
+    pub(crate) peers: RefCell<PeerView>,
     /// Whether the list of backend servers has been read.
     pub(crate) listed: Cell<bool>,
     /// Requests in progress, and whether the process is stopping.
@@ -58,6 +61,7 @@
             store: StoreClient::new(settings.store, codec.clone()),
             codec,
             fleet: RefCell::default(),
+            peers: RefCell::default(),
             listed: Cell::new(false),
             drain: Drain::default(),
             rng: RefCell::new(rng),
@@ -116,6 +120,12 @@
         }
     }
 
+    /// Counts the other entries' work at the backend servers.
+    pub(crate) fn share_loads(&self) {
+        let totals = self.peers.borrow().totals();
+        self.fleet.borrow_mut().note_others(&totals);
+    }
+
     /// Notes that a backend server failed a request.
     pub(crate) fn note_failure(&self, id: &BackendId, reason: &str, request: &str) {
         let now = self.now();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod follow;
 mod hub;
+mod peers;
 mod planner;
 mod readiness;
 mod run;
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -18,6 +18,7 @@
 use crate::callers::serve_callers;
 use crate::follow::{follow_backends, follow_config};
 use crate::hub::Hub;
+use crate::peers::talk_to_peers;
 use crate::planner::plan_while_holder;
 use crate::readiness::serve_readiness;
 
@@ -79,6 +80,7 @@
     spawn_local(serve_readiness(readiness, Rc::clone(&hub)));
     spawn_local(follow_config(Rc::clone(&hub)));
     spawn_local(follow_backends(Rc::clone(&hub)));
+    spawn_local(talk_to_peers(Rc::clone(&hub)));
     spawn_local(plan_while_holder(Rc::clone(&hub)));
     hub.drain.started().await;
     hub.note_stopping();
