--- a/crates/direct/src/streams/attempt.rs
+++ b/crates/direct/src/streams/attempt.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use clementine_http1::Exchange;
 use clementine_platform::requests::{BackendAnswer, Ran, forward_head};
 use tokio::time::{Instant, timeout_at};
 
 use super::route::StreamRoute;
 use crate::hub::{Hub, Job};
-use crate::whole::CONNECT_LIMIT;
+use crate::whole::{CONNECT_LIMIT, WholeAnswer};
 
 /// Largest failure that is read, in bytes.
 const FAILURE_LIMIT: usize = 1024 * 1024;
@@ -19,7 +18,7 @@
     /// Events follow.
     Stream(BackendAnswer, Box<Exchange>),
     /// The backend server's failure, whole.
-    Failed(BackendAnswer, Bytes),
+    Failed(WholeAnswer),
     /// Nothing was sent.
     NotSent,
     /// The request did not run; the engine at fault, where the answer tells.
@@ -62,7 +61,10 @@
         return Opened::Stream(answer, Box::new(exchange));
     }
     match timeout_at(limit, exchange.read_body(FAILURE_LIMIT)).await {
-        Ok(Ok(body)) if may_pass_on(&answer) => Opened::Failed(answer, body),
+        Ok(Ok(body)) if may_pass_on(&answer) => {
+            let unframed = exchange.ends_with_connection();
+            Opened::Failed(WholeAnswer { answer, body, unframed })
+        }
         _ => Opened::Lost("answer-unfit"),
     }
 }
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use actix_http::ConnectionType;
-use bytes::Bytes;
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::routing::RequestKind;
@@ -19,6 +18,7 @@
 use super::route::{StreamRoute, describe};
 use crate::callers::{Refusal, refuse};
 use crate::hub::{Hub, Job};
+use crate::whole::{WholeAnswer, send_whole};
 
 /// When to come back where no engines have room.
 const COME_BACK: Duration = Duration::from_millis(500);
@@ -44,7 +44,7 @@
     };
     let end = stream.to_end(conn).await?;
     stream.log(&end);
-    stream.finish(conn, end).await
+    stream.finish(conn, &end).await
 }
 
 /// How a stream ended for the caller.
@@ -54,7 +54,7 @@
     /// Nothing has been sent to the caller yet.
     Refused(Refusal),
     /// A backend server's failure; nothing has been sent to the caller yet.
-    Failed(BackendAnswer, Bytes),
+    Failed(WholeAnswer),
     /// The stream breaks off after some events.
     BrokenOff(&'static str),
 }
@@ -78,7 +78,7 @@
     /// Backend servers to avoid in further runs.
     avoid: Vec<BackendId>,
     /// Last failure that a backend server answered with.
-    failure: Option<(BackendAnswer, Bytes)>,
+    failure: Option<WholeAnswer>,
 }
 
 impl Stream<'_> {
@@ -126,12 +126,12 @@
                     relay(conn, &mut exchange, &mut self.progress, waits, note).await?;
                 Ok(self.after_relay(route, relayed))
             }
-            Opened::Failed(answer, body) => {
+            Opened::Failed(whole) => {
                 self.runs += 1;
                 if self.started {
                     return Ok(Next::Again("failed"));
                 }
-                self.failure = Some((answer, body));
+                self.failure = Some(whole);
                 Ok(Next::Again("failed"))
             }
             Opened::NotSent => {
@@ -222,8 +222,8 @@
         if self.started {
             return End::BrokenOff(reason);
         }
-        if let Some((answer, body)) = self.failure.take() {
-            return End::Failed(answer, body);
+        if let Some(whole) = self.failure.take() {
+            return End::Failed(whole);
         }
         if self.runs == 0 {
             return End::Refused(Refusal::later(ErrorKind::Overloaded, COME_BACK));
@@ -233,19 +233,13 @@
         End::Refused(Refusal::new(kind))
     }
 
-    async fn finish(&self, conn: &mut ServerConn, end: End) -> io::Result<()> {
+    async fn finish(&self, conn: &mut ServerConn, end: &End) -> io::Result<()> {
         let closing = self.hub.drain.is_draining();
         match end {
             End::Complete => conn.finish_stream().await,
             End::CallerLeft | End::BrokenOff(_) => Err(io::ErrorKind::ConnectionAborted.into()),
-            End::Refused(refusal) => refuse(conn, &self.job.req.id, refusal, closing).await,
-            End::Failed(answer, body) => {
-                let mut res = relayed_answer(&answer.head);
-                if closing {
-                    res.head_mut().set_connection_type(ConnectionType::Close);
-                }
-                conn.send(res, &body).await
-            }
+            End::Refused(refusal) => refuse(conn, &self.job.req.id, *refusal, closing).await,
+            End::Failed(whole) => send_whole(conn, whole, closing).await,
         }
     }
 
@@ -255,7 +249,7 @@
             End::Complete => "complete",
             End::CallerLeft => "caller-left",
             End::Refused(refusal) => refusal.kind.code(),
-            End::Failed(..) => "backend-failed",
+            End::Failed(_) => "backend-failed",
             End::BrokenOff(reason) => reason,
         };
         let first = self.progress.first_at.map(|at| (at - job.arrived).as_millis());
--- a/crates/direct/src/whole/attempt.rs
+++ b/crates/direct/src/whole/attempt.rs
@@ -16,11 +16,20 @@
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 
+/// A backend server's whole answer.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) answer: BackendAnswer,
+    pub(crate) body: Bytes,
+    /// Whether only the end of the connection told where the body ends.
+    pub(crate) unframed: bool,
+}
+
 /// What became of one request sent to one backend server.
 #[derive(Debug)]
 pub(crate) enum Attempt {
     /// The backend server's whole answer.
-    Answered(BackendAnswer, Bytes),
+    Answered(WholeAnswer),
     /// Nothing was sent.
     NotSent,
     /// The backend server says that it did not run the request.
@@ -69,5 +78,5 @@
     if promises_not_run || (answer.head.status.is_success() && !answer.is_success()) {
         return Attempt::Lost("answer-unfit");
     }
-    Attempt::Answered(answer, body)
+    Attempt::Answered(WholeAnswer { answer, body, unframed: exchange.ends_with_connection() })
 }
--- a/crates/direct/src/whole/serve.rs
+++ b/crates/direct/src/whole/serve.rs
@@ -6,16 +6,15 @@
 use std::time::Duration;
 
 use actix_http::ConnectionType;
-use bytes::Bytes;
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_http1::ServerConn;
 use clementine_objects::Millis;
-use clementine_platform::requests::{BackendAnswer, relayed_answer};
+use clementine_platform::requests::relayed_answer;
 use spdlog::info;
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, attempt};
+use super::attempt::{Attempt, WholeAnswer, attempt};
 use crate::callers::{Refusal, refuse};
 use crate::hub::{Hub, Job, Reservation};
 
@@ -32,7 +31,7 @@
 
 /// What the caller is told.
 enum End {
-    Answer(BackendAnswer, Bytes),
+    Answer(WholeAnswer),
     Refusal(Refusal),
 }
 
@@ -49,13 +48,9 @@
     let (runs, refused) = (run.runs, run.refused);
     let closing = hub.drain.is_draining();
     match end {
-        End::Answer(answer, body) => {
-            log_end(job, answer.head.status.as_u16(), "answered", runs, refused);
-            let mut res = relayed_answer(&answer.head);
-            if closing {
-                res.head_mut().set_connection_type(ConnectionType::Close);
-            }
-            conn.send(res, &body).await
+        End::Answer(whole) => {
+            log_end(job, whole.answer.head.status.as_u16(), "answered", runs, refused);
+            send_whole(conn, &whole, closing).await
         }
         End::Refusal(refusal) => {
             log_end(job, refusal.kind.rule().status, refusal.kind.code(), runs, refused);
@@ -64,6 +59,22 @@
     }
 }
 
+/// Passes a whole answer on, framed as it came.
+pub(crate) async fn send_whole(
+    conn: &mut ServerConn,
+    whole: &WholeAnswer,
+    closing: bool,
+) -> io::Result<()> {
+    let mut res = relayed_answer(&whole.answer.head);
+    if whole.unframed {
+        return conn.send_unframed(res, &whole.body).await;
+    }
+    if closing {
+        res.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    conn.send(res, &whole.body).await
+}
+
 fn log_end(job: &Job, status: u16, outcome: &str, runs: u32, refused: u32) {
     info!(
         "request: id={} route={} pool={} status={} outcome={} runs={} refused_sends={} after_ms={}",
@@ -81,7 +92,7 @@
     refused: u32,
     tried: Vec<BackendId>,
     /// Last failure that a backend server answered with.
-    last: Option<(BackendAnswer, Bytes)>,
+    last: Option<WholeAnswer>,
 }
 
 impl Run<'_> {
@@ -114,14 +125,15 @@
         let limit = self.limit(usual_ms);
         let request = &self.job.req.id;
         match attempt(self.hub, self.job, id, address, limit).await {
-            Attempt::Answered(answer, body) => {
+            Attempt::Answered(whole) => {
                 self.runs += 1;
                 self.note_answer(id, started);
-                if answer.head.status.is_server_error() && self.job.rule.kind.is_repeatable() {
-                    self.last = Some((answer, body));
+                let failed = whole.answer.head.status.is_server_error();
+                if failed && self.job.rule.kind.is_repeatable() {
+                    self.last = Some(whole);
                     return None;
                 }
-                return Some(End::Answer(answer, body));
+                return Some(End::Answer(whole));
             }
             Attempt::NotSent => {
                 self.refused += 1;
@@ -169,8 +181,8 @@
 
     /// The answer where no further attempt is made.
     fn give_up(&mut self) -> End {
-        if let Some((answer, body)) = self.last.take() {
-            return End::Answer(answer, body);
+        if let Some(whole) = self.last.take() {
+            return End::Answer(whole);
         }
         if self.runs == 0 {
             return End::Refusal(Refusal::later(ErrorKind::Overloaded, COME_BACK));
--- a/crates/http1/src/client/exchange.rs
+++ b/crates/http1/src/client/exchange.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, header};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, header};
 use bytes::{Buf, Bytes, BytesMut};
 use snafu::ResultExt;
 use tokio::io::Interest;
@@ -22,6 +22,9 @@
 enum Expecting {
     Head(ClientCodec),
     Body(ClientPayloadCodec),
+    /// A body that ends with the connection, which the library's codec takes
+    /// for no body.
+    Rest,
 }
 
 impl fmt::Debug for Expecting {
@@ -29,6 +32,7 @@
         f.write_str(match self {
             Self::Head(_) => "Head",
             Self::Body(_) => "Body",
+            Self::Rest => "Rest",
         })
     }
 }
@@ -55,6 +59,8 @@
     /// Whether the answer has been read to its end.
     complete: bool,
     keep_alive: bool,
+    /// Whether the answer to the request may have a body.
+    expects_body: bool,
 }
 
 impl Exchange {
@@ -79,6 +85,7 @@
             framing: Framing::Explicit,
             complete: false,
             keep_alive: false,
+            expects_body: true,
         })
     }
 
@@ -89,6 +96,7 @@
     /// Fails when the request can't be encoded.
     pub fn queue(&mut self, head: RequestHead, body: Bytes) -> io::Result<()> {
         self.complete = false;
+        self.expects_body = head.method != Method::HEAD;
         let Some(Expecting::Head(codec)) = &mut self.codec else {
             return Err(io::Error::other("the last answer has not been read"));
         };
@@ -130,8 +138,12 @@
         };
         self.keep_alive = codec.keep_alive() && head.keep_alive();
         self.framing = framing(&head);
-        if codec.message_type() == actix_http::h1::MessageType::None {
-            self.complete = true;
+        if codec.message_type() == MessageType::None {
+            if self.framing == Framing::Connection && self.expects_body && may_have_body(&head) {
+                self.codec = Some(Expecting::Rest);
+            } else {
+                self.complete = true;
+            }
         } else if let Some(Expecting::Head(codec)) = self.codec.take() {
             self.codec = Some(Expecting::Body(codec.into_payload_codec()));
         }
@@ -147,10 +159,15 @@
     /// Fails when the connection ends before the body does.
     pub async fn read_chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
         while !self.complete {
-            let Some(Expecting::Body(codec)) = &mut self.codec else {
-                return Err(AnswerError::Malformed);
+            let decoded = match &mut self.codec {
+                Some(Expecting::Body(codec)) => {
+                    codec.decode(&mut self.input).map_err(|_| AnswerError::Malformed)?
+                }
+                Some(Expecting::Rest) if self.input.is_empty() => None,
+                Some(Expecting::Rest) => Some(Some(self.input.split().freeze())),
+                _ => return Err(AnswerError::Malformed),
             };
-            match codec.decode(&mut self.input).map_err(|_| AnswerError::Malformed)? {
+            match decoded {
                 Some(Some(chunk)) => return Ok(Some(chunk)),
                 Some(None) => self.end_body(),
                 None => match self.progress().await {
@@ -243,3 +260,7 @@
         || headers.contains_key(header::TRANSFER_ENCODING);
     if explicit { Framing::Explicit } else { Framing::Connection }
 }
+
+fn may_have_body(head: &ResponseHead) -> bool {
+    !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -6,7 +6,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
-use actix_http::{KeepAlive, Request, RequestHead, Response, ServiceConfig, ServiceConfigBuilder};
+use actix_http::{ConnectionType, KeepAlive, Request, RequestHead, Response, ServiceConfig, ServiceConfigBuilder};
 use bytes::{Bytes, BytesMut};
 use snafu::ResultExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -167,6 +167,18 @@
         self.flush().await
     }
 
+    /// Sends a whole answer whose end is told by the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection does.
+    pub async fn send_unframed(&mut self, mut res: Response<()>, body: &Bytes) -> io::Result<()> {
+        res.head_mut().no_chunking(true);
+        res.head_mut().set_connection_type(ConnectionType::Close);
+        self.start(res, BodySize::Stream)?;
+        self.send_chunk(body.clone()).await
+    }
+
     /// Sends the headers of an answer whose length is not known.
     ///
     /// # Errors
