--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -8,11 +8,12 @@
 
 use clementine_decide::ids::EntryId;
 use clementine_decide::peers::{BackendLoad, BackendTag, PeerMessage, PeerNews};
+use clementine_platform::store::StoreError;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
-use super::directory::join;
+use super::directory::{others, register};
 use crate::hub::Hub;
 
 /// Least pause between two rounds of messages.
@@ -39,7 +40,7 @@
         Ok(socket) => socket,
         Err(error) => return warn!("peers: {} can't be bound: {}", address, error),
     };
-    let mut talk = Talk { hub, socket, address, others: HashMap::new(), number: 0 };
+    let mut talk = Talk { hub, socket, address, others: HashMap::new(), registered: false, number: 0 };
     talk.run().await;
 }
 
@@ -48,6 +49,7 @@
     socket: UdpSocket,
     address: SocketAddr,
     others: HashMap<EntryId, SocketAddr>,
+    registered: bool,
     number: u64,
 }
 
@@ -72,11 +74,8 @@
     }
 
     async fn read_directory(&mut self) -> Duration {
-        match join(&self.hub, self.address).await {
-            Ok(others) => {
-                self.others = others;
-                DIRECTORY_PAUSE
-            }
+        match self.meet().await {
+            Ok(()) => DIRECTORY_PAUSE,
             Err(error) => {
                 warn!("peers: the table of entries can't be read: {}", error);
                 DIRECTORY_RETRY
@@ -84,6 +83,17 @@
         }
     }
 
+    /// Registers before it reads: of two entries that start together, the
+    /// second to read finds the first.
+    async fn meet(&mut self) -> Result<(), StoreError> {
+        if !self.registered {
+            register(&self.hub, self.address).await?;
+            self.registered = true;
+        }
+        self.others = others(&self.hub).await?;
+        Ok(())
+    }
+
     fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, buf: &[u8]) {
         let (size, from) = match received {
             Ok(received) => received,
