--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -35,6 +35,8 @@
     latency_ms: f64,
     failures: u32,
     paused_until: Tick,
+    /// Whether it did not answer when it was asked for a sign of life.
+    down: bool,
 }
 
 impl Member {
@@ -51,12 +53,26 @@
             latency_ms: UNKNOWN_LATENCY_MS,
             failures: 0,
             paused_until: Tick(0),
+            down: false,
         }
     }
 
     /// Whether new work may be sent to it.
     pub fn is_usable(&self, now: Tick) -> bool {
-        self.backend.state == BackendState::Ready && now >= self.paused_until
+        self.backend.state == BackendState::Ready && !self.down && now >= self.paused_until
+    }
+
+    /// Whether it did not answer when it was asked for a sign of life.
+    pub const fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// Notes whether it answered when it was asked for a sign of life; tells
+    /// whether that is news.
+    pub const fn note_down(&mut self, down: bool) -> bool {
+        let news = self.down != down;
+        self.down = down;
+        news
     }
 
     /// Whether its last request failed.
--- a/crates/decide/src/lease/watch.rs
+++ b/crates/decide/src/lease/watch.rs
@@ -89,6 +89,8 @@
         match &row.holder {
             Some(holder) if *holder == self.me => self.write(version, row.term),
             None => self.write(version, row.term + 1),
+            // An earlier start of this process, which is over.
+            Some(holder) if holder.entry == self.me.entry => self.write(version, row.term + 1),
             Some(_) if now.since(unchanged_since) >= self.limits.time_to_live => {
                 self.write(version, row.term + 1)
             }
--- a/crates/direct/src/planner/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -13,14 +13,14 @@
 use crate::hub::Hub;
 
 /// Time for one call to an engine.
-const CALL_LIMIT: Duration = Duration::from_millis(800);
+pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(800);
 /// Largest report that is read, in bytes.
 const REPORT_LIMIT: usize = 256 * 1024;
 
 /// Why a call to an engine gave nothing.
 #[derive(Debug, Snafu)]
 #[snafu(display("{reason}"))]
-pub(super) struct CallError {
+pub(crate) struct CallError {
     reason: CompactString,
 }
 
@@ -29,20 +29,24 @@
 }
 
 /// Asks an engine for its report.
-pub(super) async fn ask_report(hub: &Hub, engine: SocketAddr) -> Result<EngineReport, CallError> {
+pub(crate) async fn ask_report(
+    hub: &Hub,
+    engine: SocketAddr,
+    limit: Duration,
+) -> Result<EngineReport, CallError> {
     let call = async {
-        let connected = Exchange::connect(engine, CALL_LIMIT, &hub.codec).await;
+        let connected = Exchange::connect(engine, limit, &hub.codec).await;
         let mut exchange = connected.map_err(failed)?;
         exchange.queue(report_request(engine), Bytes::new()).map_err(failed)?;
         exchange.read_head().await.map_err(failed)?;
         let body = exchange.read_body(REPORT_LIMIT).await.map_err(failed)?;
         EngineReport::decode(&body).map_err(failed)
     };
-    timeout(CALL_LIMIT, call).await.map_err(failed)?
+    timeout(limit, call).await.map_err(failed)?
 }
 
 /// Gives an engine an order.
-pub(super) async fn give_order(
+pub(crate) async fn give_order(
     hub: &Hub,
     engine: SocketAddr,
     order: PlaceOrder,
--- /dev/null
+++ b/crates/direct/src/engines/inspect.rs
@@ -0,0 +1,91 @@
+//! Finds out which engine of a silent run is down.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use clementine_decide::ids::BackendId;
+use clementine_platform::engines::EngineReport;
+use spdlog::info;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::ask_report;
+use crate::hub::Hub;
+
+/// Time for an engine that is suspected to give its report.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Pause between two questions to an engine that is down.
+const PROBE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Asks the first engine of a silent run what the run waits for, and checks
+/// the engine that it names.
+pub(crate) async fn inspect_run(hub: Rc<Hub>, first: BackendId, request: String) {
+    let Some(report) = question(&hub, &first).await else { return };
+    let stalled = report.stalled.iter().filter(|run| run.request == request.as_str());
+    for run in stalled {
+        let at_fault = hub.fleet.borrow().at(run.at_fault).cloned();
+        if let Some(id) = at_fault {
+            info!("engines: request={} waits for backend={} says={}", request, id, first);
+            mark_down(&hub, &id, "stalled-run");
+        }
+    }
+}
+
+/// Checks a backend server that another process or an answer speaks ill of.
+pub(crate) async fn check_backend(hub: Rc<Hub>, id: BackendId) {
+    question(&hub, &id).await;
+}
+
+/// Asks a backend server for its report; one that gives none is down. Gives
+/// nothing also while the same question is under way.
+async fn question(hub: &Rc<Hub>, id: &BackendId) -> Option<EngineReport> {
+    let address = hub.fleet.borrow().get(id)?.backend.address;
+    if !hub.questions.borrow_mut().insert(id.clone()) {
+        return None;
+    }
+    let answer = ask_report(hub, address, REPORT_LIMIT).await;
+    hub.questions.borrow_mut().remove(id);
+    match answer {
+        Ok(report) => {
+            note_report(hub, id, &report);
+            Some(report)
+        }
+        Err(error) => {
+            info!("engines: backend={} gives no report: {}", id, error);
+            mark_down(hub, id, "no-report");
+            None
+        }
+    }
+}
+
+/// Takes a backend server out of use until it gives its report again.
+fn mark_down(hub: &Rc<Hub>, id: &BackendId, reason: &str) {
+    if hub.note_down(id, reason) {
+        spawn_local(probe(Rc::clone(hub), id.clone()));
+    }
+}
+
+async fn probe(hub: Rc<Hub>, id: BackendId) {
+    loop {
+        sleep(PROBE_PAUSE).await;
+        let address = match hub.fleet.borrow().get(&id) {
+            Some(member) if member.is_down() => member.backend.address,
+            _ => return,
+        };
+        if let Ok(report) = ask_report(&hub, address, REPORT_LIMIT).await {
+            note_report(&hub, &id, &report);
+            if hub.note_up(&id) {
+                info!("engines: backend={} gives its report again, layers={:?}", id, report.layers);
+            }
+            return;
+        }
+    }
+}
+
+fn note_report(hub: &Hub, id: &BackendId, report: &EngineReport) {
+    if let Some(member) = hub.fleet.borrow_mut().get_mut(id) {
+        member.backend.layers = report.layers;
+        member.backend.orders = report.orders;
+        member.slowness = report.slowness;
+    }
+}
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -1,6 +1,7 @@
 //! What the parts of the process share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use spdlog::info;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Entries among which the shared retry budget is divided. More than usual,
@@ -39,6 +41,10 @@
     pub(crate) peers: RefCell<PeerView>,
     /// Whether the list of backend servers has been read.
     pub(crate) listed: Cell<bool>,
+    /// Backend servers that are being asked for their report.
+    pub(crate) questions: RefCell<HashSet<BackendId>>,
+    /// Wakes whoever waits for news of a backend server's loss.
+    pub(crate) losses: Notify,
     /// Requests in progress, and whether the process is stopping.
     pub(crate) drain: Drain,
     pub(crate) rng: RefCell<SmallRng>,
@@ -63,6 +69,8 @@
             fleet: RefCell::default(),
             peers: RefCell::default(),
             listed: Cell::new(false),
+            questions: RefCell::default(),
+            losses: Notify::new(),
             drain: Drain::default(),
             rng: RefCell::new(rng),
             retries: RefCell::new(RetryBudget::new(limits)),
@@ -120,6 +128,28 @@
         }
     }
 
+    /// Whether a backend server is an engine that holds layers.
+    pub(crate) fn holds_layers(&self, id: &BackendId) -> bool {
+        self.fleet.borrow().get(id).is_some_and(|member| member.backend.layers.is_some())
+    }
+
+    /// Takes a backend server out of use; tells whether that is news.
+    pub(crate) fn note_down(&self, id: &BackendId, reason: &str) -> bool {
+        let mut fleet = self.fleet.borrow_mut();
+        let news = fleet.get_mut(id).is_some_and(|member| member.note_down(true));
+        drop(fleet);
+        if news {
+            info!("fleet: backend={} down reason={}", id, reason);
+            self.losses.notify_waiters();
+        }
+        news
+    }
+
+    /// Takes a backend server into use again; tells whether that is news.
+    pub(crate) fn note_up(&self, id: &BackendId) -> bool {
+        self.fleet.borrow_mut().get_mut(id).is_some_and(|member| member.note_down(false))
+    }
+
     /// Counts the other entries' work at the backend servers.
     pub(crate) fn share_loads(&self) {
         let totals = self.peers.borrow().totals();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 //! `clementine-decide`; this crate carries it out.
 
 mod callers;
+mod engines;
 mod follow;
 mod hub;
 mod peers;
--- a/crates/direct/src/planner/mod.rs
+++ b/crates/direct/src/planner/mod.rs
@@ -1,6 +1,5 @@
 //! Has the engines hold the layers of the model. One process at a time plans.
 
-mod calls;
 mod lease;
 mod orders;
 
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::calls::{ask_report, give_order};
+use crate::engines::{CALL_LIMIT, ask_report, give_order};
 use crate::hub::Hub;
 
 /// Tokens of context that an engine keeps room for beside its layers.
@@ -67,9 +67,8 @@
 
     fn holders(&self, pool: &PoolId, engine: &EngineSpec) -> Vec<Holder> {
         let fleet: &Fleet = &self.hub.fleet.borrow();
-        let now = self.hub.now();
         let usable = |member: &&Member| {
-            member.backend.state == BackendState::Ready && member.is_usable(now)
+            member.backend.state == BackendState::Ready && !member.is_down()
         };
         let pending = self.pending.borrow();
         let holder = |member: &Member| {
@@ -150,7 +149,7 @@
     }
 
     async fn report(&self) -> Option<EngineReport> {
-        match ask_report(&self.hub, self.address).await {
+        match ask_report(&self.hub, self.address, CALL_LIMIT).await {
             Ok(report) => Some(report),
             Err(error) => {
                 warn!("planner: backend={} gave no report: {}", self.step.id, error);
--- a/crates/direct/src/streams/mod.rs
+++ b/crates/direct/src/streams/mod.rs
@@ -4,5 +4,6 @@
 mod relay;
 mod route;
 mod serve;
+mod watchdog;
 
 pub(crate) use serve::serve;
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -11,12 +11,15 @@
 use clementine_http1::ServerConn;
 use clementine_platform::requests::{BackendAnswer, relayed_answer};
 use spdlog::info;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use super::attempt::{Opened, open};
 use super::relay::{Progress, Relayed, Waits, relay};
 use super::route::{StreamRoute, describe};
+use super::watchdog::{Pulse, watch};
 use crate::callers::{Refusal, refuse};
+use crate::engines::check_backend;
 use crate::hub::{Hub, Job};
 use crate::whole::{WholeAnswer, send_whole};
 
@@ -28,6 +31,9 @@
 const NEXT_EVENT_WAIT: Duration = Duration::from_millis(500);
 /// Sends that were refused, beside the runs that the route allows.
 const REFUSED_SENDS: u32 = 4;
+/// Runs that ended with one of their engines, beside those that the route
+/// allows.
+const LOST_RUNS: u32 = 2;
 
 /// Serves a request that is answered with a stream of events.
 pub(crate) async fn serve(conn: &mut ServerConn, hub: &Rc<Hub>, job: &Job) -> io::Result<()> {
@@ -39,6 +45,7 @@
         started: false,
         runs: 0,
         refused: 0,
+        lost: 0,
         avoid: Vec::new(),
         failure: None,
     };
@@ -75,6 +82,8 @@
     runs: u32,
     /// Sends after which no run began.
     refused: u32,
+    /// Runs that ended with one of their engines.
+    lost: u32,
     /// Backend servers to avoid in further runs.
     avoid: Vec<BackendId>,
     /// Last failure that a backend server answered with.
@@ -103,8 +112,25 @@
         }
     }
 
-    /// Makes one run.
+    /// Makes one run, until it ends or one of its engines is down.
     async fn run(&mut self, conn: &mut ServerConn, route: &StreamRoute) -> io::Result<Next> {
+        let (hub, job) = (self.hub, self.job);
+        let pulse = Pulse::start();
+        let lost = tokio::select! {
+            next = self.run_unwatched(conn, route, &pulse) => return next,
+            lost = watch(hub, job, route, &pulse) => lost,
+        };
+        self.lost += 1;
+        self.avoid.push(lost);
+        Ok(Next::Again("engine-down"))
+    }
+
+    async fn run_unwatched(
+        &mut self,
+        conn: &mut ServerConn,
+        route: &StreamRoute,
+        pulse: &Pulse,
+    ) -> io::Result<Next> {
         let limit = (Instant::now() + FIRST_EVENT_WAIT).min(self.job.until);
         let last_event = self.progress.last_event;
         let opened = tokio::select! {
@@ -121,17 +147,18 @@
                     until: self.job.until,
                 };
                 let hub = self.hub;
-                let note = || note_alive(hub, route);
-                let relayed =
-                    relay(conn, &mut exchange, &mut self.progress, waits, note).await?;
+                let note = || {
+                    pulse.beat();
+                    note_alive(hub, route);
+                };
+                let relayed = relay(conn, &mut exchange, &mut self.progress, waits, note).await?;
                 Ok(self.after_relay(route, relayed))
             }
             Opened::Failed(whole) => {
                 self.runs += 1;
-                if self.started {
-                    return Ok(Next::Again("failed"));
+                if !self.started {
+                    self.failure = Some(whole);
                 }
-                self.failure = Some(whole);
                 Ok(Next::Again("failed"))
             }
             Opened::NotSent => {
@@ -141,10 +168,8 @@
             }
             Opened::NotRun(at_fault) => {
                 self.refused += 1;
-                let fleet = self.hub.fleet.borrow();
-                let id = at_fault.and_then(|address| fleet.at(address).cloned());
-                drop(fleet);
-                self.blame(id.as_ref().unwrap_or(&route.first), "refused");
+                let found = at_fault.and_then(|at| self.hub.fleet.borrow().at(at).cloned());
+                self.blame(found.as_ref().unwrap_or(&route.first), "refused");
                 Ok(Next::Again("refused"))
             }
             Opened::Lost(reason) => {
@@ -204,16 +229,21 @@
         self.avoid.extend(blamed);
     }
 
+    /// Takes a backend server out of use for a moment and has it checked.
     fn blame(&mut self, id: &BackendId, reason: &str) {
         self.hub.note_failure(id, reason, &self.job.req.id);
         self.avoid.push(id.clone());
+        if self.hub.holds_layers(id) {
+            spawn_local(check_backend(Rc::clone(self.hub), id.clone()));
+        }
     }
 
     fn may_run_again(&self) -> bool {
         let rule = &self.job.rule;
         let resumable = rule.kind == RequestKind::Stream { resumable: true };
         let may_repeat = self.runs == 0 || resumable;
-        let allowed = self.runs < rule.max_attempts && self.refused <= REFUSED_SENDS;
+        let runs_allowed = rule.max_attempts + self.lost.min(LOST_RUNS);
+        let allowed = self.runs < runs_allowed && self.refused <= REFUSED_SENDS;
         may_repeat && allowed && self.hub.retries.borrow_mut().try_retry()
     }
 
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -212,9 +212,12 @@
         self.flush().await
     }
 
+    /// Sends what is queued. Dropping the future loses nothing: what has not
+    /// been sent goes out with the next flush.
     async fn flush(&mut self) -> io::Result<()> {
-        self.io.write_all(&self.output).await?;
-        self.output.clear();
+        while !self.output.is_empty() {
+            self.io.write_buf(&mut self.output).await?;
+        }
         Ok(())
     }
 
