--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -2,8 +2,9 @@
 
 use clementine_objects::LayerRange;
 
-use super::{Demand, Leg, Stop};
+use super::{Demand, Leg, Link, LinkUse, Stop};
 use crate::fleet::EngineSpec;
+use crate::ids::Tick;
 
 /// Wait for the pass under way at a stage, as a share of a pass.
 const PASS_WAIT: f64 = 0.5;
@@ -26,22 +27,128 @@
     before: Option<usize>,
 }
 
-/// The path through all layers with the least expected time, or `None` where
-/// no path has room for the request.
-///
-/// Ways are compared at every layer at which an engine's range begins or ends,
-/// one for each failure domain, since the next hop's time depends on it.
-pub fn cheapest_path(spec: &EngineSpec, stops: &[Stop], demand: Demand) -> Option<Vec<Leg>> {
-    let mut usable: Vec<usize> = (0..stops.len()).filter(|at| has_room(&stops[*at], demand)).collect();
-    loop {
-        let path = search(spec, stops, &usable, demand)?;
-        let Some(twice) = visited_twice(&path) else {
-            return Some(path.into_iter().map(|(stop, layers)| leg(&stops[stop], layers)).collect());
-        };
-        usable.retain(|stop| *stop != twice);
+/// Share of a link between failure domains that paths may fill. The rest is
+/// for links that are slower than they should be, and for use that entries have
+/// not told each other yet.
+const LINK_SHARE: f64 = 0.25;
+/// The same share where no path stays below it.
+const LINK_SHARE_AT_WORST: f64 = 0.6;
+
+/// A search for the path of one request.
+#[derive(Debug, Clone, Copy)]
+pub struct PathSearch<'a> {
+    /// The engines' model.
+    pub spec: &'a EngineSpec,
+    /// Engines that the request may pass through.
+    pub stops: &'a [Stop],
+    /// Use of the links between failure domains.
+    pub links: &'a LinkUse,
+    /// What the request needs.
+    pub demand: Demand,
+    /// The present.
+    pub now: Tick,
+}
+
+impl PathSearch<'_> {
+    /// The path through all layers with the least expected time, or `None`
+    /// where no path has room for the request.
+    ///
+    /// Ways are compared at every layer at which an engine's range begins or
+    /// ends, one for each failure domain, since the next hop's time depends on
+    /// it.
+    pub fn cheapest(&self) -> Option<Vec<Leg>> {
+        self.cheapest_within(LINK_SHARE).or_else(|| self.cheapest_within(LINK_SHARE_AT_WORST))
+    }
+
+    fn cheapest_within(&self, link_share: f64) -> Option<Vec<Leg>> {
+        let stops = self.stops;
+        let mut usable: Vec<usize> =
+            (0..stops.len()).filter(|at| has_room(&stops[*at], self.demand)).collect();
+        loop {
+            let path = self.search(&usable, link_share)?;
+            let Some(twice) = visited_twice(&path) else {
+                let legs = path.into_iter().map(|(stop, layers)| leg(&stops[stop], layers));
+                return Some(legs.collect());
+            };
+            usable.retain(|stop| *stop != twice);
+        }
+    }
+
+    fn search(&self, usable: &[usize], link_share: f64) -> Option<Vec<(usize, LayerRange)>> {
+        let layers = self.spec.layers;
+        let cuts = cuts(layers, self.stops, usable);
+        let mut ways: Vec<Vec<Step>> = vec![Vec::new(); layers as usize + 1];
+        for (at, &from) in cuts.iter().enumerate() {
+            if from > 0 && ways[from as usize].is_empty() {
+                continue;
+            }
+            for &stop in usable {
+                let range = self.stops[stop].layers;
+                if !range.contains(from) {
+                    continue;
+                }
+                let arrival = self.arrival(&ways[from as usize], from, stop, link_share);
+                let Some((before, cost)) = arrival else { continue };
+                for &to in cuts[at + 1..].iter().take_while(|to| **to <= range.end()) {
+                    let cost = cost + self.stage_ms(&self.stops[stop], to - from);
+                    keep_best(self.stops, &mut ways[to as usize], Step { cost, stop, from, before });
+                }
+            }
+        }
+        walk_back(layers, &ways)
+    }
+
+    /// The best way to hand the request over to a stop: its index and its cost
+    /// with the hop.
+    fn arrival(
+        &self,
+        ways: &[Step],
+        from: u32,
+        stop: usize,
+        link_share: f64,
+    ) -> Option<(Option<usize>, f64)> {
+        if from == 0 {
+            return Some((None, 0.0));
+        }
+        let handed_over = ways.iter().enumerate().filter(|(_, way)| way.stop != stop);
+        let costs = handed_over.filter_map(|(at, way)| {
+            let hop = self.hop_ms(&self.stops[way.stop], &self.stops[stop], link_share)?;
+            Some((Some(at), way.cost + hop))
+        });
+        costs.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Expected time that the request spends on `count` layers of a stop, in ms.
+    fn stage_ms(&self, stop: &Stop, count: u32) -> f64 {
+        let share = self.spec.share(count);
+        let reading = self.demand.prompt * stop.read_ms_per_token * share;
+        let writing = self.demand.answer * stop.step_ms * share * (1.0 + PASS_WAIT);
+        let taken = stop.used_tokens / stop.capacity_tokens.max(1.0);
+        (reading + writing) * (1.0 + MEMORY_WEIGHT * taken * taken)
+    }
+
+    /// Expected time that the request spends on the way between two stops, in
+    /// ms; `None` where the link has no room.
+    fn hop_ms(&self, a: &Stop, b: &Stop, link_share: f64) -> Option<f64> {
+        let answer = self.demand.answer;
+        if a.domain == b.domain {
+            return Some(answer * NEAR_DELAY_MS);
+        }
+        let capacity = self.spec.domain_link_bytes_per_ms.max(1.0);
+        let used = self.links.total(&Link::between(&a.domain, &b.domain), self.now) / capacity;
+        if used >= link_share {
+            return None;
+        }
+        let transfer = link_bytes(self.spec, self.demand) / capacity / (1.0 - used);
+        Some(transfer + answer * self.spec.delay_ms(&a.domain, &b.domain).max(NEAR_DELAY_MS))
     }
 }
 
+/// Bytes that a request hands from one engine to the next.
+pub fn link_bytes(spec: &EngineSpec, demand: Demand) -> f64 {
+    (demand.prompt + demand.answer) * spec.activation_bytes
+}
+
 fn has_room(stop: &Stop, demand: Demand) -> bool {
     let needed = demand.prompt + demand.answer;
     stop.used_tokens + needed <= stop.capacity_tokens * MEMORY_SHARE
@@ -56,35 +163,6 @@
     (0..path.len()).find(again).map(|at| path[at].0)
 }
 
-fn search(
-    spec: &EngineSpec,
-    stops: &[Stop],
-    usable: &[usize],
-    demand: Demand,
-) -> Option<Vec<(usize, LayerRange)>> {
-    let cuts = cuts(spec.layers, stops, usable);
-    let mut ways: Vec<Vec<Step>> = vec![Vec::new(); spec.layers as usize + 1];
-    for (at, &from) in cuts.iter().enumerate() {
-        if from > 0 && ways[from as usize].is_empty() {
-            continue;
-        }
-        for &stop in usable {
-            let range = stops[stop].layers;
-            if !range.contains(from) {
-                continue;
-            }
-            let Some((before, cost)) = arrival(spec, stops, &ways[from as usize], from, stop, demand) else {
-                continue;
-            };
-            for &to in cuts[at + 1..].iter().take_while(|to| **to <= range.end()) {
-                let cost = cost + stage_ms(spec, &stops[stop], to - from, demand);
-                keep_best(stops, &mut ways[to as usize], Step { cost, stop, from, before });
-            }
-        }
-    }
-    walk_back(spec.layers, &ways)
-}
-
 /// Layers at which a path may pass from one engine to another.
 fn cuts(layers: u32, stops: &[Stop], usable: &[usize]) -> Vec<u32> {
     let ranges = usable.iter().map(|stop| stops[*stop].layers);
@@ -96,25 +174,6 @@
     cuts
 }
 
-/// The best way to hand the request over to a stop: its index and its cost
-/// with the hop.
-fn arrival(
-    spec: &EngineSpec,
-    stops: &[Stop],
-    ways: &[Step],
-    from: u32,
-    stop: usize,
-    demand: Demand,
-) -> Option<(Option<usize>, f64)> {
-    if from == 0 {
-        return Some((None, 0.0));
-    }
-    let handed_over = ways.iter().enumerate().filter(|(_, way)| way.stop != stop);
-    let costs = handed_over
-        .map(|(at, way)| (Some(at), way.cost + hop_ms(spec, &stops[way.stop], &stops[stop], demand)));
-    costs.min_by(|a, b| a.1.total_cmp(&b.1))
-}
-
 fn keep_best(stops: &[Stop], ways: &mut Vec<Step>, step: Step) {
     let domain = &stops[step.stop].domain;
     match ways.iter_mut().find(|way| stops[way.stop].domain == *domain) {
@@ -138,22 +197,3 @@
     path.reverse();
     Some(path)
 }
-
-/// Expected time that a request spends on `count` layers of a stop, in ms.
-fn stage_ms(spec: &EngineSpec, stop: &Stop, count: u32, demand: Demand) -> f64 {
-    let share = spec.share(count);
-    let reading = demand.prompt * stop.read_ms_per_token * share;
-    let writing = demand.answer * stop.step_ms * share * (1.0 + PASS_WAIT);
-    let taken = stop.used_tokens / stop.capacity_tokens.max(1.0);
-    (reading + writing) * (1.0 + MEMORY_WEIGHT * taken * taken)
-}
-
-/// Expected time that a request spends on the way between two stops, in ms.
-fn hop_ms(spec: &EngineSpec, a: &Stop, b: &Stop, demand: Demand) -> f64 {
-    if a.domain == b.domain {
-        return demand.answer * NEAR_DELAY_MS;
-    }
-    let tokens = demand.prompt + demand.answer;
-    let transfer = tokens * spec.activation_bytes / spec.domain_link_bytes_per_ms.max(1.0);
-    transfer + demand.answer * spec.delay_ms(&a.domain, &b.domain).max(NEAR_DELAY_MS)
-}
--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -1,7 +1,9 @@
 //! Which engines a request passes through.
 
 mod choose;
+mod links;
 mod stop;
 
-pub use choose::cheapest_path;
+pub use choose::{PathSearch, link_bytes};
+pub use links::{Link, LinkUse};
 pub use stop::{Demand, Leg, Stop};
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{BackendId, EntryId, IncarnationId};
+use crate::ids::{BackendId, DomainId, EntryId, IncarnationId};
 
 /// Short form of a backend server's identity, for messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -27,7 +27,7 @@
 }
 
 /// What one entry tells the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// Who tells.
     pub from: EntryId,
@@ -40,4 +40,18 @@
     /// Work at each backend server where there is any. One that is not named
     /// has none.
     pub loads: Vec<BackendLoad>,
+    /// Use of the links between failure domains. One that is not named is not
+    /// used.
+    pub links: Vec<LinkLoad>,
+}
+
+/// Use of one link between failure domains by one entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LinkLoad {
+    /// One failure domain.
+    pub a: DomainId,
+    /// The other failure domain.
+    pub b: DomainId,
+    /// Bytes per ms.
+    pub bytes_per_ms: f64,
 }
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -3,5 +3,5 @@
 mod message;
 mod view;
 
-pub use message::{BackendLoad, BackendTag, PeerMessage};
+pub use message::{BackendLoad, BackendTag, LinkLoad, PeerMessage};
 pub use view::{PeerNews, PeerView};
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -6,6 +6,7 @@
 
 use super::{BackendLoad, BackendTag, PeerMessage};
 use crate::ids::{EntryId, Tick};
+use crate::paths::Link;
 
 /// Time after its last message for which an entry counts as alive.
 const ALIVE_FOR: Millis = Millis(1_500);
@@ -65,6 +66,16 @@
         1 + self.peers.values().filter(|peer| !peer.last.leaving).count()
     }
 
+    /// Use of the links between failure domains by all other entries, in bytes
+    /// per ms.
+    pub fn link_totals(&self) -> HashMap<Link, f64> {
+        let mut totals = HashMap::new();
+        for load in self.peers.values().flat_map(|peer| &peer.last.links) {
+            *totals.entry(Link::between(&load.a, &load.b)).or_insert(0.0) += load.bytes_per_ms;
+        }
+        totals
+    }
+
     /// Work of all other entries, by backend server.
     pub fn totals(&self) -> HashMap<BackendTag, BackendLoad> {
         let mut totals = HashMap::new();
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -8,6 +8,7 @@
 use actix_http::ServiceConfig;
 use clementine_decide::fleet::Fleet;
 use clementine_decide::ids::{BackendId, IncarnationId, Tick};
+use clementine_decide::paths::LinkUse;
 use clementine_decide::peers::PeerView;
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_decide::routing::RoutingTable;
@@ -37,6 +38,8 @@
     pub(crate) codec: ServiceConfig,
     pub(crate) store: StoreClient,
     pub(crate) fleet: RefCell<Fleet>,
+    /// Use of the links between failure domains.
+    pub(crate) links: RefCell<LinkUse>,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
     /// Whether the list of backend servers has been read.
@@ -67,6 +70,7 @@
             store: StoreClient::new(settings.store, codec.clone()),
             codec,
             fleet: RefCell::default(),
+            links: RefCell::default(),
             peers: RefCell::default(),
             listed: Cell::new(false),
             questions: RefCell::default(),
@@ -152,8 +156,9 @@
 
     /// Counts the other entries' work at the backend servers.
     pub(crate) fn share_loads(&self) {
-        let totals = self.peers.borrow().totals();
-        self.fleet.borrow_mut().note_others(&totals);
+        let peers = self.peers.borrow();
+        self.fleet.borrow_mut().note_others(&peers.totals());
+        self.links.borrow_mut().note_others(peers.link_totals());
     }
 
     /// Notes that a backend server failed a request.
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clementine_decide::ids::EntryId;
-use clementine_decide::peers::{BackendLoad, BackendTag, PeerMessage, PeerNews};
+use clementine_decide::peers::{BackendLoad, BackendTag, LinkLoad, PeerMessage, PeerNews};
 use clementine_platform::store::StoreError;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
@@ -136,6 +136,16 @@
         }
     }
 
+    fn links(&self) -> Vec<LinkLoad> {
+        let links = self.hub.links.borrow();
+        let used = links.own(self.hub.now()).filter(|(_, bytes_per_ms)| *bytes_per_ms >= 1.0);
+        let loads = used.map(|(link, bytes_per_ms)| {
+            let (a, b) = link.ends();
+            LinkLoad { a: a.clone(), b: b.clone(), bytes_per_ms }
+        });
+        loads.collect()
+    }
+
     fn message(&self) -> PeerMessage {
         let fleet = self.hub.fleet.borrow();
         let busy = fleet.iter().filter(|member| member.in_flight > 0);
@@ -150,6 +160,7 @@
             number: self.number,
             leaving: self.hub.drain.is_draining(),
             loads: loads.collect(),
+            links: self.links(),
         }
     }
 }
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -19,7 +19,7 @@
 use crate::hub::Hub;
 
 /// Tokens of context that an engine keeps room for beside its layers.
-const CONTEXT_TOKENS: f64 = 60_000.0;
+const CONTEXT_TOKENS: f64 = 85_000.0;
 /// Pause between two looks at an engine that loads.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
 /// Multiple of the usual load time after which an order counts as lost.
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -5,7 +5,7 @@
 
 use clementine_decide::fleet::EngineSpec;
 use clementine_decide::ids::{BackendId, DomainId};
-use clementine_decide::paths::{Demand, Leg, cheapest_path};
+use clementine_decide::paths::{Demand, Leg, Link, PathSearch, Stop, link_bytes};
 use clementine_platform::requests::PromptSize;
 
 use crate::hub::{Hub, Job, Reservation};
@@ -52,7 +52,12 @@
 ) -> Option<StreamRoute> {
     let demand = demand(engine, job.req.prompt, events_sent);
     let stops = hub.fleet.borrow().stops(&job.pool, engine, hub.now(), avoid);
-    let path = cheapest_path(engine, &stops, demand)?;
+    let links = hub.links.borrow();
+    let search =
+        PathSearch { spec: engine, stops: &stops, links: &links, demand, now: hub.now() };
+    let path = search.cheapest()?;
+    drop(links);
+    note_links(hub, engine, &stops, &path, demand);
     let first = path.first()?;
     let (id, address) = (first.id.clone(), first.address);
     let backends = path.iter().map(|leg| leg.id.clone()).collect();
@@ -60,6 +65,18 @@
     Some(StreamRoute { first: id, address, path, _reservation: reservation })
 }
 
+/// Counts the request at the links between failure domains that it passes.
+fn note_links(hub: &Hub, engine: &EngineSpec, stops: &[Stop], path: &[Leg], demand: Demand) {
+    let domain = |leg: &Leg| stops.iter().find(|stop| stop.id == leg.id).map(|stop| &stop.domain);
+    let mut links = hub.links.borrow_mut();
+    for hop in path.windows(2) {
+        let (Some(a), Some(b)) = (domain(&hop[0]), domain(&hop[1])) else { continue };
+        if a != b {
+            links.add(Link::between(a, b), link_bytes(engine, demand), hub.now());
+        }
+    }
+}
+
 fn to_plain_server(hub: &Rc<Hub>, job: &Job, avoid: &[BackendId]) -> Option<StreamRoute> {
     let fleet = hub.fleet.borrow();
     let mut rng = hub.rng.borrow_mut();
