--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -34,6 +34,10 @@
 /// The same share where no path stays below it.
 const LINK_SHARE_AT_WORST: f64 = 0.6;
 
+/// Time on a link above which a request stays within a failure domain as long
+/// as one has room, in ms: meanwhile the tokens of all others wait.
+const LONGEST_TRANSFER_MS: f64 = 30.0;
+
 /// A search for the path of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct PathSearch<'a> {
@@ -57,7 +61,11 @@
     /// ends, one for each failure domain, since the next hop's time depends on
     /// it.
     pub fn cheapest(&self) -> Option<Vec<Leg>> {
-        self.cheapest_within(LINK_SHARE).or_else(|| self.cheapest_within(LINK_SHARE_AT_WORST))
+        let transfer_ms =
+            link_bytes(self.spec, self.demand) / self.spec.domain_link_bytes_per_ms.max(1.0);
+        let near = if transfer_ms > LONGEST_TRANSFER_MS { self.cheapest_within(0.0) } else { None };
+        near.or_else(|| self.cheapest_within(LINK_SHARE))
+            .or_else(|| self.cheapest_within(LINK_SHARE_AT_WORST))
     }
 
     fn cheapest_within(&self, link_share: f64) -> Option<Vec<Leg>> {
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -17,6 +17,8 @@
     pub(super) address: SocketAddr,
     /// Engines that the request passes through; empty for a plain server.
     pub(super) path: Vec<Leg>,
+    /// Links between failure domains that the request passes.
+    pub(super) crossings: usize,
     /// Counts the work as long as the run lasts.
     _reservation: Reservation,
 }
@@ -57,24 +59,34 @@
         PathSearch { spec: engine, stops: &stops, links: &links, demand, now: hub.now() };
     let path = search.cheapest()?;
     drop(links);
-    note_links(hub, engine, &stops, &path, demand);
+    let crossings = note_links(hub, engine, &stops, &path, demand);
     let first = path.first()?;
     let (id, address) = (first.id.clone(), first.address);
     let backends = path.iter().map(|leg| leg.id.clone()).collect();
     let reservation = Reservation::new(hub, backends, demand.prompt + demand.answer);
-    Some(StreamRoute { first: id, address, path, _reservation: reservation })
+    Some(StreamRoute { first: id, address, path, crossings, _reservation: reservation })
 }
 
-/// Counts the request at the links between failure domains that it passes.
-fn note_links(hub: &Hub, engine: &EngineSpec, stops: &[Stop], path: &[Leg], demand: Demand) {
+/// Counts the request at the links between failure domains that it passes, and
+/// gives their number.
+fn note_links(
+    hub: &Hub,
+    engine: &EngineSpec,
+    stops: &[Stop],
+    path: &[Leg],
+    demand: Demand,
+) -> usize {
     let domain = |leg: &Leg| stops.iter().find(|stop| stop.id == leg.id).map(|stop| &stop.domain);
     let mut links = hub.links.borrow_mut();
+    let mut crossings = 0;
     for hop in path.windows(2) {
         let (Some(a), Some(b)) = (domain(&hop[0]), domain(&hop[1])) else { continue };
         if a != b {
             links.add(Link::between(a, b), link_bytes(engine, demand), hub.now());
+            crossings += 1;
         }
     }
+    crossings
 }
 
 fn to_plain_server(hub: &Rc<Hub>, job: &Job, avoid: &[BackendId]) -> Option<StreamRoute> {
@@ -84,7 +96,7 @@
     let (id, address) = (member.backend.id.clone(), member.backend.address);
     drop((fleet, rng));
     let reservation = Reservation::new(hub, vec![id.clone()], 0.0);
-    Some(StreamRoute { first: id, address, path: Vec::new(), _reservation: reservation })
+    Some(StreamRoute { first: id, address, path: Vec::new(), crossings: 0, _reservation: reservation })
 }
 
 /// What a request needs: its prompt, and the answer that is still to come.
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -46,6 +46,8 @@
         runs: 0,
         refused: 0,
         lost: 0,
+        legs: 0,
+        crossings: 0,
         avoid: Vec::new(),
         failure: None,
     };
@@ -84,6 +86,9 @@
     refused: u32,
     /// Runs that ended with one of their engines.
     lost: u32,
+    /// Engines of the last run, and links between failure domains it passed.
+    legs: usize,
+    crossings: usize,
     /// Backend servers to avoid in further runs.
     avoid: Vec<BackendId>,
     /// Last failure that a backend server answered with.
@@ -98,6 +103,7 @@
             let Some(route) = route else {
                 return Ok(self.give_up("no-path"));
             };
+            (self.legs, self.crossings) = (route.path.len(), route.crossings);
             let reason = match self.run(conn, &route).await? {
                 Next::End(end) => return Ok(end),
                 Next::Again(reason) => reason,
@@ -285,7 +291,7 @@
         let first = self.progress.first_at.map(|at| (at - job.arrived).as_millis());
         info!(
             "stream: id={} route={} outcome={} runs={} refused_sends={} events={} first_ms={:?} \
-             longest_pause_ms={} after_ms={}",
+             longest_pause_ms={} legs={} crossings={} after_ms={}",
             job.req.id,
             job.rule.name,
             outcome,
@@ -294,6 +300,8 @@
             self.progress.events,
             first,
             self.progress.longest_pause.as_millis(),
+            self.legs,
+            self.crossings,
             job.age_ms()
         );
     }
