--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -4,7 +4,7 @@
 
 use super::{Demand, Leg, Link, LinkUse, Stop};
 use crate::fleet::EngineSpec;
-use crate::ids::Tick;
+use crate::ids::{BackendId, Tick};
 
 /// Wait for the pass under way at a stage, as a share of a pass.
 const PASS_WAIT: f64 = 0.5;
@@ -49,6 +49,8 @@
     pub links: &'a LinkUse,
     /// What the request needs.
     pub demand: Demand,
+    /// Engines that the path may begin with; all where there are none.
+    pub first: &'a [BackendId],
     /// The present.
     pub now: Tick,
 }
@@ -92,7 +94,7 @@
             }
             for &stop in usable {
                 let range = self.stops[stop].layers;
-                if !range.contains(from) {
+                if !range.contains(from) || (from == 0 && !self.may_begin(stop)) {
                     continue;
                 }
                 let arrival = self.arrival(&ways[from as usize], from, stop, link_share);
@@ -106,6 +108,10 @@
         walk_back(layers, &ways)
     }
 
+    fn may_begin(&self, stop: usize) -> bool {
+        self.first.is_empty() || self.first.contains(&self.stops[stop].id)
+    }
+
     /// The best way to hand the request over to a stop: its index and its cost
     /// with the hop.
     fn arrival(
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -10,6 +10,18 @@
 
 use crate::hub::{Hub, Job, Reservation};
 
+/// What the next run of a stream asks of its route.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wish<'a> {
+    /// Events that the caller has.
+    pub(super) events: u64,
+    /// Backend servers to avoid, if that leaves a route.
+    pub(super) avoid: &'a [BackendId],
+    /// Backend servers that the request may be sent to; all where there are
+    /// none.
+    pub(super) first: &'a [BackendId],
+}
+
 /// Where one run of a stream goes.
 pub(super) struct StreamRoute {
     /// Backend server that the request is sent to.
@@ -26,20 +38,15 @@
 impl StreamRoute {
     /// Chooses a route that avoids some backend servers, or none if that
     /// leaves no route.
-    pub(super) fn choose(
-        hub: &Rc<Hub>,
-        job: &Job,
-        events_sent: u64,
-        avoid: &[BackendId],
-    ) -> Option<Self> {
+    pub(super) fn choose(hub: &Rc<Hub>, job: &Job, wish: Wish<'_>) -> Option<Self> {
         let table = hub.table()?;
         let engine = table.pools.get(&job.pool)?.engine.clone();
         let route = match engine.filter(|engine| engine.layers > 0) {
-            Some(engine) => through_engines(hub, job, &engine, events_sent, avoid),
-            None => to_plain_server(hub, job, avoid),
+            Some(engine) => through_engines(hub, job, &engine, wish),
+            None => to_plain_server(hub, job, wish.avoid),
         };
-        if route.is_none() && !avoid.is_empty() {
-            return Self::choose(hub, job, events_sent, &[]);
+        if route.is_none() && !wish.avoid.is_empty() {
+            return Self::choose(hub, job, Wish { avoid: &[], ..wish });
         }
         route
     }
@@ -49,14 +56,19 @@
     hub: &Rc<Hub>,
     job: &Job,
     engine: &Rc<EngineSpec>,
-    events_sent: u64,
-    avoid: &[BackendId],
+    wish: Wish<'_>,
 ) -> Option<StreamRoute> {
-    let demand = demand(engine, job.req.prompt, events_sent);
-    let stops = hub.fleet.borrow().stops(&job.pool, engine, hub.now(), avoid);
+    let demand = demand(engine, job.req.prompt, wish.events);
+    let stops = hub.fleet.borrow().stops(&job.pool, engine, hub.now(), wish.avoid);
     let links = hub.links.borrow();
-    let search =
-        PathSearch { spec: engine, stops: &stops, links: &links, demand, now: hub.now() };
+    let search = PathSearch {
+        spec: engine,
+        stops: &stops,
+        links: &links,
+        demand,
+        first: wish.first,
+        now: hub.now(),
+    };
     let path = search.cheapest()?;
     drop(links);
     let crossings = note_links(hub, engine, &stops, &path, demand);
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{Opened, open};
 use super::relay::{Progress, Relayed, Waits, relay};
-use super::route::{StreamRoute, describe};
+use super::route::{StreamRoute, Wish, describe};
 use super::watchdog::{Pulse, watch};
 use crate::callers::{Refusal, refuse};
 use crate::engines::check_backend;
@@ -48,6 +48,7 @@
         lost: 0,
         legs: 0,
         crossings: 0,
+        sent_to: Vec::new(),
         avoid: Vec::new(),
         failure: None,
     };
@@ -89,6 +90,8 @@
     /// Engines of the last run, and links between failure domains it passed.
     legs: usize,
     crossings: usize,
+    /// Backend servers that the request has been sent to and may have run on.
+    sent_to: Vec<BackendId>,
     /// Backend servers to avoid in further runs.
     avoid: Vec<BackendId>,
     /// Last failure that a backend server answered with.
@@ -98,9 +101,7 @@
 impl Stream<'_> {
     async fn to_end(&mut self, conn: &mut ServerConn) -> io::Result<End> {
         loop {
-            let route =
-                StreamRoute::choose(self.hub, self.job, self.progress.events, &self.avoid);
-            let Some(route) = route else {
+            let Some(route) = self.choose() else {
                 return Ok(self.give_up("no-path"));
             };
             (self.legs, self.crossings) = (route.path.len(), route.crossings);
@@ -118,10 +119,24 @@
         }
     }
 
+    fn choose(&self) -> Option<StreamRoute> {
+        let fleet = self.hub.fleet.borrow();
+        let alive = |id: &&BackendId| fleet.get(id).is_some_and(|member| !member.is_down());
+        let sent_to: Vec<BackendId> = self.sent_to.iter().filter(alive).cloned().collect();
+        drop(fleet);
+        let all_used = sent_to.len() >= self.job.rule.max_attempts as usize;
+        let first = if all_used { sent_to } else { Vec::new() };
+        let wish = Wish { events: self.progress.events, avoid: &self.avoid, first: &first };
+        StreamRoute::choose(self.hub, self.job, wish)
+    }
+
     /// Makes one run, until it ends or one of its engines is down.
     async fn run(&mut self, conn: &mut ServerConn, route: &StreamRoute) -> io::Result<Next> {
         let (hub, job) = (self.hub, self.job);
         let pulse = Pulse::start();
+        if !self.sent_to.contains(&route.first) {
+            self.sent_to.push(route.first.clone());
+        }
         let lost = tokio::select! {
             next = self.run_unwatched(conn, route, &pulse) => return next,
             lost = watch(hub, job, route, &pulse) => lost,
@@ -169,11 +184,13 @@
             }
             Opened::NotSent => {
                 self.refused += 1;
+                self.sent_to.retain(|id| *id != route.first);
                 self.blame(&route.first, "no-connection");
                 Ok(Next::Again("no-connection"))
             }
             Opened::NotRun(at_fault) => {
                 self.refused += 1;
+                self.sent_to.retain(|id| *id != route.first);
                 let found = at_fault.and_then(|at| self.hub.fleet.borrow().at(at).cloned());
                 self.blame(found.as_ref().unwrap_or(&route.first), "refused");
                 Ok(Next::Again("refused"))
