--- a/crates/decide/src/lease/watch.rs
+++ b/crates/decide/src/lease/watch.rs
@@ -36,7 +36,7 @@
 
 impl Default for LeaseLimits {
     fn default() -> Self {
-        Self { time_to_live: Millis(5_000), act_for: Millis(3_500) }
+        Self { time_to_live: Millis(3_500), act_for: Millis(2_800) }
     }
 }
 
@@ -76,6 +76,18 @@
         self.held.filter(|(_, until)| now < *until).map(|(term, _)| term)
     }
 
+    /// The renewal of a lease that is held, which needs no reading before.
+    pub fn renewal(&self, now: Tick) -> Option<LeaseStep> {
+        let term = self.term(now)?;
+        let (version, _) = self.seen?;
+        Some(self.write(version, term))
+    }
+
+    /// Notes that the row is not as this process last saw it.
+    pub const fn note_conflict(&mut self) {
+        self.held = None;
+    }
+
     /// Takes in the row as it was read, or that there is none.
     pub fn note_row(&mut self, read: Option<(u64, &LeaseRow)>, now: Tick) -> LeaseStep {
         let Some((version, row)) = read else {
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -37,6 +37,8 @@
     pub number: u64,
     /// Whether the process is stopping and takes no more callers.
     pub leaving: bool,
+    /// Whether the process holds the planner's lease.
+    pub plans: bool,
     /// Work at each backend server where there is any. One that is not named
     /// has none.
     pub loads: Vec<BackendLoad>,
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -66,6 +66,12 @@
         1 + self.peers.values().filter(|peer| !peer.last.leaving).count()
     }
 
+    /// Whether some other entry says that it holds the planner's lease.
+    pub fn has_planner(&self, now: Tick) -> bool {
+        let heard = |peer: &Peer| now.since(peer.heard_at) < ALIVE_FOR;
+        self.peers.values().any(|peer| peer.last.plans && heard(peer))
+    }
+
     /// Use of the links between failure domains by all other entries, in bytes
     /// per ms.
     pub fn link_totals(&self) -> HashMap<Link, f64> {
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -10,8 +10,10 @@
 use crate::hub::Hub;
 
 /// Time for which the store may hold a question for changes. A connection that
-/// has gone silent is noticed only after it.
-const FEED_WAIT: Duration = Duration::from_millis(2_000);
+/// has gone silent meanwhile is noticed by its keep-alive probes.
+const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Pause after changes, in which more of them come together.
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// First and longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
@@ -31,7 +33,10 @@
     let mut reached = true;
     loop {
         match step(&hub.store, table, &mut version, view).await {
-            Ok(()) => {
+            Ok(changed) => {
+                if changed {
+                    sleep(GATHER_PAUSE).await;
+                }
                 if !reached {
                     info!("store: table `{}` is followed again at version {:?}", table, version);
                 }
@@ -51,28 +56,30 @@
     }
 }
 
+/// Makes one call; tells whether anything has changed.
 async fn step(
     store: &StoreClient,
     table: &str,
     version: &mut Option<u64>,
     view: &mut impl TableView,
-) -> Result<(), StoreError> {
+) -> Result<bool, StoreError> {
     let Some(after) = *version else {
         let snapshot = store.read(table, "").await?;
         *version = Some(snapshot.version);
         view.note_snapshot(snapshot);
-        return Ok(());
+        return Ok(true);
     };
     match store.feed(table, after, FEED_WAIT).await {
         Ok(feed) => {
             *version = Some(feed.version.max(after));
+            let changed = !feed.rows.is_empty();
             view.note_changes(feed);
-            Ok(())
+            Ok(changed)
         }
         Err(StoreError::HistoryGone) => {
             info!("store: the history of table `{}` after {} is gone", table, after);
             *version = None;
-            Ok(())
+            Ok(false)
         }
         Err(error) => Err(error),
     }
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -42,6 +42,8 @@
     pub(crate) links: RefCell<LinkUse>,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
+    /// Whether this process holds the planner's lease.
+    pub(crate) plans: Cell<bool>,
     /// Whether the list of backend servers has been read.
     pub(crate) listed: Cell<bool>,
     /// Backend servers that are being asked for their report.
@@ -72,6 +74,7 @@
             fleet: RefCell::default(),
             links: RefCell::default(),
             peers: RefCell::default(),
+            plans: Cell::new(false),
             listed: Cell::new(false),
             questions: RefCell::default(),
             losses: Notify::new(),
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -158,6 +158,7 @@
             from: self.hub.settings.entry.clone(),
             incarnation: self.hub.incarnation,
             number: self.number,
+            plans: self.hub.plans.get(),
             leaving: self.hub.drain.is_draining(),
             loads: loads.collect(),
             links: self.links(),
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -17,11 +17,12 @@
 /// Key of the planner's lease.
 const PLANNER_KEY: &str = "planner";
 /// Pause between two renewals, or two looks at another holder's row.
-const LEASE_PAUSE: Duration = Duration::from_millis(1_500);
+const LEASE_PAUSE: Duration = Duration::from_millis(1_100);
 /// Pause between two looks at the plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Plans whenever this process holds the lease, until it is to stop.
+/// Plans whenever this process holds the lease, until it is to stop. While
+/// another entry says that it holds the lease, the row is left alone.
 pub(crate) async fn plan_while_holder(hub: Rc<Hub>) {
     let mut watch =
         LeaseWatch::new(LeaseLimits::default(), hub.settings.entry.clone(), hub.incarnation);
@@ -29,7 +30,8 @@
     let mut look_at = Instant::now();
     let mut was_holder = false;
     while !hub.drain.is_draining() {
-        if Instant::now() >= look_at {
+        let settled = hub.peers.borrow().has_planner(hub.now()) && !hub.plans.get();
+        if Instant::now() >= look_at && !settled {
             if let Err(error) = look(&hub, &mut watch).await {
                 warn!("planner: the lease can't be read or written: {}", error);
             }
@@ -37,6 +39,7 @@
             look_at = Instant::now() + LEASE_PAUSE.mul_f64(spread);
         }
         let term = watch.term(hub.now());
+        hub.plans.set(term.is_some());
         if term.is_some() != was_holder {
             was_holder = term.is_some();
             info!("planner: lease {} term={:?}", if was_holder { "held" } else { "lost" }, term);
@@ -53,21 +56,26 @@
 }
 
 async fn look(hub: &Hub, watch: &mut LeaseWatch) -> Result<(), StoreError> {
-    let snapshot = hub.store.read(LEASE_TABLE, "").await?;
-    let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
-    let read = row.and_then(decode);
-    let step = watch.note_row(read.as_ref().map(|(version, row)| (*version, row)), hub.now());
+    let step = match watch.renewal(hub.now()) {
+        Some(step) => step,
+        None => read_row(hub, watch).await?,
+    };
     let LeaseStep::Write { version, row } = step else { return Ok(()) };
     let sent = hub.now();
     match write(hub, version, &row).await {
-        Ok(written) => {
-            watch.note_written(written, row.term, sent);
-            Ok(())
-        }
+        Ok(written) => watch.note_written(written, row.term, sent),
         // Another process was quicker.
-        Err(StoreError::Conflict { .. }) => Ok(()),
-        Err(error) => Err(error),
+        Err(StoreError::Conflict { .. }) => watch.note_conflict(),
+        Err(error) => return Err(error),
     }
+    Ok(())
+}
+
+async fn read_row(hub: &Hub, watch: &mut LeaseWatch) -> Result<LeaseStep, StoreError> {
+    let snapshot = hub.store.read(LEASE_TABLE, "").await?;
+    let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
+    let read = row.and_then(decode);
+    Ok(watch.note_row(read.as_ref().map(|(version, row)| (*version, row)), hub.now()))
 }
 
 fn decode(row: &Row) -> Option<(u64, LeaseRow)> {
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -10,6 +10,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Pause between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which the connection counts as lost.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Time for which sent bytes may stay unacknowledged before the connection
 /// counts as lost.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
@@ -18,7 +20,10 @@
 pub(crate) fn prepare(io: &TcpStream) -> io::Result<()> {
     io.set_nodelay(true)?;
     let socket = SockRef::from(io);
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
