--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -37,6 +37,11 @@
     pub number: u64,
     /// Whether the process is stopping and takes no more callers.
     pub leaving: bool,
+    /// Version of the newest change of the configuration that is known.
+    pub config_newest: u64,
+    /// Version of the newest change of the list of backend servers that is
+    /// known.
+    pub list_newest: u64,
     /// Whether the process holds the planner's lease.
     pub plans: bool,
     /// Work at each backend server where there is any. One that is not named
--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -20,7 +20,7 @@
 /// Follows the list of backend servers until the process ends.
 pub(crate) async fn follow_backends(hub: Rc<Hub>) {
     let mut view = BackendsView { hub: Rc::clone(&hub), missing: HashMap::new() };
-    follow(&hub, BACKENDS_TABLE, &mut view).await;
+    follow(&hub, BACKENDS_TABLE, &hub.list_followed, &mut view).await;
 }
 
 struct BackendsView {
--- a/crates/direct/src/follow/config.rs
+++ b/crates/direct/src/follow/config.rs
@@ -12,7 +12,7 @@
 /// Follows the configuration until the process ends.
 pub(crate) async fn follow_config(hub: Rc<Hub>) {
     let mut view = ConfigView { hub: Rc::clone(&hub) };
-    follow(&hub, CONFIG_TABLE, &mut view).await;
+    follow(&hub, CONFIG_TABLE, &hub.config_followed, &mut view).await;
 }
 
 struct ConfigView {
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
-use clementine_platform::store::{Feed, Snapshot, StoreClient, StoreError};
+use clementine_platform::store::{Feed, Row, Snapshot, StoreError};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::hub::Hub;
+use crate::hub::{Followed, Hub};
 
-/// Time for which the store may hold a question for changes. A connection that
-/// has gone silent meanwhile is noticed by its keep-alive probes.
+/// Time for which the store may hold a question for changes. That a question
+/// has gone silent is learned from the other entries, which know of changes
+/// that it should have brought.
 const FEED_WAIT: Duration = Duration::from_secs(10);
+/// The same time for the entry that holds the planner's lease, so that one
+/// entry notices soon when all questions have gone silent.
+const PLANNER_FEED_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after changes, in which more of them come together.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// First and longest pause after a call that failed.
@@ -27,12 +31,17 @@
 }
 
 /// Follows a table until the process ends.
-pub(super) async fn follow(hub: &Hub, table: &str, view: &mut impl TableView) {
+pub(super) async fn follow(
+    hub: &Hub,
+    table: &str,
+    followed: &Followed,
+    view: &mut impl TableView,
+) {
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut reached = true;
     loop {
-        match step(&hub.store, table, &mut version, view).await {
+        match step(hub, table, followed, &mut version, view).await {
             Ok(changed) => {
                 if changed {
                     sleep(GATHER_PAUSE).await;
@@ -58,21 +67,29 @@
 
 /// Makes one call; tells whether anything has changed.
 async fn step(
-    store: &StoreClient,
+    hub: &Hub,
     table: &str,
+    followed: &Followed,
     version: &mut Option<u64>,
     view: &mut impl TableView,
 ) -> Result<bool, StoreError> {
     let Some(after) = *version else {
-        let snapshot = store.read(table, "").await?;
+        let snapshot = hub.store.read(table, "").await?;
         *version = Some(snapshot.version);
+        followed.advance(snapshot.version, newest(&snapshot.rows));
         view.note_snapshot(snapshot);
         return Ok(true);
     };
-    match store.feed(table, after, FEED_WAIT).await {
+    let wait = if hub.plans.get() { PLANNER_FEED_WAIT } else { FEED_WAIT };
+    let answer = tokio::select! {
+        answer = hub.store.feed(table, after, wait) => answer,
+        () = followed.asked_again() => return Ok(false),
+    };
+    match answer {
         Ok(feed) => {
             *version = Some(feed.version.max(after));
             let changed = !feed.rows.is_empty();
+            followed.advance(feed.version.max(after), newest(&feed.rows));
             view.note_changes(feed);
             Ok(changed)
         }
@@ -84,3 +101,7 @@
         Err(error) => Err(error),
     }
 }
+
+fn newest(rows: &[Row]) -> Option<u64> {
+    rows.iter().map(|row| row.version).max()
+}
--- a/crates/direct/src/hub/mod.rs
+++ b/crates/direct/src/hub/mod.rs
@@ -1,9 +1,13 @@
 //! What the parts of the process share.
 
+mod followed;
 mod job;
 mod reservation;
+mod retries;
 mod state;
 
+pub(crate) use followed::Followed;
 pub(crate) use job::Job;
 pub(crate) use reservation::Reservation;
+pub(crate) use retries::{Retries, RetryFor};
 pub(crate) use state::Hub;
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -10,7 +10,6 @@
 use clementine_decide::ids::{BackendId, IncarnationId, Tick};
 use clementine_decide::paths::LinkUse;
 use clementine_decide::peers::PeerView;
-use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::InstanceSettings;
@@ -23,9 +22,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Entries among which the shared retry budget is divided. More than usual,
-/// so that the budget holds also while some entries are being replaced.
-const ENTRIES_ASSUMED: f64 = 8.0;
+use super::{Followed, Retries};
 
 /// What the parts of the process share.
 #[derive(Debug)]
@@ -44,6 +41,10 @@
     pub(crate) peers: RefCell<PeerView>,
     /// Whether this process holds the planner's lease.
     pub(crate) plans: Cell<bool>,
+    /// How far the configuration is followed.
+    pub(crate) config_followed: Followed,
+    /// How far the list of backend servers is followed.
+    pub(crate) list_followed: Followed,
     /// Whether the list of backend servers has been read.
     pub(crate) listed: Cell<bool>,
     /// Backend servers that are being asked for their report.
@@ -53,7 +54,7 @@
     /// Requests in progress, and whether the process is stopping.
     pub(crate) drain: Drain,
     pub(crate) rng: RefCell<SmallRng>,
-    pub(crate) retries: RefCell<RetryBudget>,
+    pub(crate) retries: RefCell<Retries>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     stopping_since: Cell<Option<Instant>>,
 }
@@ -63,9 +64,6 @@
         let mut rng = SmallRng::try_from_rng(&mut rand::rngs::SysRng)
             .unwrap_or_else(|_| SmallRng::seed_from_u64(u64::from(std::process::id())));
         let codec = ServerConn::codec_config();
-        let bounds = settings.bounds;
-        let reserve = (bounds.retry_reserve / ENTRIES_ASSUMED).max(1.0);
-        let limits = RetryBudgetLimits { share: bounds.retry_share, reserve };
         Self {
             incarnation: IncarnationId(rng.random()),
             clock: Clock::start(),
@@ -75,12 +73,14 @@
             links: RefCell::default(),
             peers: RefCell::default(),
             plans: Cell::new(false),
+            config_followed: Followed::default(),
+            list_followed: Followed::default(),
             listed: Cell::new(false),
             questions: RefCell::default(),
             losses: Notify::new(),
             drain: Drain::default(),
             rng: RefCell::new(rng),
-            retries: RefCell::new(RetryBudget::new(limits)),
+            retries: RefCell::new(Retries::new(settings.bounds)),
             table: RefCell::default(),
             stopping_since: Cell::new(None),
             settings,
@@ -160,6 +160,7 @@
     /// Counts the other entries' work at the backend servers.
     pub(crate) fn share_loads(&self) {
         let peers = self.peers.borrow();
+        self.retries.borrow_mut().note_entries(peers.serving());
         self.fleet.borrow_mut().note_others(&peers.totals());
         self.links.borrow_mut().note_others(peers.link_totals());
     }
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -108,6 +108,8 @@
             return;
         }
         self.others.insert(id.clone(), from);
+        self.hub.config_followed.note_elsewhere(message.config_newest);
+        self.hub.list_followed.note_elsewhere(message.list_newest);
         let now = self.hub.now();
         let news = self.hub.peers.borrow_mut().note(message, now);
         if news == PeerNews::Joined {
@@ -158,6 +160,8 @@
             from: self.hub.settings.entry.clone(),
             incarnation: self.hub.incarnation,
             number: self.number,
+            config_newest: self.hub.config_followed.newest(),
+            list_newest: self.hub.list_followed.newest(),
             plans: self.hub.plans.get(),
             leaving: self.hub.drain.is_draining(),
             loads: loads.collect(),
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -42,6 +42,8 @@
         hub.plans.set(term.is_some());
         if term.is_some() != was_holder {
             was_holder = term.is_some();
+            hub.config_followed.ask_again();
+            hub.list_followed.ask_again();
             info!("planner: lease {} term={:?}", if was_holder { "held" } else { "lost" }, term);
         }
         if let Some(term) = term {
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -20,7 +20,7 @@
 use super::watchdog::{Pulse, watch};
 use crate::callers::{Refusal, refuse};
 use crate::engines::check_backend;
-use crate::hub::{Hub, Job};
+use crate::hub::{Hub, Job, RetryFor};
 use crate::whole::{WholeAnswer, send_whole};
 
 /// When to come back where no engines have room.
@@ -267,7 +267,8 @@
         let may_repeat = self.runs == 0 || resumable;
         let runs_allowed = rule.max_attempts + self.lost.min(LOST_RUNS);
         let allowed = self.runs < runs_allowed && self.refused <= REFUSED_SENDS;
-        may_repeat && allowed && self.hub.retries.borrow_mut().try_retry()
+        let what = if self.started { RetryFor::Rest } else { RetryFor::Start };
+        may_repeat && allowed && self.hub.retries.borrow_mut().try_retry(&self.job.pool, what)
     }
 
     /// The end where no further run is made.
--- a/crates/direct/src/whole/serve.rs
+++ b/crates/direct/src/whole/serve.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::{Attempt, WholeAnswer, attempt};
 use crate::callers::{Refusal, refuse};
-use crate::hub::{Hub, Job, Reservation};
+use crate::hub::{Hub, Job, Reservation, RetryFor};
 
 /// When to come back where no backend server could take the request.
 const COME_BACK: Duration = Duration::from_millis(400);
@@ -176,7 +176,10 @@
         let rule = &self.job.rule;
         let may_run_again = self.runs == 0 || rule.kind.is_repeatable();
         let allowed = self.runs < rule.max_attempts && self.refused <= REFUSED_SENDS;
-        may_run_again && allowed && self.hub.retries.borrow_mut().try_retry()
+        if !may_run_again || !allowed {
+            return false;
+        }
+        self.hub.retries.borrow_mut().try_retry(&self.job.pool, RetryFor::Rest)
     }
 
     /// The answer where no further attempt is made.
