--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -16,8 +16,12 @@
 /// The same time for the entry that holds the planner's lease, so that one
 /// entry notices soon when all questions have gone silent.
 const PLANNER_FEED_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause after changes, in which more of them come together.
-const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// Least and longest pause after changes, in which more of them come together.
+const GATHER_AT_LEAST: Duration = Duration::from_millis(250);
+const GATHER_AT_MOST: Duration = Duration::from_millis(900);
+/// Pause after changes as a multiple of the time that they took on the
+/// instance's link, which callers share.
+const GATHER_FACTOR: f64 = 3.0;
 /// First and longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
@@ -43,8 +47,8 @@
     loop {
         match step(hub, table, followed, &mut version, view).await {
             Ok(changed) => {
-                if changed {
-                    sleep(GATHER_PAUSE).await;
+                if let Some(bytes) = changed {
+                    sleep(gather_pause(bytes, hub.settings.link_bytes_per_s)).await;
                 }
                 if !reached {
                     info!("store: table `{}` is followed again at version {:?}", table, version);
@@ -65,30 +69,31 @@
     }
 }
 
-/// Makes one call; tells whether anything has changed.
+/// Makes one call; gives the size of the changes, if there were any, in bytes.
 async fn step(
     hub: &Hub,
     table: &str,
     followed: &Followed,
     version: &mut Option<u64>,
     view: &mut impl TableView,
-) -> Result<bool, StoreError> {
+) -> Result<Option<usize>, StoreError> {
     let Some(after) = *version else {
         let snapshot = hub.store.read(table, "").await?;
         *version = Some(snapshot.version);
         followed.advance(snapshot.version, newest(&snapshot.rows));
+        let size = size(&snapshot.rows);
         view.note_snapshot(snapshot);
-        return Ok(true);
+        return Ok(Some(size));
     };
     let wait = if hub.plans.get() { PLANNER_FEED_WAIT } else { FEED_WAIT };
     let answer = tokio::select! {
         answer = hub.store.feed(table, after, wait) => answer,
-        () = followed.asked_again() => return Ok(false),
+        () = followed.gone_silent() => return Ok(None),
     };
     match answer {
         Ok(feed) => {
             *version = Some(feed.version.max(after));
-            let changed = !feed.rows.is_empty();
+            let changed = (!feed.rows.is_empty()).then(|| size(&feed.rows));
             followed.advance(feed.version.max(after), newest(&feed.rows));
             view.note_changes(feed);
             Ok(changed)
@@ -96,7 +101,7 @@
         Err(StoreError::HistoryGone) => {
             info!("store: the history of table `{}` after {} is gone", table, after);
             *version = None;
-            Ok(false)
+            Ok(None)
         }
         Err(error) => Err(error),
     }
@@ -105,3 +110,12 @@
 fn newest(rows: &[Row]) -> Option<u64> {
     rows.iter().map(|row| row.version).max()
 }
+
+fn size(rows: &[Row]) -> usize {
+    rows.iter().map(|row| row.value.len()).sum()
+}
+
+fn gather_pause(bytes: usize, link_bytes_per_s: f64) -> Duration {
+    let taken = Duration::from_secs_f64(bytes as f64 / link_bytes_per_s.max(1.0));
+    taken.mul_f64(GATHER_FACTOR).clamp(GATHER_AT_LEAST, GATHER_AT_MOST)
+}
--- a/crates/direct/src/hub/followed.rs
+++ b/crates/direct/src/hub/followed.rs
@@ -1,8 +1,10 @@
 //! How far this process has followed a table of the store.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// How far this process has followed a table of the store.
 ///
@@ -11,9 +13,16 @@
 pub(crate) struct Followed {
     position: Cell<u64>,
     newest: Cell<u64>,
-    behind: Notify,
+    /// Version of the newest change that some other entry knows.
+    elsewhere: Cell<u64>,
+    asked_again: Cell<bool>,
+    news: Notify,
 }
 
+/// Time for an answer to arrive on the slowest link when others have it.
+const ARRIVAL_TIME: Duration = Duration::from_millis(900);
+
+
 impl Followed {
     /// Notes that all changes up to a version of the store are known, and the
     /// version of the newest change among them.
@@ -27,21 +36,37 @@
         self.newest.get()
     }
 
-    /// Notes a change that another entry knows. If it is not known here, the
-    /// question under way has gone silent, and is asked again.
+    /// Notes a change that another entry knows.
     pub(crate) fn note_elsewhere(&self, newest: u64) {
-        if newest > self.position.get() {
-            self.behind.notify_one();
+        self.elsewhere.set(self.elsewhere.get().max(newest));
+        if self.is_behind() {
+            self.news.notify_one();
         }
     }
 
     /// Has the question under way asked again.
     pub(crate) fn ask_again(&self) {
-        self.behind.notify_one();
+        self.asked_again.set(true);
+        self.news.notify_one();
+    }
+
+    /// Waits until the question under way is to be asked again: at request, or
+    /// because it has not brought in time what another entry knows. An answer
+    /// that is just arriving is left the time to do so.
+    pub(crate) async fn gone_silent(&self) {
+        loop {
+            self.news.notified().await;
+            if self.asked_again.take() {
+                return;
+            }
+            sleep(ARRIVAL_TIME).await;
+            if self.is_behind() {
+                return;
+            }
+        }
     }
 
-    /// Waits until the question under way is to be asked again.
-    pub(crate) async fn asked_again(&self) {
-        self.behind.notified().await;
+    fn is_behind(&self) -> bool {
+        self.elsewhere.get() > self.position.get()
     }
 }
