--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -51,6 +51,9 @@
     pub demand: Demand,
     /// Engines that the path may begin with; all where there are none.
     pub first: &'a [BackendId],
+    /// Path on which the request runs already, if it does: its first leg stays,
+    /// and legs that stay have the request's context.
+    pub present: &'a [Leg],
     /// The present.
     pub now: Tick,
 }
@@ -73,7 +76,7 @@
     fn cheapest_within(&self, link_share: f64) -> Option<Vec<Leg>> {
         let stops = self.stops;
         let mut usable: Vec<usize> =
-            (0..stops.len()).filter(|at| has_room(&stops[*at], self.demand)).collect();
+            (0..stops.len()).filter(|at| self.has_room(&stops[*at])).collect();
         loop {
             let path = self.search(&usable, link_share)?;
             let Some(twice) = visited_twice(&path) else {
@@ -86,7 +89,7 @@
 
     fn search(&self, usable: &[usize], link_share: f64) -> Option<Vec<(usize, LayerRange)>> {
         let layers = self.spec.layers;
-        let cuts = cuts(layers, self.stops, usable);
+        let cuts = self.cuts(usable);
         let mut ways: Vec<Vec<Step>> = vec![Vec::new(); layers as usize + 1];
         for (at, &from) in cuts.iter().enumerate() {
             if from > 0 && ways[from as usize].is_empty() {
@@ -94,13 +97,16 @@
             }
             for &stop in usable {
                 let range = self.stops[stop].layers;
-                if !range.contains(from) || (from == 0 && !self.may_begin(stop)) {
+                if !range.contains(from) {
                     continue;
                 }
                 let arrival = self.arrival(&ways[from as usize], from, stop, link_share);
                 let Some((before, cost)) = arrival else { continue };
                 for &to in cuts[at + 1..].iter().take_while(|to| **to <= range.end()) {
-                    let cost = cost + self.stage_ms(&self.stops[stop], to - from);
+                    if from == 0 && !self.may_begin(stop, to) {
+                        continue;
+                    }
+                    let cost = cost + self.stage_ms(&self.stops[stop], from, to);
                     keep_best(self.stops, &mut ways[to as usize], Step { cost, stop, from, before });
                 }
             }
@@ -108,8 +114,39 @@
         walk_back(layers, &ways)
     }
 
-    fn may_begin(&self, stop: usize) -> bool {
-        self.first.is_empty() || self.first.contains(&self.stops[stop].id)
+    fn has_room(&self, stop: &Stop) -> bool {
+        let needed = self.demand.prompt + self.demand.answer;
+        let fits = stop.used_tokens + needed <= stop.capacity_tokens * MEMORY_SHARE;
+        fits || self.present.iter().any(|leg| leg.id == stop.id)
+    }
+
+    /// Layers at which a path may pass from one engine to another.
+    fn cuts(&self, usable: &[usize]) -> Vec<u32> {
+        let held = usable.iter().map(|stop| self.stops[*stop].layers);
+        let present = self.present.iter().map(|leg| leg.layers);
+        let ranges = held.chain(present);
+        let mut cuts: Vec<u32> = ranges.flat_map(|range| [range.first(), range.end()]).collect();
+        cuts.extend([0, self.spec.layers]);
+        cuts.retain(|cut| *cut <= self.spec.layers);
+        cuts.sort_unstable();
+        cuts.dedup();
+        cuts
+    }
+
+    /// Whether the request's context is at a stop's layers already.
+    fn has_context(&self, stop: &Stop, from: u32, to: u32) -> bool {
+        let stays = |leg: &Leg| {
+            leg.id == stop.id && leg.layers.first() == from && leg.layers.end() == to
+        };
+        self.present.iter().any(stays)
+    }
+
+    fn may_begin(&self, stop: usize, to: u32) -> bool {
+        let id = &self.stops[stop].id;
+        match self.present.first() {
+            Some(leg) => leg.id == *id && leg.layers.end() == to,
+            None => self.first.is_empty() || self.first.contains(id),
+        }
     }
 
     /// The best way to hand the request over to a stop: its index and its cost
@@ -132,10 +169,11 @@
         costs.min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// Expected time that the request spends on `count` layers of a stop, in ms.
-    fn stage_ms(&self, stop: &Stop, count: u32) -> f64 {
-        let share = self.spec.share(count);
-        let reading = self.demand.prompt * stop.read_ms_per_token * share;
+    /// Expected time that the request spends on layers of a stop, in ms.
+    fn stage_ms(&self, stop: &Stop, from: u32, to: u32) -> f64 {
+        let share = self.spec.share(to - from);
+        let unread = if self.has_context(stop, from, to) { 0.0 } else { self.demand.prompt };
+        let reading = unread * stop.read_ms_per_token * share;
         let writing = self.demand.answer * stop.step_ms * share * (1.0 + PASS_WAIT);
         let taken = stop.used_tokens / stop.capacity_tokens.max(1.0);
         (reading + writing) * (1.0 + MEMORY_WEIGHT * taken * taken)
@@ -163,10 +201,6 @@
     (demand.prompt + demand.answer) * spec.activation_bytes
 }
 
-fn has_room(stop: &Stop, demand: Demand) -> bool {
-    let needed = demand.prompt + demand.answer;
-    stop.used_tokens + needed <= stop.capacity_tokens * MEMORY_SHARE
-}
 
 fn leg(stop: &Stop, layers: LayerRange) -> Leg {
     Leg { id: stop.id.clone(), address: stop.address, layers }
@@ -177,17 +211,6 @@
     (0..path.len()).find(again).map(|at| path[at].0)
 }
 
-/// Layers at which a path may pass from one engine to another.
-fn cuts(layers: u32, stops: &[Stop], usable: &[usize]) -> Vec<u32> {
-    let ranges = usable.iter().map(|stop| stops[*stop].layers);
-    let mut cuts: Vec<u32> = ranges.flat_map(|range| [range.first(), range.end()]).collect();
-    cuts.extend([0, layers]);
-    cuts.retain(|cut| *cut <= layers);
-    cuts.sort_unstable();
-    cuts.dedup();
-    cuts
-}
-
 fn keep_best(stops: &[Stop], ways: &mut Vec<Step>, step: Step) {
     let domain = &stops[step.stop].domain;
     match ways.iter_mut().find(|way| stops[way.stop].domain == *domain) {
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use clementine_http1::Exchange;
-use clementine_platform::engines::{EngineReport, OrderAnswer, PlaceOrder, report_request};
+use actix_http::RequestHead;
 use bytes::Bytes;
+use clementine_http1::Exchange;
+use clementine_platform::engines::{
+    EngineReport, OrderAnswer, PlaceOrder, RepathOrder, report_request,
+};
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
 use tokio::time::timeout;
@@ -45,16 +48,32 @@
     timeout(limit, call).await.map_err(failed)?
 }
 
-/// Gives an engine an order.
-pub(crate) async fn give_order(
+/// Has an engine hold layers.
+pub(crate) async fn place_layers(
+    hub: &Hub,
+    engine: SocketAddr,
+    order: &PlaceOrder,
+) -> Result<OrderAnswer, CallError> {
+    give_order(hub, engine, order.request(engine).map_err(failed)?).await
+}
+
+/// Moves a request to another path, of which an engine is the first.
+pub(crate) async fn change_path(
+    hub: &Hub,
+    engine: SocketAddr,
+    order: &RepathOrder,
+) -> Result<OrderAnswer, CallError> {
+    give_order(hub, engine, order.request(engine).map_err(failed)?).await
+}
+
+async fn give_order(
     hub: &Hub,
     engine: SocketAddr,
-    order: PlaceOrder,
+    (head, body): (RequestHead, Bytes),
 ) -> Result<OrderAnswer, CallError> {
     let call = async {
         let connected = Exchange::connect(engine, CALL_LIMIT, &hub.codec).await;
         let mut exchange = connected.map_err(failed)?;
-        let (head, body) = order.request(engine).map_err(failed)?;
         exchange.queue(head, body).map_err(failed)?;
         let head = exchange.read_head().await.map_err(failed)?;
         Ok(OrderAnswer::from(head.status))
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::engines::{CALL_LIMIT, ask_report, give_order};
+use crate::engines::{CALL_LIMIT, ask_report, place_layers};
 use crate::hub::Hub;
 
 /// Tokens of context that an engine keeps room for beside its layers.
@@ -122,7 +122,7 @@
         }
         let order =
             PlaceOrder { layers: self.step.layers, after_orders: report.orders, term: self.term };
-        let answer = give_order(&self.hub, self.address, order).await;
+        let answer = place_layers(&self.hub, self.address, &order).await;
         info!(
             "planner: order backend={} layers={} after_orders={} term={} urgent={} answer={:?}",
             id, order.layers, order.after_orders, order.term, self.step.urgent, answer
--- a/crates/direct/src/streams/attempt.rs
+++ b/crates/direct/src/streams/attempt.rs
@@ -1,10 +1,10 @@
 //! One run of a stream.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 
 use clementine_http1::Exchange;
 use clementine_platform::requests::{BackendAnswer, Ran, forward_head};
-use tokio::time::{Instant, timeout_at};
 
 use super::route::StreamRoute;
 use crate::hub::{Hub, Job};
@@ -25,31 +25,28 @@
     NotRun(Option<SocketAddr>),
     /// The request may have run; there is no answer that can be used.
     Lost(&'static str),
-    /// There was no answer in time.
-    Silent,
 }
 
 /// Sends a request and waits for the headers of the answer.
 pub(super) async fn open(
     hub: &Hub,
     job: &Job,
-    route: &StreamRoute,
+    route: &RefCell<StreamRoute>,
     last_event: Option<u64>,
-    limit: Instant,
 ) -> Opened {
     let connect_limit = CONNECT_LIMIT.min(job.left());
-    let Ok(mut exchange) = Exchange::connect(route.address, connect_limit, &hub.codec).await else {
+    let address = route.borrow().address;
+    let Ok(mut exchange) = Exchange::connect(address, connect_limit, &hub.codec).await else {
         return Opened::NotSent;
     };
-    let head = forward_head(&job.req, job.forward(&route.first, &route.path, last_event));
+    let head = {
+        let route = route.borrow();
+        forward_head(&job.req, job.forward(&route.first, &route.path, last_event))
+    };
     if exchange.queue(head, job.req.body.clone()).is_err() {
         return Opened::NotSent;
     }
-    let head = match timeout_at(limit, exchange.read_head()).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(_)) => return Opened::Lost("no-answer"),
-        Err(_) => return Opened::Silent,
-    };
+    let Ok(head) = exchange.read_head().await else { return Opened::Lost("no-answer") };
     let answer = BackendAnswer::new(head);
     if !answer.answers(&job.req.id) {
         return Opened::Lost("answer-to-another");
@@ -60,8 +57,8 @@
     if answer.is_success() {
         return Opened::Stream(answer, Box::new(exchange));
     }
-    match timeout_at(limit, exchange.read_body(FAILURE_LIMIT)).await {
-        Ok(Ok(body)) if may_pass_on(&answer) => {
+    match exchange.read_body(FAILURE_LIMIT).await {
+        Ok(body) if may_pass_on(&answer) => {
             let unframed = exchange.ends_with_connection();
             Opened::Failed(WholeAnswer { answer, body, unframed })
         }
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -36,13 +36,33 @@
 }
 
 impl StreamRoute {
+    /// All backend servers of the route.
+    pub(super) fn backends(&self) -> impl Iterator<Item = &BackendId> {
+        let plain = self.path.is_empty().then_some(&self.first);
+        self.path.iter().map(|leg| &leg.id).chain(plain)
+    }
+
+    /// The same route with its first engine, but around one that is down.
+    pub(super) fn around(
+        hub: &Rc<Hub>,
+        job: &Job,
+        route: &Self,
+        events_sent: u64,
+        down: &BackendId,
+    ) -> Option<Self> {
+        let table = hub.table()?;
+        let engine = table.pools.get(&job.pool)?.engine.clone()?;
+        let wish = Wish { events: events_sent, avoid: std::slice::from_ref(down), first: &[] };
+        through_engines(hub, job, &engine, wish, &route.path)
+    }
+
     /// Chooses a route that avoids some backend servers, or none if that
     /// leaves no route.
     pub(super) fn choose(hub: &Rc<Hub>, job: &Job, wish: Wish<'_>) -> Option<Self> {
         let table = hub.table()?;
         let engine = table.pools.get(&job.pool)?.engine.clone();
         let route = match engine.filter(|engine| engine.layers > 0) {
-            Some(engine) => through_engines(hub, job, &engine, wish),
+            Some(engine) => through_engines(hub, job, &engine, wish, &[]),
             None => to_plain_server(hub, job, wish.avoid),
         };
         if route.is_none() && !wish.avoid.is_empty() {
@@ -57,6 +77,7 @@
     job: &Job,
     engine: &Rc<EngineSpec>,
     wish: Wish<'_>,
+    present: &[Leg],
 ) -> Option<StreamRoute> {
     let demand = demand(engine, job.req.prompt, wish.events);
     let stops = hub.fleet.borrow().stops(&job.pool, engine, hub.now(), wish.avoid);
@@ -67,6 +88,7 @@
         links: &links,
         demand,
         first: wish.first,
+        present,
         now: hub.now(),
     };
     let path = search.cheapest()?;
--- a/crates/direct/src/streams/watchdog.rs
+++ b/crates/direct/src/streams/watchdog.rs
@@ -1,76 +1,92 @@
-//! Watches the engines of one run.
+//! Watches one run from outside.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
+use super::progress::Progress;
 use super::route::StreamRoute;
 use crate::engines::inspect_run;
 use crate::hub::{Hub, Job};
 
 /// Silence before the first event after which the run is inspected.
-const FIRST_QUIET: Duration = Duration::from_millis(350);
+const INSPECT_FIRST: Duration = Duration::from_millis(350);
 /// Silence between two events after which the run is inspected.
-const NEXT_QUIET: Duration = Duration::from_millis(160);
+const INSPECT_NEXT: Duration = Duration::from_millis(160);
+/// Silence before the first event after which another run is thought of.
+const SWITCH_FIRST: Duration = Duration::from_millis(1_200);
+/// Silence between two events after which another run is thought of.
+const SWITCH_NEXT: Duration = Duration::from_millis(700);
 
-/// When something last came of a run.
-#[derive(Debug)]
-pub(super) struct Pulse {
-    last: Cell<Instant>,
-    quiet: Cell<Duration>,
+/// Why a run needs help.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Trouble {
+    /// A backend server of the route is down.
+    Down(BackendId),
+    /// Nothing has come for long.
+    Silent,
 }
 
-impl Pulse {
-    pub(super) fn start() -> Self {
-        Self { last: Cell::new(Instant::now()), quiet: Cell::new(FIRST_QUIET) }
-    }
-
-    /// Notes an event.
-    pub(super) fn beat(&self) {
-        self.last.set(Instant::now());
-        self.quiet.set(NEXT_QUIET);
-    }
-
-    fn due(&self) -> Instant {
-        self.last.get() + self.quiet.get()
+impl Trouble {
+    /// A word for the log.
+    pub(super) const fn reason(&self) -> &'static str {
+        match self {
+            Self::Down(_) => "backend-down",
+            Self::Silent => "silent",
+        }
     }
 }
 
-/// Waits until an engine of a run is down, and gives that engine. Has the run
+/// Waits until a run needs help, not before a point in time. Has the run
 /// inspected whenever nothing has come of it for some time.
 pub(super) async fn watch(
     hub: &Rc<Hub>,
     job: &Job,
-    route: &StreamRoute,
-    pulse: &Pulse,
-) -> BackendId {
-    let mut wake_at = pulse.due();
+    route: &RefCell<StreamRoute>,
+    progress: &Progress,
+    not_before: Instant,
+) -> Trouble {
+    sleep_until(not_before).await;
+    let mut inspected_at = progress.last_at();
     loop {
-        if let Some(lost) = lost_engine(hub, route) {
-            return lost;
+        if let Some(down) = down_backend(hub, &route.borrow()) {
+            return Trouble::Down(down);
         }
+        let (inspect, switch) = limits(progress);
+        let switch_at = progress.last_at() + switch;
+        let inspect_at = progress.last_at().max(inspected_at) + inspect;
         tokio::select! {
             () = hub.losses.notified() => {}
-            () = sleep_until(wake_at) => {
-                if pulse.due() <= Instant::now() {
-                    let request = job.req.id.to_string();
-                    spawn_local(inspect_run(Rc::clone(hub), route.first.clone(), request));
-                    wake_at = Instant::now() + pulse.quiet.get();
-                } else {
-                    wake_at = pulse.due();
+            () = sleep_until(switch_at.min(inspect_at)) => {
+                let now = Instant::now();
+                if now >= progress.last_at() + switch {
+                    return Trouble::Silent;
+                }
+                if now >= progress.last_at() + inspect {
+                    inspected_at = now;
+                    let first = route.borrow().first.clone();
+                    spawn_local(inspect_run(Rc::clone(hub), first, job.req.id.to_string()));
                 }
             }
         }
     }
 }
 
-fn lost_engine(hub: &Hub, route: &StreamRoute) -> Option<BackendId> {
+fn limits(progress: &Progress) -> (Duration, Duration) {
+    if progress.run_has_events() {
+        (INSPECT_NEXT, SWITCH_NEXT)
+    } else {
+        (INSPECT_FIRST, SWITCH_FIRST)
+    }
+}
+
+fn down_backend(hub: &Hub, route: &StreamRoute) -> Option<BackendId> {
     let fleet = hub.fleet.borrow();
-    let legs = route.path.iter().map(|leg| &leg.id).chain([&route.first]);
-    let mut lost = legs.filter(|id| fleet.get(id).is_some_and(clementine_decide::fleet::Member::is_down));
-    lost.next().cloned()
+    let mut down = route.backends().filter(|id| fleet.get(id).is_some_and(Member::is_down));
+    down.next().cloned()
 }
