--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -57,11 +57,7 @@
     pub(super) runs: u32,
     /// Sends after which no run began.
     pub(super) refused: u32,
-    /// The same for a stream that the caller has begun to read.
-const REFUSED_RESUMES: u32 = 12;
-/// Silence after which callers give a stream up.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// Runs that ended with one of their engines.
+    /// Runs that ended with one of their engines.
     lost: u32,
     /// Changes of path within a run.
     pub(super) repaths: u32,
