--- a/crates/decide/src/placement/holder.rs
+++ b/crates/decide/src/placement/holder.rs
@@ -24,6 +24,8 @@
     pub id: BackendId,
     /// The layers, which replace those that it holds.
     pub layers: LayerRange,
+    /// Whether the engine holds other layers, which requests may be using.
+    pub replaces: bool,
     /// Whether a failure domain lacks some of the layers until then.
     pub urgent: bool,
 }
--- a/crates/decide/src/placement/plan.rs
+++ b/crates/decide/src/placement/plan.rs
@@ -118,7 +118,8 @@
         let from = from.min(self.layers - width);
         let Some(range) = LayerRange::half_open(from, from + width) else { return };
         self.count(range);
-        self.moves.push(Move { id: holder.id.clone(), layers: range, urgent });
+        let replaces = holder.held.is_some();
+        self.moves.push(Move { id: holder.id.clone(), layers: range, replaces, urgent });
     }
 }
 
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -6,9 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::fleet::{BackendState, EngineSpec, Fleet, Member};
-use clementine_decide::ids::{BackendId, PoolId};
-use clementine_decide::placement::{Holder, Move, Settling, plan_layers};
+use clementine_decide::fleet::{BackendState, CardSpec, EngineSpec, Fleet, Member};
+use clementine_decide::ids::{BackendId, DomainId, PoolId};
+use clementine_decide::placement::{
+    Holder, Move, Settling, context_beside_layers, plan_layers,
+};
 use clementine_objects::LayerRange;
 use clementine_platform::engines::{EngineReport, OrderAnswer, PlaceOrder};
 use spdlog::{info, warn};
@@ -18,8 +20,6 @@
 use crate::engines::{CALL_LIMIT, ask_report, place_layers};
 use crate::hub::Hub;
 
-/// Tokens of context that an engine keeps room for beside its layers.
-const CONTEXT_TOKENS: f64 = 85_000.0;
 /// Pause between two looks at an engine that loads.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
 /// Multiple of the usual load time after which an order counts as lost.
@@ -70,15 +70,24 @@
         let usable = |member: &&Member| {
             member.backend.state == BackendState::Ready && !member.is_down()
         };
+        let card = |member: &Member| engine.card(member.backend.card.as_ref()?);
+        let mut domains: HashMap<&DomainId, Vec<&CardSpec>> = HashMap::new();
+        for member in fleet.pool(pool).filter(usable) {
+            domains.entry(&member.backend.domain).or_default().extend(card(member));
+        }
+        let context: HashMap<&DomainId, f64> = domains
+            .iter()
+            .map(|(domain, cards)| (*domain, context_beside_layers(engine, cards.iter().copied())))
+            .collect();
         let pending = self.pending.borrow();
         let holder = |member: &Member| {
-            let card = engine.card(member.backend.card.as_ref()?)?;
             let id = member.backend.id.clone();
+            let tokens = context.get(&member.backend.domain).copied()?;
             Some(Holder {
                 held: pending.get(&id).copied().or(member.backend.layers),
                 id,
                 domain: member.backend.domain.clone(),
-                capacity: engine.layers_beside(card, CONTEXT_TOKENS),
+                capacity: engine.layers_beside(card(member)?, tokens),
             })
         };
         fleet.pool(pool).filter(usable).filter_map(holder).collect()
@@ -120,8 +129,12 @@
         if report.layers == Some(self.step.layers) && !report.busy {
             return self.note(&report);
         }
-        let order =
-            PlaceOrder { layers: self.step.layers, after_orders: report.orders, term: self.term };
+        let order = PlaceOrder {
+            layers: self.step.layers,
+            after_orders: report.orders,
+            term: self.term,
+            evict: self.step.urgent && self.step.replaces,
+        };
         let answer = place_layers(&self.hub, self.address, &order).await;
         info!(
             "planner: order backend={} layers={} after_orders={} term={} urgent={} answer={:?}",
