--- a/crates/decide/src/placement/context.rs
+++ b/crates/decide/src/placement/context.rs
@@ -2,13 +2,12 @@
 
 use crate::fleet::{CardSpec, EngineSpec};
 
-/// Copies of the model for which a failure domain's engines have room where
-/// that leaves enough context.
-const COPIES: f64 = 1.6;
-/// Copies where it does not: one whole, and spares for the loss of an engine.
-const COPIES_AT_LEAST: f64 = 1.35;
-/// Tokens of context beside each layer that are enough for [`COPIES`].
-const ENOUGH_CONTEXT: f64 = 100_000.0;
+/// Two whole copies of the model, and a spare engine.
+const TWO_COPIES: f64 = 2.1;
+/// One whole copy, and spares for the loss of an engine.
+const ONE_COPY: f64 = 1.35;
+/// Tokens of context beside each of two copies that are enough for two.
+const ENOUGH_FOR_TWO: f64 = 50_000.0;
 /// Tokens of context beside each layer of which there is never less.
 const LEAST_CONTEXT: f64 = 40_000.0;
 /// Largest number of tokens that is tried, and the step between two tries.
@@ -19,14 +18,14 @@
 ///
 /// Every copy of the model takes memory from the context of requests, and a
 /// request needs room at every layer: what binds is the layer with the fewest
-/// copies. So the engines hold little more than one copy, and more only where
-/// memory is ample.
+/// copies. A part of a copy beside a whole one adds nothing to it, so the engines
+/// hold two copies where memory is ample, and otherwise one with some spares.
 pub fn context_beside_layers<'a>(
     spec: &EngineSpec,
     cards: impl Iterator<Item = &'a CardSpec> + Clone,
 ) -> f64 {
-    let ample = most_context(spec, cards.clone(), COPIES);
-    if ample >= ENOUGH_CONTEXT { ample } else { most_context(spec, cards, COPIES_AT_LEAST) }
+    let beside_two = most_context(spec, cards.clone(), TWO_COPIES);
+    if beside_two >= ENOUGH_FOR_TWO { beside_two } else { most_context(spec, cards, ONE_COPY) }
 }
 
 /// Most context beside each layer with which the cards hold some copies.
