--- a/crates/decide/src/retry/budget.rs
+++ b/crates/decide/src/retry/budget.rs
@@ -35,18 +35,6 @@
         self.balance = (self.balance + self.limits.share).min(self.limits.reserve);
     }
 
-    /// Changes the bounds, such as when the budget is shared by more processes.
-    pub const fn set_limits(&mut self, limits: RetryBudgetLimits) {
-        self.limits = limits;
-        self.balance = self.balance.min(limits.reserve);
-    }
-
-    /// Takes one retry from the budget, if it then still holds a share of its
-    /// reserve.
-    pub fn try_retry_keeping(&mut self, share: f64) -> bool {
-        self.balance >= 1.0 + share * self.limits.reserve && self.try_retry()
-    }
-
     /// Takes one retry from the budget, if it holds one.
     pub fn try_retry(&mut self) -> bool {
         let affordable = self.balance >= 1.0;
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -60,7 +60,7 @@
     let pool = pool.ok_or(Refusal::new(ErrorKind::NoBackend))?.clone();
     let wait = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let until = arrived + Millis::duration(wait);
-    hub.retries.borrow_mut().note_request(&pool);
+    hub.retries.borrow_mut().note_request(&pool, hub.now());
     Ok(Job { req, rule, workspace, pool, arrived, until })
 }
 
--- a/crates/direct/src/hub/retries.rs
+++ b/crates/direct/src/hub/retries.rs
@@ -2,16 +2,16 @@
 
 use std::collections::HashMap;
 
-use clementine_decide::ids::PoolId;
-use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
+use clementine_decide::ids::{PoolId, Tick};
+use clementine_decide::retry::{WindowBudget, WindowLimits};
 use clementine_platform::settings::InstanceBounds;
 
 /// Part of the shared budget that the entries use together. The rest is for
-/// entries that do not know of each other yet.
-const SHARED_PART: f64 = 0.7;
+/// entries that have started again and know nothing of the window.
+const SHARED_PART: f64 = 0.85;
 /// Entries that are assumed before any has been heard.
 const ENTRIES_AT_LEAST: usize = 4;
-/// Share of the reserve that is kept for streams that the caller has begun to
+/// Share of the budget that is kept for streams that the caller has begun to
 /// read.
 const KEPT_FOR_STREAMS: f64 = 0.4;
 
@@ -29,7 +29,7 @@
 pub(crate) struct Retries {
     bounds: InstanceBounds,
     entries: usize,
-    pools: HashMap<PoolId, RetryBudget>,
+    pools: HashMap<PoolId, WindowBudget>,
 }
 
 impl Retries {
@@ -51,26 +51,29 @@
     }
 
     /// Notes a request of a caller.
-    pub(crate) fn note_request(&mut self, pool: &PoolId) {
-        self.budget(pool).note_request();
+    pub(crate) fn note_request(&mut self, pool: &PoolId, now: Tick) {
+        self.budget(pool).note_request(now);
     }
 
     /// Takes a retry from a pool's budget, if it allows one.
-    pub(crate) fn try_retry(&mut self, pool: &PoolId, what: RetryFor) -> bool {
-        let budget = self.budget(pool);
-        match what {
-            RetryFor::Start => budget.try_retry_keeping(KEPT_FOR_STREAMS),
-            RetryFor::Rest => budget.try_retry(),
-        }
+    pub(crate) fn try_retry(&mut self, pool: &PoolId, what: RetryFor, now: Tick) -> bool {
+        let keep = match what {
+            RetryFor::Start => KEPT_FOR_STREAMS,
+            RetryFor::Rest => 0.0,
+        };
+        self.budget(pool).try_retry(keep, now)
     }
 
-    fn budget(&mut self, pool: &PoolId) -> &mut RetryBudget {
+    fn budget(&mut self, pool: &PoolId) -> &mut WindowBudget {
         let limits = self.limits();
-        self.pools.entry(pool.clone()).or_insert_with(|| RetryBudget::new(limits))
+        self.pools.entry(pool.clone()).or_insert_with(|| WindowBudget::new(limits))
     }
 
-    fn limits(&self) -> RetryBudgetLimits {
-        let reserve = self.bounds.retry_reserve * SHARED_PART / self.entries as f64;
-        RetryBudgetLimits { share: self.bounds.retry_share, reserve: reserve.max(1.0) }
+    fn limits(&self) -> WindowLimits {
+        WindowLimits {
+            window: self.bounds.retry_window,
+            share: self.bounds.retry_share * SHARED_PART,
+            reserve: self.bounds.retry_reserve * SHARED_PART / self.entries as f64,
+        }
     }
 }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -79,8 +79,8 @@
     job: &'a Job,
     pub(super) progress: Progress,
     pub(super) counts: Counts,
-    /// Backend servers that the request has been sent to and may have run on.
-    sent_to: Vec<BackendId>,
+    /// Backend servers that the request was sent to and may have run on.
+    ran_on: Vec<BackendId>,
     /// Backend servers to avoid in further runs.
     avoid: Vec<BackendId>,
     /// Last failure that a backend server answered with.
@@ -94,7 +94,7 @@
             job,
             progress: Progress::new(job.req.last_event),
             counts: Counts::default(),
-            sent_to: Vec::new(),
+            ran_on: Vec::new(),
             avoid: Vec::new(),
             failure: None,
         }
@@ -144,9 +144,6 @@
     /// Makes one run and helps it while it goes on.
     async fn run(&mut self, conn: &mut ServerConn, route: StreamRoute) -> io::Result<Next> {
         (self.counts.legs, self.counts.crossings) = (route.path.len(), route.crossings);
-        if !self.sent_to.contains(&route.first) {
-            self.sent_to.push(route.first.clone());
-        }
         self.progress.begin_run();
         let route = RefCell::new(route);
         let (hub, job) = (self.hub, self.job);
@@ -174,6 +171,7 @@
         let next = match outcome {
             Ok(ended) => self.after_run(&route.borrow(), ended),
             Err((trouble, next)) => {
+                self.note_ran_on(&route.borrow().first);
                 self.counts.lost += u32::from(matches!(trouble, Trouble::Down(_)));
                 self.counts.runs += 1;
                 Next::Again(trouble.reason(), Some(next))
@@ -204,12 +202,22 @@
         if !self.may_run_again() {
             return None;
         }
+        self.note_ran_on(&route.borrow().first);
         let next = self.choose_after(progress)?;
         let other = next.first != route.borrow().first || next.path != route.borrow().path;
         (other && self.take_retry_for(progress)).then_some(next)
     }
 
+    fn note_ran_on(&mut self, id: &BackendId) {
+        if !self.ran_on.contains(id) {
+            self.ran_on.push(id.clone());
+        }
+    }
+
     fn after_run(&mut self, route: &StreamRoute, ended: RunEnd) -> Next {
+        if !matches!(ended, RunEnd::NotSent | RunEnd::NotRun(_)) {
+            self.note_ran_on(&route.first);
+        }
         match ended {
             RunEnd::Complete => Next::End(End::Complete),
             RunEnd::CallerLeft => Next::End(End::CallerLeft),
@@ -224,10 +232,10 @@
                 }
                 Next::Again("failed", None)
             }
-            RunEnd::NotSent => self.after_refusal(route, &route.first, "no-connection"),
+            RunEnd::NotSent => self.after_refusal(&route.first, "no-connection"),
             RunEnd::NotRun(at_fault) => {
                 let id = self.backend_at(at_fault).unwrap_or_else(|| route.first.clone());
-                self.after_refusal(route, &id, "refused")
+                self.after_refusal(&id, "refused")
             }
             RunEnd::Lost(reason) => {
                 self.counts.runs += 1;
@@ -237,9 +245,8 @@
         }
     }
 
-    fn after_refusal(&mut self, route: &StreamRoute, at_fault: &BackendId, reason: &'static str) -> Next {
+    fn after_refusal(&mut self, at_fault: &BackendId, reason: &'static str) -> Next {
         self.counts.refused += 1;
-        self.sent_to.retain(|id| *id != route.first);
         self.blame(at_fault, reason);
         Next::Again(reason, None)
     }
@@ -261,15 +268,15 @@
         self.choose_after(&self.progress)
     }
 
-    /// A route for the next run: one that begins where the request was sent
-    /// before, once it has been sent to as many as the route allows.
+    /// A route for the next run: one that begins where the request has run
+    /// before, once it has run on as many as the route allows.
     fn choose_after(&self, progress: &Progress) -> Option<StreamRoute> {
         let fleet = self.hub.fleet.borrow();
         let alive = |id: &&BackendId| fleet.get(id).is_some_and(|member| !member.is_down());
-        let sent_to: Vec<BackendId> = self.sent_to.iter().filter(alive).cloned().collect();
+        let ran_on: Vec<BackendId> = self.ran_on.iter().filter(alive).cloned().collect();
         drop(fleet);
-        let all_used = sent_to.len() >= self.job.rule.max_attempts as usize;
-        let first = if all_used { sent_to } else { Vec::new() };
+        let all_used = ran_on.len() >= self.job.rule.max_attempts as usize;
+        let first = if all_used { ran_on } else { Vec::new() };
         let wish = Wish { events: progress.events(), avoid: &self.avoid, first: &first };
         StreamRoute::choose(self.hub, self.job, wish)
     }
@@ -291,7 +298,7 @@
 
     fn take_retry_for(&self, progress: &Progress) -> bool {
         let what = if progress.has_started() { RetryFor::Rest } else { RetryFor::Start };
-        self.hub.retries.borrow_mut().try_retry(&self.job.pool, what)
+        self.hub.retries.borrow_mut().try_retry(&self.job.pool, what, self.hub.now())
     }
 
     /// The end where no further run is made.
--- a/crates/direct/src/whole/serve.rs
+++ b/crates/direct/src/whole/serve.rs
@@ -179,7 +179,7 @@
         if !may_run_again || !allowed {
             return false;
         }
-        self.hub.retries.borrow_mut().try_retry(&self.job.pool, RetryFor::Rest)
+        self.hub.retries.borrow_mut().try_retry(&self.job.pool, RetryFor::Rest, self.hub.now())
     }
 
     /// The answer where no further attempt is made.
