One copy and spares in each failure domain, spares where room for context is least

The log now says which layer binds when no path is found: layers with one holder, while others had two.

--- a/crates/decide/src/placement/context.rs
+++ b/crates/decide/src/placement/context.rs
@@ -2,12 +2,9 @@
 
 use crate::fleet::{CardSpec, EngineSpec};
 
-/// Two whole copies of the model, and a spare engine.
-const TWO_COPIES: f64 = 2.1;
-/// One whole copy, and spares for the loss of an engine.
-const ONE_COPY: f64 = 1.35;
-/// Tokens of context beside each of two copies that are enough for two.
-const ENOUGH_FOR_TWO: f64 = 50_000.0;
+/// Copies of the model that a failure domain's engines hold: one whole, and
+/// spares for the loss of an engine.
+const COPIES: f64 = 1.35;
 /// Tokens of context beside each layer of which there is never less.
 const LEAST_CONTEXT: f64 = 40_000.0;
 /// Largest number of tokens that is tried, and the step between two tries.
@@ -19,22 +16,12 @@
 /// Every copy of the model takes memory from the context of requests, and a
 /// request needs room at every layer: what binds is the layer with the fewest
 /// copies. A part of a copy beside a whole one adds nothing to it, so the engines
-/// hold two copies where memory is ample, and otherwise one with some spares.
+/// hold one copy and some spares.
 pub fn context_beside_layers<'a>(
     spec: &EngineSpec,
     cards: impl Iterator<Item = &'a CardSpec> + Clone,
 ) -> f64 {
-    let beside_two = most_context(spec, cards.clone(), TWO_COPIES);
-    if beside_two >= ENOUGH_FOR_TWO { beside_two } else { most_context(spec, cards, ONE_COPY) }
-}
-
-/// Most context beside each layer with which the cards hold some copies.
-fn most_context<'a>(
-    spec: &EngineSpec,
-    cards: impl Iterator<Item = &'a CardSpec> + Clone,
-    copies: f64,
-) -> f64 {
-    let wanted = copies * f64::from(spec.layers);
+    let wanted = COPIES * f64::from(spec.layers);
     let mut tokens = MOST_CONTEXT;
     while tokens > LEAST_CONTEXT {
         let held: u32 = cards.clone().map(|card| spec.layers_beside(card, tokens)).sum();
--- a/crates/decide/src/placement/holder.rs
+++ b/crates/decide/src/placement/holder.rs
@@ -5,7 +5,7 @@
 use crate::ids::{BackendId, DomainId};
 
 /// An engine as the plan sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Holder {
     /// The engine.
     pub id: BackendId,
@@ -13,6 +13,8 @@
     pub domain: DomainId,
     /// Layers that it can hold beside the context of its requests.
     pub capacity: u32,
+    /// Tokens of context for which it has room beside as many layers.
+    pub context: f64,
     /// Layers that it holds or is about to hold.
     pub held: Option<LayerRange>,
 }
--- a/crates/decide/src/placement/plan.rs
+++ b/crates/decide/src/placement/plan.rs
@@ -42,6 +42,8 @@
     holding: Vec<(&'a Holder, LayerRange)>,
     /// Engines that hold each layer.
     copies: Vec<u32>,
+    /// Tokens of context for which the holders of each layer have room.
+    room: Vec<f64>,
     moves: Vec<Move>,
 }
 
@@ -51,9 +53,10 @@
         free.sort_by(|a, b| b.capacity.cmp(&a.capacity).then_with(|| a.id.cmp(&b.id)));
         let holding: Vec<_> = group.iter().filter_map(|h| h.held.map(|held| (*h, held))).collect();
         let copies = vec![0; layers as usize];
-        let mut cover = Self { layers, free, holding, copies, moves: Vec::new() };
-        for (_, held) in cover.holding.clone() {
-            cover.count(held);
+        let room = vec![0.0; layers as usize];
+        let mut cover = Self { layers, free, holding, copies, room, moves: Vec::new() };
+        for (holder, held) in cover.holding.clone() {
+            cover.count(held, holder.context);
         }
         cover
     }
@@ -71,9 +74,10 @@
         self.moves
     }
 
-    fn count(&mut self, range: LayerRange) {
+    fn count(&mut self, range: LayerRange, context: f64) {
         for layer in range.first()..range.end().min(self.layers) {
             self.copies[layer as usize] += 1;
+            self.room[layer as usize] += context;
         }
     }
 
@@ -96,6 +100,7 @@
         let (holder, held) = self.holding.remove(spare[at]);
         for layer in held.first()..held.end().min(self.layers) {
             self.copies[layer as usize] -= 1;
+            self.room[layer as usize] -= holder.context;
         }
         Some(holder)
     }
@@ -105,19 +110,19 @@
         (held.first()..end).all(|layer| self.copies[layer as usize] > 1)
     }
 
-    /// Start of the window of `width` layers with the fewest copies.
+    /// Start of the window of `width` layers with the least room for context.
     fn thinnest(&self, width: u32) -> u32 {
         let width = width.min(self.layers) as usize;
         let starts = 0..=(self.layers as usize - width);
-        let copies = |start: &usize| self.copies[*start..*start + width].iter().sum::<u32>();
-        starts.min_by_key(copies).unwrap_or(0) as u32
+        let room = |start: usize| self.room[start..start + width].iter().sum::<f64>();
+        starts.min_by(|a, b| room(*a).total_cmp(&room(*b))).unwrap_or(0) as u32
     }
 
     fn assign(&mut self, holder: &Holder, from: u32, urgent: bool) {
         let width = holder.capacity.min(self.layers);
         let from = from.min(self.layers - width);
         let Some(range) = LayerRange::half_open(from, from + width) else { return };
-        self.count(range);
+        self.count(range, holder.context);
         let replaces = holder.held.is_some();
         self.moves.push(Move { id: holder.id.clone(), layers: range, replaces, urgent });
     }
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -55,6 +55,10 @@
     pub(crate) drain: Drain,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) retries: RefCell<Retries>,
+    /// When it was last logged why no path was found, and how often it was
+    /// not logged since.
+    pub(crate) shortage_logged_at: Cell<Tick>,
+    pub(crate) shortages_held_back: Cell<u64>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     stopping_since: Cell<Option<Instant>>,
 }
@@ -81,6 +85,8 @@
             drain: Drain::default(),
             rng: RefCell::new(rng),
             retries: RefCell::new(Retries::new(settings.bounds)),
+            shortage_logged_at: Cell::default(),
+            shortages_held_back: Cell::default(),
             table: RefCell::default(),
             stopping_since: Cell::new(None),
             settings,
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -83,11 +83,14 @@
         let holder = |member: &Member| {
             let id = member.backend.id.clone();
             let tokens = context.get(&member.backend.domain).copied()?;
+            let card = card(member)?;
+            let capacity = engine.layers_beside(card, tokens);
             Some(Holder {
+                context: engine.context_tokens(card, capacity),
                 held: pending.get(&id).copied().or(member.backend.layers),
                 id,
                 domain: member.backend.domain.clone(),
-                capacity: engine.layers_beside(card(member)?, tokens),
+                capacity,
             })
         };
         fleet.pool(pool).filter(usable).filter_map(holder).collect()
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -5,9 +5,12 @@
 
 use clementine_decide::fleet::EngineSpec;
 use clementine_decide::ids::{BackendId, DomainId};
-use clementine_decide::paths::{Demand, Leg, Link, PathSearch, Stop, link_bytes};
+use clementine_decide::paths::{Demand, Leg, Link, PathSearch, Stop, link_bytes, shortages};
+use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
 
+use spdlog::info;
+
 use crate::hub::{Hub, Job, Reservation};
 
 /// What the next run of a stream asks of its route.
@@ -91,7 +94,10 @@
         present,
         now: hub.now(),
     };
-    let path = search.cheapest()?;
+    let Some(path) = search.cheapest() else {
+        log_shortages(hub, job, engine, &stops, demand);
+        return None;
+    };
     drop(links);
     let crossings = note_links(hub, engine, &stops, &path, demand);
     let first = path.first()?;
@@ -101,6 +107,29 @@
     Some(StreamRoute { first: id, address, path, crossings, _reservation: reservation })
 }
 
+/// Pause between two lines on why no path was found; they change slowly.
+const SHORTAGE_PAUSE: Millis = Millis(500);
+
+fn log_shortages(hub: &Hub, job: &Job, engine: &EngineSpec, stops: &[Stop], demand: Demand) {
+    let now = hub.now();
+    let held_back = hub.shortages_held_back.get();
+    if now.since(hub.shortage_logged_at.get()) < SHORTAGE_PAUSE {
+        return hub.shortages_held_back.set(held_back + 1);
+    }
+    hub.shortage_logged_at.set(now);
+    hub.shortages_held_back.set(0);
+    let found: Vec<String> =
+        shortages(engine.layers, stops).iter().map(ToString::to_string).collect();
+    info!(
+        "paths: id={} no path stops={} tokens={:.0} {} lines_held_back={}",
+        job.req.id,
+        stops.len(),
+        demand.prompt + demand.answer,
+        found.join(" "),
+        held_back
+    );
+}
+
 /// Counts the request at the links between failure domains that it passes, and
 /// gives their number.
 fn note_links(
