--- a/crates/decide/src/placement/context.rs
+++ b/crates/decide/src/placement/context.rs
@@ -17,14 +17,11 @@
 /// request needs room at every layer: what binds is the layer with the fewest
 /// copies. A part of a copy beside a whole one adds nothing to it, so the engines
 /// hold one copy and some spares.
-pub fn context_beside_layers<'a>(
-    spec: &EngineSpec,
-    cards: impl Iterator<Item = &'a CardSpec> + Clone,
-) -> f64 {
+pub fn context_beside_layers(spec: &EngineSpec, cards: &[&CardSpec]) -> f64 {
     let wanted = COPIES * f64::from(spec.layers);
     let mut tokens = MOST_CONTEXT;
     while tokens > LEAST_CONTEXT {
-        let held: u32 = cards.clone().map(|card| spec.layers_beside(card, tokens)).sum();
+        let held: u32 = cards.iter().map(|card| spec.layers_beside(card, tokens)).sum();
         if f64::from(held) >= wanted {
             break;
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,4 +15,4 @@
 mod streams;
 mod whole;
 
-pub use run::{DirectError, run};
+pub use run::{DirectError, Running, run, start};
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -40,6 +40,7 @@
         Ok(socket) => socket,
         Err(error) => return warn!("peers: {} can't be bound: {}", address, error),
     };
+    let address = socket.local_addr().unwrap_or(address);
     let mut talk =
         Talk { hub, socket, address, others: HashMap::new(), registered: false, number: 0 };
     talk.run().await;
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -74,7 +74,7 @@
         }
         let context: HashMap<&DomainId, f64> = domains
             .iter()
-            .map(|(domain, cards)| (*domain, context_beside_layers(engine, cards.iter().copied())))
+            .map(|(domain, cards)| (*domain, context_beside_layers(engine, cards)))
             .collect();
         let pending = self.pending.borrow();
         let holder = |member: &Member| {
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -13,7 +13,7 @@
 use spdlog::{Level, info};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::callers::serve_callers;
 use crate::follow::{follow_backends, follow_config};
@@ -67,14 +67,33 @@
 pub fn run(level: Level) -> Result<(), DirectError> {
     start_logging(LogTarget::Stdout, LogFormat::Text, level)?;
     let settings = InstanceSettings::load(&settings_path())?;
-    actix_rt::System::new().block_on(serve(settings))
+    actix_rt::System::new().block_on(async {
+        let running = start(settings)?;
+        watch_signals(running.hub.drain.clone()).context(SignalsSnafu)?;
+        running.stopped().await;
+        Ok(())
+    })
 }
 
-async fn serve(settings: InstanceSettings) -> Result<(), DirectError> {
-    let callers = bind(settings.callers)?;
-    let readiness = bind(settings.readiness)?;
+/// An entry that serves callers.
+#[derive(Debug)]
+pub struct Running {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    hub: Rc<Hub>,
+}
+
+/// Starts an entry within the present runtime.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound.
+pub fn start(settings: InstanceSettings) -> Result<Running, DirectError> {
+    let (callers, callers_at) = bind(settings.callers)?;
+    let (readiness, readiness_at) = bind(settings.readiness)?;
     let hub = Rc::new(Hub::new(settings));
-    watch_signals(hub.drain.clone()).context(SignalsSnafu)?;
     info!("process: started entry={} incarnation={}", hub.settings.entry, hub.incarnation);
     spawn_local(serve_callers(callers, Rc::clone(&hub)));
     spawn_local(serve_readiness(readiness, Rc::clone(&hub)));
@@ -82,25 +101,34 @@
     spawn_local(follow_backends(Rc::clone(&hub)));
     spawn_local(talk_to_peers(Rc::clone(&hub)));
     spawn_local(plan_while_holder(Rc::clone(&hub)));
-    hub.drain.started().await;
-    hub.note_stopping();
-    stop(&hub).await;
-    Ok(())
+    Ok(Running { callers: callers_at, readiness: readiness_at, hub })
 }
 
-fn bind(listen: SocketAddr) -> Result<TcpListener, DirectError> {
-    bind_reusable(listen).context(BindSnafu { listen })
+fn bind(listen: SocketAddr) -> Result<(TcpListener, SocketAddr), DirectError> {
+    let listener = bind_reusable(listen).context(BindSnafu { listen })?;
+    let address = listener.local_addr().context(BindSnafu { listen })?;
+    Ok((listener, address))
 }
 
-/// Serves on until callers are sent elsewhere and have their answers.
-async fn stop(hub: &Hub) {
-    let since = Instant::now();
-    let grace = hub.settings.bounds.grace.duration();
-    let latest = since + grace.saturating_sub(END_BEFORE_KILL);
-    sleep(STAY_AT_LEAST.min(grace)).await;
-    tokio::select! {
-        () = hub.drain.idle() => {}
-        () = tokio::time::sleep_until(latest) => {}
+impl Running {
+    /// Asks the entry to stop.
+    pub fn stop(&self) {
+        self.hub.drain.start();
+    }
+
+    /// Waits until the entry has been asked to stop and has drained: callers
+    /// are sent elsewhere and have their answers.
+    pub async fn stopped(&self) {
+        self.hub.drain.started().await;
+        self.hub.note_stopping();
+        let since = Instant::now();
+        let grace = self.hub.settings.bounds.grace.duration();
+        let latest = since + grace.saturating_sub(END_BEFORE_KILL);
+        sleep(STAY_AT_LEAST.min(grace)).await;
+        tokio::select! {
+            () = self.hub.drain.idle() => {}
+            () = sleep_until(latest) => {}
+        }
+        info!("process: stopped in_progress={}", self.hub.drain.in_progress());
     }
-    info!("process: stopped in_progress={}", hub.drain.in_progress());
 }
--- /dev/null
+++ b/crates/direct/tests/serving.rs
@@ -0,0 +1,212 @@
+//! One entry between a store, backend servers and callers.
+
+mod world;
+
+use std::time::Duration;
+
+use actix_rt::test;
+use tokio::time::sleep;
+use world::{Answer, Backend, Behaviour, Store, ask, ask_with, config, entry, until};
+
+/// Layers of the model: three engines of ten hold two copies of it and some.
+const LAYERS: u32 = 12;
+
+fn events(answer: &Answer) -> Vec<u64> {
+    let lines = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    lines.map(|id| id.parse().expect("an id")).collect()
+}
+
+fn all_events() -> Vec<u64> {
+    (1..=20).collect()
+}
+
+/// A store with a configuration, and engines that hold the model.
+async fn engines(store: &Store, count: usize) -> Vec<Backend> {
+    let mut engines = Vec::new();
+    for n in 0..count {
+        engines.push(Backend::start(&format!("engine-{n}"), "model", store).await);
+    }
+    engines
+}
+
+async fn placed(engines: &[Backend]) {
+    until("all engines hold layers", async || engines.iter().all(Backend::holds_layers)).await;
+    // The list has to reach the entry.
+    sleep(Duration::from_millis(600)).await;
+}
+
+#[test]
+async fn a_stream_passes_through_engines_that_were_told_to_hold_the_layers() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 4).await;
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(events(&answer), all_events());
+    let paths: Vec<String> = engines.iter().flat_map(|e| e.ran.borrow().clone()).collect();
+    assert_eq!(paths.len(), 1);
+    assert!(paths[0].contains("=0-") && paths[0].ends_with("-12"), "{}", paths[0]);
+}
+
+#[test]
+async fn a_run_whose_engine_is_down_changes_its_path_and_loses_no_event() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 5).await;
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    let stop_one = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+        let path = first.ran.borrow()[0].clone();
+        let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
+        let lost = engines.iter().find(on_path).expect("another engine on the path");
+        lost.dark.set(true);
+        first.stalled_by.set(Some(lost.address));
+    };
+    let (answer, ()) = tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), stop_one);
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(events(&answer), all_events());
+}
+
+#[test]
+async fn an_operation_runs_once_and_its_loss_is_not_called_not_run() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let one = Backend::start("plain-1", "plain", &store).await;
+    let two = Backend::start("plain-2", "plain", &store).await;
+    let entry = entry("one", &store).await;
+    for backend in [&one, &two] {
+        backend.behaviour.set(Behaviour::RunAndClose);
+    }
+    let answer = ask(entry.callers, "POST", "/once/x", "order").await;
+    assert_eq!(answer.status, 502, "502 does not promise that it has not run");
+    assert_eq!(one.ran.borrow().len() + two.ran.borrow().len(), 1);
+}
+
+#[test]
+async fn an_operation_that_was_refused_is_sent_elsewhere() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let one = Backend::start("plain-1", "plain", &store).await;
+    let two = Backend::start("plain-2", "plain", &store).await;
+    let entry = entry("one", &store).await;
+    one.behaviour.set(Behaviour::Refuse);
+    for _ in 0..4 {
+        let answer = ask(entry.callers, "POST", "/once/x", "order").await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "answer of plain-2"));
+    }
+    two.behaviour.set(Behaviour::Refuse);
+    let answer = ask(entry.callers, "POST", "/once/x", "order").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some(), "it has not run, so the caller may come back");
+    assert_eq!((one.ran.borrow().len(), two.ran.borrow().len()), (0, 4));
+}
+
+#[test]
+async fn an_idempotent_request_is_sent_again_and_the_last_failure_is_passed_on() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let one = Backend::start("plain-1", "plain", &store).await;
+    let two = Backend::start("plain-2", "plain", &store).await;
+    let entry = entry("one", &store).await;
+    one.behaviour.set(Behaviour::RunAndClose);
+    let answer = ask(entry.callers, "GET", "/safe/x", "").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "answer of plain-2"));
+    sleep(Duration::from_millis(300)).await;
+    one.behaviour.set(Behaviour::Fail);
+    two.behaviour.set(Behaviour::Fail);
+    let answer = ask(entry.callers, "GET", "/safe/x", "").await;
+    assert_eq!(answer.status, 500);
+    assert!(one.ran.borrow().len() + two.ran.borrow().len() <= 4, "two attempts a request");
+}
+
+#[test]
+async fn an_answer_that_ends_with_its_connection_is_passed_on_alike() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let one = Backend::start("plain-1", "plain", &store).await;
+    one.behaviour.set(Behaviour::ServeUnframed);
+    let entry = entry("one", &store).await;
+    let answer = ask(entry.callers, "GET", "/safe/x", "").await;
+    assert_eq!((answer.body.as_str(), answer.unframed), ("answer of plain-1", true));
+}
+
+#[test]
+async fn who_may_ask_what() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let _one = Backend::start("plain-1", "plain", &store).await;
+    let entry = entry("one", &store).await;
+    let no_key = ask_with(entry.callers, "GET", "/safe/x", "", &[]).await;
+    let wrong_key = ask_with(entry.callers, "GET", "/safe/x", "", &[("x-api-key", "no")]).await;
+    let no_route = ask(entry.callers, "GET", "/elsewhere/x", "").await;
+    assert_eq!([no_key.status, wrong_key.status, no_route.status], [401, 401, 404]);
+}
+
+#[test]
+async fn a_request_without_engines_is_refused_at_once_with_a_time_to_come_back() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let entry = entry("one", &store).await;
+    let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
+    assert_eq!((answer.status, answer.retry_after.is_some()), (503, true));
+}
+
+#[test]
+async fn entries_that_start_together_find_each_other_and_one_plans() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 4).await;
+    let (one, two) = tokio::join!(entry("one", &store), entry("two", &store));
+    placed(&engines).await;
+    assert_eq!(store.keys("entries"), ["one", "two"]);
+    assert_eq!(store.keys("leases"), ["planner"]);
+    for entry in [&one, &two] {
+        let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
+        assert_eq!(events(&answer), all_events());
+    }
+}
+
+#[test]
+async fn a_server_that_leaves_gets_nothing_more_and_a_new_version_takes_force() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let one = Backend::start("plain-1", "plain", &store).await;
+    let _two = Backend::start("plain-2", "plain", &store).await;
+    let entry = entry("one", &store).await;
+    store.remove("servers", "plain-1");
+    store.put("op", "config", &config(2, LAYERS).replace("\"/safe/\"", "\"/moved/\""));
+    until("the new version is in force", async || {
+        ask(entry.callers, "GET", "/moved/x", "").await.status == 200
+    })
+    .await;
+    sleep(Duration::from_millis(400)).await;
+    let before = one.ran.borrow().len();
+    for _ in 0..10 {
+        let answer = ask(entry.callers, "GET", "/moved/x", "").await;
+        assert_eq!(answer.body, "answer of plain-2");
+    }
+    assert_eq!(one.ran.borrow().len(), before);
+    assert_eq!(ask(entry.callers, "GET", "/safe/x", "").await.status, 404);
+}
+
+#[test]
+async fn an_entry_that_stops_ends_its_streams_first() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 4).await;
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    let stop = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        entry.stop();
+        assert_eq!(ask(entry.readiness, "GET", "/-/readiness", "").await.status, 503);
+    };
+    let stopped = entry.stopped();
+    let (answer, (), ()) =
+        tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), stop, stopped);
+    assert_eq!((events(&answer), answer.whole), (all_events(), true));
+}
--- /dev/null
+++ b/crates/direct/tests/world/backend.rs
@@ -0,0 +1,219 @@
+//! Backend servers: engines that hold layers, and plain ones.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use clementine_http1::{CallerMessage, ReadLimits, ServerConn};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::{Store, anywhere};
+
+/// Events of a stream.
+const EVENTS: u64 = 20;
+/// Pause between two events.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What a backend server does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    Serve,
+    /// Serves with an answer that ends with the connection.
+    ServeUnframed,
+    /// Says that it did not run the request.
+    Refuse,
+    /// Runs the request and closes the connection without an answer.
+    RunAndClose,
+    /// Answers with a failure after having run.
+    Fail,
+}
+
+/// A backend server.
+#[derive(Clone)]
+pub struct Backend {
+    pub id: String,
+    pub address: SocketAddr,
+    store: Store,
+    pool: &'static str,
+    pub behaviour: Rc<Cell<Behaviour>>,
+    /// Address of an engine that streams wait for from some event on.
+    pub stalled_by: Rc<Cell<Option<SocketAddr>>>,
+    /// Whether it answers anything at all.
+    pub dark: Rc<Cell<bool>>,
+    /// Requests that it ran, with their paths through engines.
+    pub ran: Rc<RefCell<Vec<String>>>,
+    /// Changes of path that it was told.
+    pub repaths: Rc<RefCell<Vec<Value>>>,
+    layers: Rc<Cell<(u64, u64)>>,
+    orders: Rc<Cell<u64>>,
+}
+
+impl Backend {
+    /// Starts a backend server and lists it in the store.
+    pub async fn start(id: &str, pool: &'static str, store: &Store) -> Self {
+        let listener = TcpListener::bind(anywhere()).await.expect("bound");
+        let backend = Self {
+            id: id.into(),
+            address: listener.local_addr().expect("an address"),
+            store: store.clone(),
+            pool,
+            behaviour: Rc::new(Cell::new(Behaviour::Serve)),
+            stalled_by: Rc::default(),
+            dark: Rc::default(),
+            ran: Rc::default(),
+            repaths: Rc::default(),
+            layers: Rc::default(),
+            orders: Rc::default(),
+        };
+        backend.list();
+        let serving = backend.clone();
+        spawn_local(async move {
+            while let Ok((io, _)) = listener.accept().await {
+                let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("a connection");
+                spawn_local(serving.clone().serve(conn));
+            }
+        });
+        backend
+    }
+
+    pub fn holds_layers(&self) -> bool {
+        let (from, to) = self.layers.get();
+        from < to
+    }
+
+    fn held(&self) -> Value {
+        let (from, to) = self.layers.get();
+        json!({"from": from, "to": to, "version": 1})
+    }
+
+    fn list(&self) {
+        let entry = json!({"service": self.pool, "address": self.address.to_string(), "zone": "a",
+            "slots": 6, "state": "ready", "kind": "card", "layers": self.held(),
+            "sequence": self.orders.get(), "born": 1});
+        self.store.put("servers", &self.id, &entry.to_string());
+    }
+
+    async fn serve(self, mut conn: ServerConn) {
+        let limits = ReadLimits::default();
+        while conn.wait_request(&limits).await.is_ok() {
+            let Ok(message) = conn.read_request(&limits).await else { return };
+            if self.dark.get() {
+                sleep(Duration::from_secs(60)).await;
+            }
+            let keep = match message.head.uri.path() {
+                "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
+                "/-/order" => self.order(&mut conn, &message).await,
+                path if path.starts_with("/stream/") => self.stream(&mut conn, &message).await,
+                _ => self.whole(&mut conn, &message).await,
+            };
+            if !keep {
+                return;
+            }
+        }
+    }
+
+    fn report(&self) -> Value {
+        let stalled: Vec<Value> = self
+            .stalled_by
+            .get()
+            .map(|at| json!({"id": "r-1", "address": at.to_string()}))
+            .into_iter()
+            .collect();
+        json!({"layers": self.held(), "busy": false, "sequence": self.orders.get(), "born": 1,
+            "stalled": stalled})
+    }
+
+    async fn order(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
+        let order: Value = serde_json::from_slice(&message.body).expect("an order");
+        if order["operation"] == "repath" {
+            self.repaths.borrow_mut().push(order);
+            self.stalled_by.set(None);
+            return self.send_json(conn, 200, &json!({})).await;
+        }
+        if order["precondition"] != self.orders.get() {
+            return self.send_json(conn, 409, &json!({})).await;
+        }
+        self.orders.set(self.orders.get() + 1);
+        self.layers.set((
+            order["from"].as_u64().expect("a layer"),
+            order["to"].as_u64().expect("a layer"),
+        ));
+        self.list();
+        self.send_json(conn, 202, &json!({})).await
+    }
+
+    async fn send_json(&self, conn: &mut ServerConn, status: u16, body: &Value) -> bool {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let body = Bytes::from(body.to_string());
+        conn.send(Response::with_body(status, ()), &body).await.is_ok()
+    }
+
+    fn sealed(&self, status: u16) -> Response<()> {
+        let mut res = Response::with_body(StatusCode::from_u16(status).expect("a status"), ());
+        for (name, value) in [("server-seal", "seal"), ("request-id", "r-1")] {
+            let value = HeaderValue::from_static(value);
+            res.headers_mut().insert(HeaderName::from_static(name), value);
+        }
+        res
+    }
+
+    fn note_run(&self, message: &CallerMessage) {
+        let path = message.head.headers().get("hop-count").and_then(|value| value.to_str().ok());
+        self.ran.borrow_mut().push(path.unwrap_or_default().into());
+    }
+
+    async fn whole(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
+        let body = Bytes::from(format!("answer of {}", self.id));
+        match self.behaviour.get() {
+            Behaviour::Refuse => {
+                let mut res = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, ());
+                let yes = HeaderValue::from_static("1");
+                res.headers_mut().insert(HeaderName::from_static("not-executed"), yes);
+                return conn.send(res, &Bytes::new()).await.is_ok();
+            }
+            Behaviour::Serve => {
+                self.note_run(message);
+                conn.send(self.sealed(200), &body).await.is_ok()
+            }
+            Behaviour::ServeUnframed => {
+                self.note_run(message);
+                let sent = conn.send_unframed(self.sealed(200), &body).await;
+                assert!(sent.is_ok());
+                false
+            }
+            Behaviour::Fail => {
+                self.note_run(message);
+                conn.send(self.sealed(500), &body).await.is_ok()
+            }
+            Behaviour::RunAndClose => {
+                self.note_run(message);
+                false
+            }
+        }
+    }
+
+    async fn stream(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
+        self.note_run(message);
+        let last = message.head.headers().get("last-event-id");
+        let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+        conn.start_stream(self.sealed(200)).expect("started");
+        for id in last + 1..=EVENTS {
+            while self.stalled_by.get().is_some() && id > EVENTS / 2 {
+                sleep(PAUSE).await;
+            }
+            sleep(PAUSE).await;
+            let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
+            if conn.send_chunk(event).await.is_err() {
+                return false;
+            }
+        }
+        conn.finish_stream().await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/world/mod.rs
@@ -0,0 +1,85 @@
+//! A store, backend servers and callers for one entry, all in one process.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+mod backend;
+mod caller;
+mod store;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use clementine_direct::{Running, start};
+use clementine_objects::Millis;
+use clementine_platform::settings::{InstanceBounds, InstanceSettings};
+use tokio::time::sleep;
+
+pub use backend::{Backend, Behaviour};
+pub use caller::{Answer, ask, ask_with};
+pub use store::Store;
+
+/// Time for something to come about that takes some calls.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn anywhere() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let mut waited = Duration::ZERO;
+    while !holds().await {
+        assert!(waited < PATIENCE, "waited in vain until {what}");
+        sleep(Duration::from_millis(20)).await;
+        waited += Duration::from_millis(20);
+    }
+}
+
+pub fn settings(name: &str, store: &Store) -> InstanceSettings {
+    InstanceSettings {
+        entry: name.into(),
+        domain: "a".into(),
+        ip: Ipv4Addr::LOCALHOST.into(),
+        callers: anywhere(),
+        readiness: anywhere(),
+        internal_ports: Some((0, 0)),
+        store: store.address,
+        store_reads_per_s: 1_000.0,
+        link_bytes_per_s: 1e8,
+        memory_mb: 256,
+        descriptors: 1_024,
+        bounds: InstanceBounds {
+            grace: Millis(8_000),
+            drain: Millis(2_000),
+            retry_share: 0.2,
+            retry_reserve: 100.0,
+            retry_window: Millis(10_000),
+            stall: Millis(3_000),
+        },
+    }
+}
+
+/// Starts an entry and waits until it takes callers.
+pub async fn entry(name: &str, store: &Store) -> Running {
+    let running = start(settings(name, store)).expect("started");
+    until("the entry is ready", async || {
+        ask(running.readiness, "GET", "/-/readiness", "").await.status == 200
+    })
+    .await;
+    running
+}
+
+/// A configuration with a stream, an idempotent and another route.
+pub fn config(version: u64, layers: u32) -> String {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        format!(
+            r#"{{"name":"{name}","host":"h","prefix":"/{name}/","kind":"{kind}","timeout-ms":9000,"target-latency-ms":500,"priority":1,"service":"{service}","max-attempts":{attempts},"public":false,"resumable":true,"target-gap-ms":200}}"#
+        )
+    };
+    format!(
+        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"model","health-path":"/health","max-conns":100,"engine":{{"kv-token-bytes":590000,"models":[{{"load-s":0.1}}],"step_ms":0.85,"read_per_s":196000.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":800,"answer":160}},"layers":{layers},"layer-mb":1000.0,"activation-bytes":29500,"pipe-mbps":13000.0,"kinds":[{{"name":"card","megabytes":12000.0,"pace":1.0,"read-factor":1.0}}]}}}},{{"name":"plain","health-path":"/health","max-conns":100}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"w","api-keys":["key"]}}]}}"#,
+        route("stream", "streaming", "model", 2),
+        route("safe", "safe", "plain", 2),
+        route("once", "unsafe", "plain", 1),
+    )
+}
--- a/crates/http1/tests/answers.rs
+++ b/crates/http1/tests/answers.rs
@@ -28,7 +28,7 @@
     spawn_local(async move {
         let (mut io, _) = listener.accept().await.expect("accepted");
         let mut buf = [0; 1024];
-        io.read(&mut buf).await.expect("a request");
+        assert!(io.read(&mut buf).await.expect("a request") > 0);
         io.write_all(bytes).await.expect("written");
         finish(io, end).await;
     });
