--- a/crates/direct/src/hub/job.rs
+++ b/crates/direct/src/hub/job.rs
@@ -10,6 +10,9 @@
 use clementine_platform::requests::{CallerRequest, Forward};
 use tokio::time::Instant;
 
+/// Rank of the least urgent requests.
+const LAST_PRIORITY: u8 = 9;
+
 /// A caller's request on its way.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -44,16 +47,16 @@
             backend,
             left: Millis::from(self.left()),
             workspace: self.workspace_id(),
-            priority: self.priority(),
+            priority: Some(self.priority()),
             path,
             last_event,
         }
     }
 
     /// Rank from 0 (first) to 9; the workspace's goes before the route's.
-    pub(crate) fn priority(&self) -> Option<u8> {
+    pub(crate) fn priority(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        Some(workspace.unwrap_or(self.rule.priority).min(9))
+        workspace.unwrap_or(self.rule.priority).min(LAST_PRIORITY)
     }
 
     fn workspace_id(&self) -> Option<&WorkspaceId> {
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -33,11 +33,11 @@
         if id == hub.settings.entry {
             continue;
         }
-        match std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok()) {
-            Some(address) => {
-                others.insert(id, address);
-            }
-            None => warn!("peers: the address of entry `{}` can't be read", id),
+        let address = std::str::from_utf8(&row.value).ok().and_then(|text| text.parse().ok());
+        if let Some(address) = address {
+            others.insert(id, address);
+        } else {
+            warn!("peers: the address of entry `{}` can't be read", id);
         }
     }
     Ok(others)
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -76,16 +76,17 @@
 async fn read_row(hub: &Hub, watch: &mut LeaseWatch) -> Result<LeaseStep, StoreError> {
     let snapshot = hub.store.read(LEASE_TABLE, "").await?;
     let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
-    let read = row.and_then(decode);
+    let read = row.map(decode);
     Ok(watch.note_row(read.as_ref().map(|(version, row)| (*version, row)), hub.now()))
 }
 
-fn decode(row: &Row) -> Option<(u64, LeaseRow)> {
+/// A row that can't be read is held by nobody.
+fn decode(row: &Row) -> (u64, LeaseRow) {
     match serde_json::from_slice(&row.value) {
-        Ok(content) => Some((row.version, content)),
+        Ok(content) => (row.version, content),
         Err(error) => {
             warn!("planner: the lease's row can't be read and is replaced: {}", error);
-            Some((row.version, LeaseRow { holder: None, term: 0 }))
+            (row.version, LeaseRow { holder: None, term: 0 })
         }
     }
 }
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -24,7 +24,7 @@
 
 /// Least time from the request to stop to the end of the process. The balancer
 /// sends callers here until it has asked twice for readiness.
-const STAY_AT_LEAST: Duration = Duration::from_millis(3_000);
+const STAY_AT_LEAST: Duration = Duration::from_secs(3);
 /// Time that is left for the end of the process before it is killed.
 const END_BEFORE_KILL: Duration = Duration::from_millis(300);
 
--- a/crates/direct/src/streams/run.rs
+++ b/crates/direct/src/streams/run.rs
@@ -51,7 +51,7 @@
     /// # Errors
     ///
     /// Fails when the caller's connection does.
-    pub(super) async fn to_end(&self, conn: &mut ServerConn) -> io::Result<RunEnd> {
+    pub(super) async fn finish(&self, conn: &mut ServerConn) -> io::Result<RunEnd> {
         let last_event = self.progress.last_event();
         let opened = tokio::select! {
             opened = open(self.hub, self.job, self.route, last_event) => opened,
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -14,7 +14,7 @@
 /// Serves a request that is answered with a stream of events.
 pub(crate) async fn serve(conn: &mut ServerConn, hub: &Rc<Hub>, job: &Job) -> io::Result<()> {
     let mut supervisor = Supervisor::new(hub, job);
-    let end = supervisor.to_end(conn).await?;
+    let end = supervisor.finish(conn).await?;
     log(job, &supervisor, &end);
     let closing = hub.drain.is_draining();
     match end {
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -105,7 +105,7 @@
     /// # Errors
     ///
     /// Fails when the caller's connection does.
-    pub(super) async fn to_end(&mut self, conn: &mut ServerConn) -> io::Result<End> {
+    pub(super) async fn finish(&mut self, conn: &mut ServerConn) -> io::Result<End> {
         let mut chosen = None;
         loop {
             let Some(route) = chosen.take().or_else(|| self.choose()) else {
@@ -150,7 +150,7 @@
         let progress = std::mem::replace(&mut self.progress, Progress::new(None));
         let outcome = {
             let run = Run { hub, job, progress: &progress, route: &route };
-            let mut ending = std::pin::pin!(run.to_end(conn));
+            let mut ending = std::pin::pin!(run.finish(conn));
             let mut not_before = Instant::now();
             loop {
                 let trouble = tokio::select! {
@@ -219,7 +219,10 @@
             self.note_ran_on(&route.first);
         }
         match ended {
-            RunEnd::Complete => Next::End(End::Complete),
+            RunEnd::Complete => {
+                self.counts.runs += 1;
+                Next::End(End::Complete)
+            }
             RunEnd::CallerLeft => Next::End(End::CallerLeft),
             RunEnd::OutOfTime => {
                 self.counts.runs += 1;
@@ -272,8 +275,9 @@
     /// before, once it has run on as many as the route allows.
     fn choose_after(&self, progress: &Progress) -> Option<StreamRoute> {
         let fleet = self.hub.fleet.borrow();
-        let alive = |id: &&BackendId| fleet.get(id).is_some_and(|member| !member.is_down());
-        let ran_on: Vec<BackendId> = self.ran_on.iter().filter(alive).cloned().collect();
+        // One that gives no report may be only slow, and counts.
+        let listed = |id: &&BackendId| fleet.get(id).is_some();
+        let ran_on: Vec<BackendId> = self.ran_on.iter().filter(listed).cloned().collect();
         drop(fleet);
         let all_used = ran_on.len() >= self.job.rule.max_attempts as usize;
         let first = if all_used { ran_on } else { Vec::new() };
--- a/crates/direct/src/whole/serve.rs
+++ b/crates/direct/src/whole/serve.rs
@@ -39,7 +39,7 @@
 pub(crate) async fn serve(conn: &mut ServerConn, hub: &Rc<Hub>, job: &Job) -> io::Result<()> {
     let mut run = Run { hub, job, runs: 0, refused: 0, tried: Vec::new(), last: None };
     let end = tokio::select! {
-        end = run.to_end() => end,
+        end = run.finish() => end,
         () = conn.left() => {
             info!("request: id={} route={} caller left after_ms={}", job.req.id, job.rule.name, job.age_ms());
             return Err(io::ErrorKind::ConnectionAborted.into());
@@ -103,7 +103,7 @@
 }
 
 impl Run<'_> {
-    async fn to_end(&mut self) -> End {
+    async fn finish(&mut self) -> End {
         loop {
             let Some((id, address, usual_ms)) = self.choose() else {
                 return self.give_up();
