--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod operation;
 pub mod outcome;
+pub mod overload;
 pub mod paths;
 pub mod peers;
 pub mod placement;
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -8,6 +8,7 @@
 use actix_http::ServiceConfig;
 use clementine_decide::fleet::Fleet;
 use clementine_decide::ids::{BackendId, IncarnationId, Tick};
+use clementine_decide::overload::Pressure;
 use clementine_decide::paths::LinkUse;
 use clementine_decide::peers::PeerView;
 use clementine_decide::routing::RoutingTable;
@@ -54,6 +55,8 @@
     /// Requests in progress, and whether the process is stopping.
     pub(crate) drain: Drain,
     pub(crate) rng: RefCell<SmallRng>,
+    /// Load against what there is room for.
+    pub(crate) pressure: RefCell<Pressure>,
     pub(crate) retries: RefCell<Retries>,
     /// When it was last logged why no path was found, and how often it was
     /// not logged since.
@@ -84,6 +87,7 @@
             losses: Notify::new(),
             drain: Drain::default(),
             rng: RefCell::new(rng),
+            pressure: RefCell::default(),
             retries: RefCell::new(Retries::new(settings.bounds)),
             shortage_logged_at: Cell::default(),
             shortages_held_back: Cell::default(),
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -8,6 +8,7 @@
 
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
+use clementine_decide::overload::{ROOM_PAUSE, room_wait};
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
 use spdlog::info;
@@ -24,8 +25,6 @@
 use crate::hub::{Hub, Job, RetryFor};
 use crate::whole::WholeAnswer;
 
-/// When to come back where no engines have room.
-const COME_BACK: Duration = Duration::from_millis(500);
 /// Sends that were refused, beside the runs that the route allows.
 const REFUSED_SENDS: u32 = 4;
 /// The same for a stream that the caller has begun to read.
@@ -106,7 +105,7 @@
     ///
     /// Fails when the caller's connection does.
     pub(super) async fn finish(&mut self, conn: &mut ServerConn) -> io::Result<End> {
-        let mut chosen = None;
+        let mut chosen = self.first_route(conn).await;
         loop {
             let Some(route) = chosen.take().or_else(|| self.choose()) else {
                 match self.wait_for_room(conn, "no-path").await {
@@ -127,6 +126,26 @@
         }
     }
 
+    /// A route for the first run. If there is none, the request waits a little
+    /// for room.
+    async fn first_route(&self, conn: &mut ServerConn) -> Option<StreamRoute> {
+        let latest = self.job.arrived + room_wait(self.job.rule.target).duration();
+        let mut route = self.choose();
+        while route.is_none() && Instant::now() < latest {
+            tokio::select! {
+                () = conn.left() => break,
+                () = sleep(ROOM_PAUSE.duration()) => route = self.choose(),
+            }
+        }
+        self.hub.pressure.borrow_mut().note(route.is_some(), self.hub.now());
+        route
+    }
+
+    fn come_back(&self) -> Duration {
+        let pressure = self.hub.pressure.borrow();
+        pressure.come_back(&mut *self.hub.rng.borrow_mut()).duration()
+    }
+
     /// Waits a moment before a stream that the caller has begun to read is
     /// taken up again; gives its end where there is no use in waiting.
     async fn wait_for_room(&mut self, conn: &mut ServerConn, reason: &'static str) -> Option<End> {
@@ -314,7 +333,7 @@
             return End::Failed(whole);
         }
         if self.counts.runs == 0 {
-            return End::Refused(Refusal::later(ErrorKind::Overloaded, COME_BACK));
+            return End::Refused(Refusal::later(ErrorKind::Overloaded, self.come_back()));
         }
         let late = self.job.left().is_zero();
         let kind = if late { ErrorKind::DeadlineWhileRunning } else { ErrorKind::BackendLost };
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -105,7 +105,7 @@
         while conn.wait_request(&limits).await.is_ok() {
             let Ok(message) = conn.read_request(&limits).await else { return };
             if self.dark.get() {
-                sleep(Duration::from_secs(60)).await;
+                sleep(Duration::from_mins(1)).await;
             }
             let keep = match message.head.uri.path() {
                 "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
@@ -155,7 +155,7 @@
         conn.send(Response::with_body(status, ()), &body).await.is_ok()
     }
 
-    fn sealed(&self, status: u16) -> Response<()> {
+    fn sealed(status: u16) -> Response<()> {
         let mut res = Response::with_body(StatusCode::from_u16(status).expect("a status"), ());
         for (name, value) in [("server-seal", "seal"), ("request-id", "r-1")] {
             let value = HeaderValue::from_static(value);
@@ -180,17 +180,17 @@
             }
             Behaviour::Serve => {
                 self.note_run(message);
-                conn.send(self.sealed(200), &body).await.is_ok()
+                conn.send(Self::sealed(200), &body).await.is_ok()
             }
             Behaviour::ServeUnframed => {
                 self.note_run(message);
-                let sent = conn.send_unframed(self.sealed(200), &body).await;
+                let sent = conn.send_unframed(Self::sealed(200), &body).await;
                 assert!(sent.is_ok());
                 false
             }
             Behaviour::Fail => {
                 self.note_run(message);
-                conn.send(self.sealed(500), &body).await.is_ok()
+                conn.send(Self::sealed(500), &body).await.is_ok()
             }
             Behaviour::RunAndClose => {
                 self.note_run(message);
@@ -203,7 +203,7 @@
         self.note_run(message);
         let last = message.head.headers().get("last-event-id");
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-        conn.start_stream(self.sealed(200)).expect("started");
+        conn.start_stream(Self::sealed(200)).expect("started");
         for id in last + 1..=EVENTS {
             while self.stalled_by.get().is_some() && id > EVENTS / 2 {
                 sleep(PAUSE).await;
--- a/crates/direct/tests/world/store.rs
+++ b/crates/direct/tests/world/store.rs
@@ -20,11 +20,15 @@
 
 use super::anywhere;
 
+/// Table and key of a row.
+type TableKey = (String, String);
+/// Value and version of a row; removed rows have no value.
+type Row = (Option<Vec<u8>>, u64);
+
 #[derive(Default)]
 struct State {
     version: u64,
-    /// Value and version by table and key; removed rows have no value.
-    rows: BTreeMap<(String, String), (Option<Vec<u8>>, u64)>,
+    rows: BTreeMap<TableKey, Row>,
 }
 
 /// A store with rows, transactions and a change feed.
