--- a/crates/decide/src/lease/watch.rs
+++ b/crates/decide/src/lease/watch.rs
@@ -76,6 +76,21 @@
         self.held.filter(|(_, until)| now < *until).map(|(term, _)| term)
     }
 
+    /// Notes that the holder itself said that it has written a version of the
+    /// row. What was heard counts as seen: a lapsed lease then passes on so
+    /// much sooner.
+    pub fn note_heard(&mut self, version: u64, now: Tick) {
+        if self.seen.is_none_or(|(seen, _)| version > seen) {
+            self.seen = Some((version, now));
+        }
+    }
+
+    /// Version of the row with which this process holds the lease.
+    pub fn held_version(&self, now: Tick) -> Option<u64> {
+        self.term(now)?;
+        self.seen.map(|(version, _)| version)
+    }
+
     /// The renewal of a lease that is held, which needs no reading before.
     pub fn renewal(&self, now: Tick) -> Option<LeaseStep> {
         let term = self.term(now)?;
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -42,8 +42,9 @@
     /// Version of the newest change of the list of backend servers that is
     /// known.
     pub list_newest: u64,
-    /// Whether the process holds the planner's lease.
-    pub plans: bool,
+    /// Version of the lease's row with which the process holds the planner's
+    /// lease, if it does.
+    pub plans: Option<u64>,
     /// Work at each backend server where there is any. One that is not named
     /// has none.
     pub loads: Vec<BackendLoad>,
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -66,10 +66,11 @@
         1 + self.peers.values().filter(|peer| !peer.last.leaving).count()
     }
 
-    /// Whether some other entry says that it holds the planner's lease.
-    pub fn has_planner(&self, now: Tick) -> bool {
-        let heard = |peer: &Peer| now.since(peer.heard_at) < ALIVE_FOR;
-        self.peers.values().any(|peer| peer.last.plans && heard(peer))
+    /// Newest version of the lease's row with which some other entry says that
+    /// it holds the planner's lease.
+    pub fn planner(&self, now: Tick) -> Option<u64> {
+        let heard = self.peers.values().filter(|peer| now.since(peer.heard_at) < ALIVE_FOR);
+        heard.filter_map(|peer| peer.last.plans).max()
     }
 
     /// Use of the links between failure domains by all other entries, in bytes
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -22,7 +22,7 @@
         leaving: false,
         config_newest: 0,
         list_newest: 0,
-        plans: false,
+        plans: None,
         loads: vec![BackendLoad { backend: BackendTag(7), in_flight: 1, tokens }],
         links: Vec::new(),
     }
@@ -95,6 +95,17 @@
     }
 }
 
+#[test]
+fn a_lease_that_was_heard_of_passes_on_sooner() {
+    let (mut one, mut two) = (watch("one", 1), watch("two", 2));
+    let row = take(&mut one, None, 10, Tick(0));
+    two.note_heard(10, Tick(100));
+    two.note_heard(9, Tick(2_000));
+    assert_eq!(one.term(Tick(2_800)), None);
+    assert_eq!(two.note_row(Some((10, &row)), Tick(3_000)), LeaseStep::Wait);
+    assert_eq!(take(&mut two, Some((10, &row)), 11, Tick(3_600)).term, 2);
+}
+
 #[test]
 fn a_process_that_starts_again_replaces_its_earlier_start_at_once() {
     let row = take(&mut watch("one", 1), None, 10, Tick(0));
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -80,7 +80,7 @@
         view.note_snapshot(snapshot);
         return Ok(Some(size));
     };
-    let wait = if hub.plans.get() { PLANNER_FEED_WAIT } else { FEED_WAIT };
+    let wait = if hub.plans.get().is_some() { PLANNER_FEED_WAIT } else { FEED_WAIT };
     let answer = tokio::select! {
         answer = hub.store.feed(table, after, wait) => answer,
         () = followed.gone_silent() => return Ok(None),
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -40,8 +40,9 @@
     pub(crate) links: RefCell<LinkUse>,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
-    /// Whether this process holds the planner's lease.
-    pub(crate) plans: Cell<bool>,
+    /// Version of the lease's row with which this process holds the planner's
+    /// lease, if it does.
+    pub(crate) plans: Cell<Option<u64>>,
     /// How far the configuration is followed.
     pub(crate) config_followed: Followed,
     /// How far the list of backend servers is followed.
@@ -79,7 +80,7 @@
             fleet: RefCell::default(),
             links: RefCell::default(),
             peers: RefCell::default(),
-            plans: Cell::new(false),
+            plans: Cell::new(None),
             config_followed: Followed::default(),
             list_followed: Followed::default(),
             listed: Cell::new(false),
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -16,8 +16,10 @@
 const LEASE_TABLE: &str = "leases";
 /// Key of the planner's lease.
 const PLANNER_KEY: &str = "planner";
-/// Pause between two renewals, or two looks at another holder's row.
-const LEASE_PAUSE: Duration = Duration::from_millis(1_100);
+/// Pause between two renewals.
+const RENEW_PAUSE: Duration = Duration::from_millis(1_100);
+/// Pause between two looks at the row while nobody is known to hold the lease.
+const LOOK_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between two looks at the plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(200);
 
@@ -30,16 +32,21 @@
     let mut look_at = Instant::now();
     let mut was_holder = false;
     while !hub.drain.is_draining() {
-        let settled = hub.peers.borrow().has_planner(hub.now()) && !hub.plans.get();
+        let other = hub.peers.borrow().planner(hub.now());
+        if let Some(version) = other {
+            watch.note_heard(version, hub.now());
+        }
+        let settled = other.is_some() && hub.plans.get().is_none();
         if Instant::now() >= look_at && !settled {
             if let Err(error) = look(&hub, &mut watch).await {
                 warn!("planner: the lease can't be read or written: {}", error);
             }
             let spread = hub.rng.borrow_mut().random_range(0.8..1.2);
-            look_at = Instant::now() + LEASE_PAUSE.mul_f64(spread);
+            let pause = if hub.plans.get().is_some() { RENEW_PAUSE } else { LOOK_PAUSE };
+            look_at = Instant::now() + pause.mul_f64(spread);
         }
         let term = watch.term(hub.now());
-        hub.plans.set(term.is_some());
+        hub.plans.set(watch.held_version(hub.now()));
         if term.is_some() != was_holder {
             was_holder = term.is_some();
             hub.config_followed.ask_again();
