--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -35,7 +35,12 @@
 }
 
 /// Follows a table until the process ends.
-pub(super) async fn follow(hub: &Hub, table: &str, followed: &Followed, view: &mut impl TableView) {
+pub(super) async fn follow(
+    hub: &Hub,
+    table: &'static str,
+    followed: &Followed,
+    view: &mut impl TableView,
+) {
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut reached = true;
@@ -52,6 +57,7 @@
                 pause = FIRST_PAUSE;
             }
             Err(error) => {
+                hub.meters.count_store_failure(table);
                 if reached {
                     warn!("store: table `{}` can't be followed: {}", table, error);
                 }
@@ -67,7 +73,7 @@
 /// Makes one call; gives the size of the changes, if there were any, in bytes.
 async fn step(
     hub: &Hub,
-    table: &str,
+    table: &'static str,
     followed: &Followed,
     version: &mut Option<u64>,
     view: &mut impl TableView,
--- /dev/null
+++ b/crates/direct/src/hub/dump.rs
@@ -0,0 +1,69 @@
+//! The state of the process for people who look for a cause.
+
+use clementine_decide::fleet::Member;
+use clementine_process::admin::AdminProcess;
+use serde_json::{Value, json};
+
+use super::Hub;
+
+impl AdminProcess for Hub {
+    fn not_ready(&self) -> Option<String> {
+        if self.drain.is_draining() {
+            return Some("stopping".into());
+        }
+        if self.table().is_none() {
+            return Some("no configuration yet".into());
+        }
+        (!self.listed.get()).then(|| "no list of backend servers yet".into())
+    }
+
+    fn state(&self) -> Value {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let backends: Vec<Value> = fleet.iter().map(|member| self.backend(member)).collect();
+        let links = self.links.borrow();
+        let links: Vec<Value> = links
+            .own(now)
+            .map(|(link, rate)| json!({"ends": [link.ends().0, link.ends().1], "bytes_per_ms": rate}))
+            .collect();
+        json!({
+            "entry": self.settings.entry,
+            "incarnation": self.incarnation,
+            "up_ms": now.0,
+            "config_version": self.table().map(|table| table.version),
+            "routes": self.table().map(|table| table.route_count()),
+            "config_newest_row": self.config_followed.newest(),
+            "list_newest_row": self.list_followed.newest(),
+            "plans_with_row": self.plans.get(),
+            "entries_serving": self.peers.borrow().serving(),
+            "requests_in_progress": self.drain.in_progress(),
+            "stopping": self.drain.is_draining(),
+            "refused_share": self.pressure.borrow().refused_share(),
+            "backends": backends,
+            "links": links,
+        })
+    }
+}
+
+impl Hub {
+    fn backend(&self, member: &Member) -> Value {
+        let backend = &member.backend;
+        json!({
+            "id": backend.id,
+            "pool": backend.pool,
+            "address": backend.address,
+            "domain": backend.domain,
+            "state": format!("{:?}", backend.state),
+            "layers": backend.layers,
+            "orders": backend.orders,
+            "usable": member.is_usable(self.now()),
+            "down": member.is_down(),
+            "requests": member.in_flight,
+            "requests_of_others": member.others_in_flight,
+            "tokens": member.used_tokens,
+            "tokens_of_others": member.others_tokens,
+            "answer_ms": member.latency_ms(),
+            "alive_ms_ago": self.now().since(member.alive_at).0,
+        })
+    }
+}
--- a/crates/direct/src/hub/retries.rs
+++ b/crates/direct/src/hub/retries.rs
@@ -44,6 +44,16 @@
             return;
         }
         self.entries = entries;
+        self.apply_limits();
+    }
+
+    /// Puts changed bounds in force.
+    pub(crate) fn change_bounds(&mut self, bounds: InstanceBounds) {
+        self.bounds = bounds;
+        self.apply_limits();
+    }
+
+    fn apply_limits(&mut self) {
         let limits = self.limits();
         for budget in self.pools.values_mut() {
             budget.set_limits(limits);
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -13,7 +13,7 @@
 use clementine_decide::peers::PeerView;
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
-use clementine_platform::settings::InstanceSettings;
+use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
 use clementine_process::clock::Clock;
 use clementine_process::shutdown::Drain;
@@ -23,12 +23,15 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{Followed, Retries};
+use super::{Followed, Meters, Retries};
 
 /// What the parts of the process share.
 #[derive(Debug)]
 pub(crate) struct Hub {
     pub(crate) settings: InstanceSettings,
+    /// Bounds of the settings, which may change while the process runs.
+    pub(crate) bounds: Cell<InstanceBounds>,
+    pub(crate) meters: Meters,
     /// This start of the process.
     pub(crate) incarnation: IncarnationId,
     pub(crate) clock: Clock,
@@ -68,7 +71,7 @@
 }
 
 impl Hub {
-    pub(crate) fn new(settings: InstanceSettings) -> Self {
+    pub(crate) fn new(settings: InstanceSettings, meters: Meters) -> Self {
         let mut rng = SmallRng::try_from_rng(&mut rand::rngs::SysRng)
             .unwrap_or_else(|_| SmallRng::seed_from_u64(u64::from(std::process::id())));
         let codec = ServerConn::codec_config();
@@ -94,6 +97,8 @@
             shortages_held_back: Cell::default(),
             table: RefCell::default(),
             stopping_since: Cell::new(None),
+            bounds: Cell::new(settings.bounds),
+            meters,
             settings,
         }
     }
@@ -151,13 +156,20 @@
         self.fleet.borrow().get(id).is_some_and(|member| member.backend.layers.is_some())
     }
 
+    /// Puts changed bounds in force.
+    pub(crate) fn change_bounds(&self, bounds: InstanceBounds) {
+        self.bounds.set(bounds);
+        self.retries.borrow_mut().change_bounds(bounds);
+    }
+
     /// Takes a backend server out of use; tells whether that is news.
-    pub(crate) fn note_down(&self, id: &BackendId, reason: &str) -> bool {
+    pub(crate) fn note_down(&self, id: &BackendId, reason: &'static str) -> bool {
         let mut fleet = self.fleet.borrow_mut();
         let news = fleet.get_mut(id).is_some_and(|member| member.note_down(true));
         drop(fleet);
         if news {
             info!("fleet: backend={} down reason={}", id, reason);
+            self.meters.count_backend_lost(reason);
             self.losses.notify_waiters();
         }
         news
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod planner;
 mod readiness;
+mod reload;
 mod run;
 mod streams;
 mod whole;
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use clementine_platform::settings::{InstanceSettings, InstanceSettingsError, settings_path};
+use clementine_process::admin::{AdminError, serve_admin};
 use clementine_process::http::bind_reusable;
 use clementine_process::logging::{LogFormat, LogTarget, LoggingError, start_logging};
+use clementine_process::metrics::{Metrics, MetricsError};
+use clementine_process::settings::AdminSettings;
 use clementine_process::shutdown::watch_signals;
 use snafu::{ResultExt, Snafu};
 use spdlog::{Level, info};
@@ -17,10 +20,11 @@
 
 use crate::callers::serve_callers;
 use crate::follow::{follow_backends, follow_config};
-use crate::hub::Hub;
+use crate::hub::{Hub, Meters};
 use crate::peers::talk_to_peers;
 use crate::planner::plan_while_holder;
 use crate::readiness::serve_readiness;
+use crate::reload::watch_settings;
 
 /// Least time from the request to stop to the end of the process. The balancer
 /// sends callers here until it has asked twice for readiness.
@@ -43,6 +47,18 @@
         /// Cause.
         source: LoggingError,
     },
+    /// The metrics can't be set up.
+    #[snafu(transparent)]
+    Metrics {
+        /// Cause.
+        source: MetricsError,
+    },
+    /// The address for metrics can't be served.
+    #[snafu(transparent)]
+    Admin {
+        /// Cause.
+        source: AdminError,
+    },
     /// An address can't be bound.
     #[snafu(display("{listen} can't be bound: {source}"))]
     Bind {
@@ -64,12 +80,16 @@
 /// # Errors
 ///
 /// Fails when the settings can't be used or an address can't be bound.
-pub fn run(level: Level) -> Result<(), DirectError> {
+pub fn run(level: Level, metrics_port: Option<u16>) -> Result<(), DirectError> {
     start_logging(LogTarget::Stdout, LogFormat::Text, level)?;
-    let settings = InstanceSettings::load(&settings_path())?;
+    let path = settings_path();
+    let read = InstanceSettings::load(&path)?;
+    let mut settings = read.clone();
+    settings.metrics = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
     actix_rt::System::new().block_on(async {
         let running = start(settings)?;
         watch_signals(running.hub.drain.clone()).context(SignalsSnafu)?;
+        watch_settings(Rc::clone(&running.hub), path, read).context(SignalsSnafu)?;
         running.stopped().await;
         Ok(())
     })
@@ -93,7 +113,14 @@
 pub fn start(settings: InstanceSettings) -> Result<Running, DirectError> {
     let (callers, callers_at) = bind(settings.callers)?;
     let (readiness, readiness_at) = bind(settings.readiness)?;
-    let hub = Rc::new(Hub::new(settings));
+    let metrics = Metrics::start()?;
+    let meters = Meters::new(&metrics.meter());
+    let metrics_at = settings.metrics;
+    let hub = Rc::new(Hub::new(settings, meters));
+    if let Some(listen) = metrics_at {
+        let settings = AdminSettings { listen, token: None };
+        serve_admin(&settings, metrics, Rc::clone(&hub), None)?;
+    }
     info!("process: started entry={} incarnation={}", hub.settings.entry, hub.incarnation);
     spawn_local(serve_callers(callers, Rc::clone(&hub)));
     spawn_local(serve_readiness(readiness, Rc::clone(&hub)));
@@ -122,7 +149,7 @@
         self.hub.drain.started().await;
         self.hub.note_stopping();
         let since = Instant::now();
-        let grace = self.hub.settings.bounds.grace.duration();
+        let grace = self.hub.bounds.get().grace.duration();
         let latest = since + grace.saturating_sub(END_BEFORE_KILL);
         sleep(STAY_AT_LEAST.min(grace)).await;
         tokio::select! {
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -15,7 +15,7 @@
 pub(crate) async fn serve(conn: &mut ServerConn, hub: &Rc<Hub>, job: &Job) -> io::Result<()> {
     let mut supervisor = Supervisor::new(hub, job);
     let end = supervisor.finish(conn).await?;
-    log(job, &supervisor, &end);
+    log(hub, job, &supervisor, &end);
     let closing = hub.drain.is_draining();
     match end {
         End::Complete => conn.finish_stream().await,
@@ -26,7 +26,7 @@
     }
 }
 
-fn log(job: &Job, supervisor: &Supervisor<'_>, end: &End) {
+fn log(hub: &Hub, job: &Job, supervisor: &Supervisor<'_>, end: &End) {
     let outcome = match end {
         End::Complete => "complete",
         End::CallerLeft => "caller-left",
@@ -35,6 +35,10 @@
         End::BrokenOff(reason) => reason,
     };
     let progress = &supervisor.progress;
+    hub.meters.count_request(&job.rule.name, outcome);
+    if let Some(first) = progress.first_at() {
+        hub.meters.record_stream(first - job.arrived, progress.longest_pause());
+    }
     let first = progress.first_at().map(|at| (at - job.arrived).as_millis());
     let counts = &supervisor.counts;
     info!(
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -212,6 +212,7 @@
         if let Trouble::Down(down) = trouble {
             if repath(self.hub, self.job, route, progress, down).await {
                 self.counts.repaths += 1;
+                self.hub.meters.count_path_changed();
                 return None;
             }
             self.avoid.push(down.clone());
@@ -342,6 +343,7 @@
 
     fn log_run(&self, route: &StreamRoute, next: &Next) {
         let Next::Again(reason, _) = next else { return };
+        self.hub.meters.count_retry(reason);
         info!(
             "stream: id={} run={} ended reason={} events={} path={}",
             self.job.req.id,
--- a/crates/direct/src/whole/serve.rs
+++ b/crates/direct/src/whole/serve.rs
@@ -49,11 +49,12 @@
     let closing = hub.drain.is_draining();
     match end {
         End::Answer(whole) => {
-            log_end(job, whole.answer.head.status.as_u16(), "answered", runs, refused);
+            log_end(hub, job, whole.answer.head.status.as_u16(), "answered", runs, refused);
+            hub.meters.record_whole(job.arrived.elapsed());
             send_whole(conn, &whole, closing).await
         }
         End::Refusal(refusal) => {
-            log_end(job, refusal.kind.rule().status, refusal.kind.code(), runs, refused);
+            log_end(hub, job, refusal.kind.rule().status, refusal.kind.code(), runs, refused);
             refuse(conn, &job.req.id, refusal, closing).await
         }
     }
@@ -75,7 +76,8 @@
     conn.send(res, &whole.body).await
 }
 
-fn log_end(job: &Job, status: u16, outcome: &str, runs: u32, refused: u32) {
+fn log_end(hub: &Hub, job: &Job, status: u16, outcome: &'static str, runs: u32, refused: u32) {
+    hub.meters.count_request(&job.rule.name, outcome);
     info!(
         "request: id={} route={} pool={} status={} outcome={} runs={} refused_sends={} after_ms={}",
         job.req.id,
--- a/crates/direct/tests/world/mod.rs
+++ b/crates/direct/tests/world/mod.rs
@@ -43,6 +43,7 @@
         callers: anywhere(),
         readiness: anywhere(),
         internal_ports: Some((0, 0)),
+        metrics: None,
         store: store.address,
         store_reads_per_s: 1_000.0,
         link_bytes_per_s: 1e8,
--- /dev/null
+++ b/crates/entry/src/cmd/check.rs
@@ -0,0 +1,35 @@
+//! `clementine-entry check`: checks a settings file.
+
+use std::error::Error;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clementine_platform::settings::{InstanceSettings, settings_path};
+
+/// Name of the subcommand.
+pub(crate) const NAME: &str = "check";
+
+/// Flags of the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new(NAME).about("Checks a settings file of the platform and tells all faults").arg(
+        Arg::new("file")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .help("Settings file [default: the one that `direct` reads]"),
+    )
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let path = matches.get_one::<PathBuf>("file").cloned().unwrap_or_else(settings_path);
+    let settings = InstanceSettings::load(&path)?;
+    println!(
+        "{}: entry {} in {}, callers at {}, store at {}",
+        path.display(),
+        settings.entry,
+        settings.domain,
+        settings.callers,
+        settings.store
+    );
+    Ok(())
+}
--- a/crates/entry/src/cmd/direct.rs
+++ b/crates/entry/src/cmd/direct.rs
@@ -25,12 +25,18 @@
             "LEVEL",
             "Least level logged: debug, info, warn or error [default: info]",
         ))
+        .arg(setting(
+            "metrics-port",
+            "PORT",
+            "Port of the instance for /metrics, /state and /readyz [default: none]",
+        ))
 }
 
 /// Runs the subcommand.
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let mut reader = SettingsReader::new(matches);
     let level = reader.or("log-level", Level::Info);
+    let metrics_port = reader.optional("metrics-port");
     let level = reader.finish(level)?;
-    Ok(clementine_direct::run(level)?)
+    Ok(clementine_direct::run(level, metrics_port)?)
 }
--- a/crates/entry/src/cmd/mod.rs
+++ b/crates/entry/src/cmd/mod.rs
@@ -1,3 +1,4 @@
 //! Subcommands.
 
+pub(crate) mod check;
 pub(crate) mod direct;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -21,6 +21,7 @@
 fn main() -> ExitCode {
     let command = settings::command()
         .subcommand(cmd::direct::command())
+        .subcommand(cmd::check::command())
         .subcommand_negates_reqs(true)
         .args_conflicts_with_subcommands(true);
     match dispatch(&command.get_matches()) {
@@ -35,6 +36,7 @@
 fn dispatch(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     match matches.subcommand() {
         Some((cmd::direct::NAME, matches)) => cmd::direct::run(matches),
+        Some((cmd::check::NAME, matches)) => cmd::check::run(matches),
         _ => Ok(run::run(settings::EntrySettings::read(matches)?)?),
     }
 }
