--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -17,6 +17,8 @@
 
 /// Time for one call to an engine.
 pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Time for the answer to an order, which comes before the order is done.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
 /// Largest report that is read, in bytes.
 const REPORT_LIMIT: usize = 256 * 1024;
 
@@ -72,11 +74,11 @@
     (head, body): (RequestHead, Bytes),
 ) -> Result<OrderAnswer, CallError> {
     let call = async {
-        let connected = Exchange::connect(engine, CALL_LIMIT, &hub.codec).await;
+        let connected = Exchange::connect(engine, ORDER_LIMIT, &hub.codec).await;
         let mut exchange = connected.map_err(failed)?;
         exchange.queue(head, body).map_err(failed)?;
         let head = exchange.read_head().await.map_err(failed)?;
         Ok(OrderAnswer::from(head.status))
     };
-    timeout(CALL_LIMIT, call).await.map_err(failed)?
+    timeout(ORDER_LIMIT, call).await.map_err(failed)?
 }
--- a/crates/direct/src/engines/mod.rs
+++ b/crates/direct/src/engines/mod.rs
@@ -3,5 +3,5 @@
 mod calls;
 mod inspect;
 
-pub(crate) use calls::{CALL_LIMIT, ask_report, change_path, place_layers};
+pub(crate) use calls::{CALL_LIMIT, CallError, ask_report, change_path, place_layers};
 pub(crate) use inspect::{check_backend, inspect_run};
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::engines::{CALL_LIMIT, ask_report, place_layers};
+use crate::engines::{CALL_LIMIT, CallError, ask_report, place_layers};
 use crate::hub::Hub;
 
 /// Pause between two looks at an engine that loads.
@@ -25,6 +25,12 @@
 /// Least time after which an order counts as lost.
 const LOAD_AT_LEAST: Duration = Duration::from_secs(2);
 
+/// Times that an order is sent which gets no answer.
+const MOST_SENDS: usize = 6;
+/// Reports in a row of an engine that does nothing and does not hold the
+/// layers, after which its order counts as lost.
+const IDLE_REPORTS: u32 = 4;
+
 /// Orders that have not come to their end, by engine.
 type Pending = Rc<RefCell<HashMap<BackendId, LayerRange>>>;
 
@@ -124,32 +130,43 @@
 
 impl OrderTask {
     async fn carry_out(&self) {
-        let id = &self.step.id;
-        let Some(report) = self.report().await else { return };
-        if report.layers == Some(self.step.layers) && !report.busy {
-            return self.note(&report);
+        for _ in 0..MOST_SENDS {
+            let Some(report) = self.report().await else { return };
+            if report.layers == Some(self.step.layers) && !report.busy {
+                return self.note(&report);
+            }
+            match self.send(report.orders).await {
+                Ok(OrderAnswer::Begun | OrderAnswer::Done) => return self.wait_loaded().await,
+                // Lost, or carried out later: the count of orders makes sure
+                // that only one of two copies is carried out.
+                Err(_) => {}
+                // The plan is made again from what the engine says then.
+                Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) => return,
+            }
         }
+    }
+
+    async fn send(&self, after_orders: u64) -> Result<OrderAnswer, CallError> {
         let order = PlaceOrder {
             layers: self.step.layers,
-            after_orders: report.orders,
+            after_orders,
             term: self.term,
             evict: self.step.urgent && self.step.replaces,
         };
         let answer = place_layers(&self.hub, self.address, &order).await;
         info!(
             "planner: order backend={} layers={} after_orders={} term={} urgent={} answer={:?}",
-            id, order.layers, order.after_orders, order.term, self.step.urgent, answer
+            self.step.id, order.layers, after_orders, order.term, self.step.urgent, answer
         );
-        if matches!(answer, Ok(OrderAnswer::Fenced | OrderAnswer::Refused(_))) {
-            return;
-        }
-        self.wait_loaded().await;
+        answer
     }
 
-    /// Waits until the engine holds the layers, or some time has passed.
+    /// Waits until the engine holds the layers, is idle without them, or some
+    /// time has passed.
     async fn wait_loaded(&self) {
         let end = Instant::now() + self.patience;
-        while Instant::now() < end {
+        let mut idle = 0;
+        while Instant::now() < end && idle < IDLE_REPORTS {
             sleep(REPORT_PAUSE).await;
             let Some(report) = self.report().await else { continue };
             self.note(&report);
@@ -157,6 +174,7 @@
                 let layers = self.step.layers;
                 return info!("planner: loaded backend={} layers={}", self.step.id, layers);
             }
+            idle = if report.busy { 0 } else { idle + 1 };
         }
         warn!("planner: backend={} did not load {} in time", self.step.id, self.step.layers);
     }
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -155,6 +155,20 @@
     assert_eq!((answer.status, answer.retry_after.is_some()), (503, true));
 }
 
+#[test]
+async fn an_order_without_an_answer_is_given_again_at_once() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 4).await;
+    for engine in &engines {
+        engine.lost_orders.set(2);
+    }
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
+    assert_eq!(events(&answer), all_events());
+}
+
 #[test]
 async fn entries_that_start_together_find_each_other_and_one_plans() {
     let store = Store::start().await;
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -47,6 +47,8 @@
     pub stalled_by: Rc<Cell<Option<SocketAddr>>>,
     /// Whether it answers anything at all.
     pub dark: Rc<Cell<bool>>,
+    /// Orders to come that it neither answers nor carries out.
+    pub lost_orders: Rc<Cell<u32>>,
     /// Requests that it ran, with their paths through engines.
     pub ran: Rc<RefCell<Vec<String>>>,
     /// Changes of path that it was told.
@@ -67,6 +69,7 @@
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
             stalled_by: Rc::default(),
             dark: Rc::default(),
+            lost_orders: Rc::default(),
             ran: Rc::default(),
             repaths: Rc::default(),
             layers: Rc::default(),
@@ -131,6 +134,10 @@
     }
 
     async fn order(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
+        if self.lost_orders.get() > 0 {
+            self.lost_orders.set(self.lost_orders.get() - 1);
+            sleep(Duration::from_mins(1)).await;
+        }
         let order: Value = serde_json::from_slice(&message.body).expect("an order");
         if order["operation"] == "repath" {
             self.repaths.borrow_mut().push(order);
