--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -64,7 +64,7 @@
     pub(crate) retries: RefCell<Retries>,
     /// When it was last logged why no path was found, and how often it was
     /// not logged since.
-    pub(crate) shortage_logged_at: Cell<Tick>,
+    pub(crate) shortage_logged_at: Cell<Option<Tick>>,
     pub(crate) shortages_held_back: Cell<u64>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     stopping_since: Cell<Option<Instant>>,
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use clementine_decide::fleet::EngineSpec;
-use clementine_decide::ids::{BackendId, DomainId};
+use clementine_decide::ids::{BackendId, DomainId, Tick};
 use clementine_decide::paths::{Demand, Leg, Link, PathSearch, Stop, link_bytes, shortages};
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -113,10 +113,11 @@
 fn log_shortages(hub: &Hub, job: &Job, engine: &EngineSpec, stops: &[Stop], demand: Demand) {
     let now = hub.now();
     let held_back = hub.shortages_held_back.get();
-    if now.since(hub.shortage_logged_at.get()) < SHORTAGE_PAUSE {
+    let recent = |at: Tick| now.since(at) < SHORTAGE_PAUSE;
+    if hub.shortage_logged_at.get().is_some_and(recent) {
         return hub.shortages_held_back.set(held_back + 1);
     }
-    hub.shortage_logged_at.set(now);
+    hub.shortage_logged_at.set(Some(now));
     hub.shortages_held_back.set(0);
     let found: Vec<String> =
         shortages(engine.layers, stops).iter().map(ToString::to_string).collect();
--- /dev/null
+++ b/crates/direct/tests/operations_page.rs
@@ -0,0 +1,119 @@
+//! Follows the three ways of docs/OPERATIONS.md from a request's id to its cause,
+//! on the log of real failures.
+
+mod world;
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use spdlog::sink::FileSink;
+use spdlog::{LevelFilter, Logger};
+use tokio::time::sleep;
+use world::{Backend, Behaviour, Store, ask_with, config, entry, until};
+
+/// Layers of the model.
+const LAYERS: u32 = 12;
+
+fn log_to_file() -> PathBuf {
+    let path =
+        std::env::temp_dir().join(format!("clementine-operations-{}.log", std::process::id()));
+    let sink = FileSink::builder().path(&path).truncate(true).build().expect("a sink");
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .expect("a logger");
+    spdlog::set_default_logger(Arc::new(logger));
+    path
+}
+
+/// The lines of the log that hold all of some words.
+fn lines(path: &PathBuf, words: &[&str]) -> Vec<String> {
+    let text = fs::read_to_string(path).expect("a log");
+    let held = text.lines().filter(|line| words.iter().all(|word| line.contains(word)));
+    held.map(String::from).collect()
+}
+
+/// The value of `name=` in a line.
+fn value<'a>(line: &'a str, name: &str) -> &'a str {
+    let start = line.find(&format!("{name}=")).expect("the name") + name.len() + 1;
+    line[start..].split([' ', ',']).next().expect("a value")
+}
+
+#[actix_rt::test]
+async fn each_way_leads_from_the_id_to_the_cause() {
+    let log = log_to_file();
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let entry = entry("one", &store).await;
+    let ask = async |path, id: &str| {
+        let headers = [("x-api-key", "key"), ("request-id", id)];
+        ask_with(entry.callers, "POST", path, "body", &headers).await
+    };
+
+    // A request that was refused: no engine holds anything.
+    assert_eq!(ask("/stream/x", "b2").await.status, 503);
+    let end = &lines(&log, &["stream: id=b2 route=", "runs=0"])[0];
+    assert_eq!(value(end, "outcome"), "overloaded");
+    assert!(!lines(&log, &["paths: id=b2 no path", "lines_held_back="]).is_empty());
+
+    // A stream that was late: an engine of its path goes down.
+    let mut engines = Vec::new();
+    for n in 0..5 {
+        engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
+    }
+    until("all engines hold layers", async || engines.iter().all(Backend::holds_layers)).await;
+    sleep(Duration::from_millis(600)).await;
+    let stop_one = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+        let path = first.ran.borrow()[0].clone();
+        let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
+        let lost = engines.iter().find(on_path).expect("another engine on the path");
+        lost.dark.set(true);
+        first.stalled_by.set(Some(lost.address));
+        lost.id.clone()
+    };
+    let (answer, lost) = tokio::join!(ask("/stream/x", "a1"), stop_one);
+    assert!(answer.whole);
+    let moved = &lines(&log, &["stream: id=a1 repath away from"])[0];
+    assert_eq!(value(moved, "backend"), lost);
+    let end = &lines(&log, &["stream: id=a1 route=", "outcome=complete"])[0];
+    assert_eq!(value(end, "repaths"), "1");
+    let waits = &lines(&log, &["engines: request=a1 waits for"])[0];
+    assert_eq!(value(waits, "backend"), lost);
+    assert!(!lines(&log, &["fleet: backend=", &lost, "down reason=stalled-run"]).is_empty());
+
+    // A 502 whose run is unknown: the connection ends without an answer.
+    let plain = Backend::start("plain-1", "plain", &store).await;
+    sleep(Duration::from_millis(600)).await;
+    plain.behaviour.set(Behaviour::RunAndClose);
+    assert_eq!(ask("/once/x", "c3").await.status, 502);
+    let end = &lines(&log, &["request: id=c3", "status=502"])[0];
+    assert_eq!((value(end, "outcome"), value(end, "runs")), ("backend_lost", "1"));
+    let paused = &lines(&log, &["fleet: backend=plain-1 paused", "request=c3"])[0];
+    assert_eq!(value(paused, "reason"), "no-answer");
+    fs::remove_file(log).expect("removed");
+}
+
+/// The lines that the page shows are of the form that the log has.
+#[test]
+fn the_page_names_what_the_log_names() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).expect("the page");
+    for part in [
+        "repath away from backend=",
+        "repaths=",
+        "longest_pause_ms=",
+        "waits for backend=",
+        "down reason=stalled-run",
+        "no path stops=",
+        "lines_held_back=",
+        "paused reason=no-answer request=",
+        "outcome=backend_lost runs=1",
+    ] {
+        assert!(page.contains(part), "{part}");
+    }
+}
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -51,6 +51,8 @@
     pub lost_orders: Rc<Cell<u32>>,
     /// Requests that it ran, with their paths through engines.
     pub ran: Rc<RefCell<Vec<String>>>,
+    /// Id of the last stream that it was sent.
+    last_stream: Rc<RefCell<String>>,
     /// Changes of path that it was told.
     pub repaths: Rc<RefCell<Vec<Value>>>,
     layers: Rc<Cell<(u64, u64)>>,
@@ -71,6 +73,7 @@
             dark: Rc::default(),
             lost_orders: Rc::default(),
             ran: Rc::default(),
+            last_stream: Rc::default(),
             repaths: Rc::default(),
             layers: Rc::default(),
             orders: Rc::default(),
@@ -126,7 +129,7 @@
         let stalled: Vec<Value> = self
             .stalled_by
             .get()
-            .map(|at| json!({"id": "r-1", "address": at.to_string()}))
+            .map(|at| json!({"id": *self.last_stream.borrow(), "address": at.to_string()}))
             .into_iter()
             .collect();
         json!({"layers": self.held(), "busy": false, "sequence": self.orders.get(), "born": 1,
@@ -162,11 +165,14 @@
         conn.send(Response::with_body(status, ()), &body).await.is_ok()
     }
 
-    fn sealed(status: u16) -> Response<()> {
+    /// A signed answer that names its request.
+    fn sealed(status: u16, message: &CallerMessage) -> Response<()> {
         let mut res = Response::with_body(StatusCode::from_u16(status).expect("a status"), ());
-        for (name, value) in [("server-seal", "seal"), ("request-id", "r-1")] {
-            let value = HeaderValue::from_static(value);
-            res.headers_mut().insert(HeaderName::from_static(name), value);
+        let seal = HeaderValue::from_static("seal");
+        res.headers_mut().insert(HeaderName::from_static("server-seal"), seal);
+        let name = HeaderName::from_static("request-id");
+        if let Some(id) = message.head.headers().get(&name) {
+            res.headers_mut().insert(name, id.clone());
         }
         res
     }
@@ -187,17 +193,17 @@
             }
             Behaviour::Serve => {
                 self.note_run(message);
-                conn.send(Self::sealed(200), &body).await.is_ok()
+                conn.send(Self::sealed(200, message), &body).await.is_ok()
             }
             Behaviour::ServeUnframed => {
                 self.note_run(message);
-                let sent = conn.send_unframed(Self::sealed(200), &body).await;
+                let sent = conn.send_unframed(Self::sealed(200, message), &body).await;
                 assert!(sent.is_ok());
                 false
             }
             Behaviour::Fail => {
                 self.note_run(message);
-                conn.send(Self::sealed(500), &body).await.is_ok()
+                conn.send(Self::sealed(500, message), &body).await.is_ok()
             }
             Behaviour::RunAndClose => {
                 self.note_run(message);
@@ -208,9 +214,11 @@
 
     async fn stream(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
         self.note_run(message);
+        let id = message.head.headers().get("request-id").and_then(|id| id.to_str().ok());
+        self.last_stream.replace(id.unwrap_or_default().into());
         let last = message.head.headers().get("last-event-id");
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-        conn.start_stream(Self::sealed(200)).expect("started");
+        conn.start_stream(Self::sealed(200, message)).expect("started");
         for id in last + 1..=EVENTS {
             while self.stalled_by.get().is_some() && id > EVENTS / 2 {
                 sleep(PAUSE).await;
--- a/crates/direct/tests/world/mod.rs
+++ b/crates/direct/tests/world/mod.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 pub use backend::{Backend, Behaviour};
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use caller::{Answer, ask, ask_with};
 pub use store::Store;
 
