--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -38,6 +38,9 @@
 /// as one has room, in ms: meanwhile the tokens of all others wait.
 const LONGEST_TRANSFER_MS: f64 = 30.0;
 
+/// Share of a link that such requests may fill where none has room.
+const LINK_SHARE_OF_LONG: f64 = 0.1;
+
 /// A search for the path of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct PathSearch<'a> {
@@ -68,9 +71,12 @@
     pub fn cheapest(&self) -> Option<Vec<Leg>> {
         let transfer_ms =
             link_bytes(self.spec, self.demand) / self.spec.domain_link_bytes_per_ms.max(1.0);
-        let near = if transfer_ms > LONGEST_TRANSFER_MS { self.cheapest_within(0.0) } else { None };
-        near.or_else(|| self.cheapest_within(LINK_SHARE))
-            .or_else(|| self.cheapest_within(LINK_SHARE_AT_WORST))
+        let shares = if transfer_ms > LONGEST_TRANSFER_MS {
+            [0.0, LINK_SHARE_OF_LONG]
+        } else {
+            [LINK_SHARE, LINK_SHARE_AT_WORST]
+        };
+        shares.into_iter().find_map(|share| self.cheapest_within(share))
     }
 
     fn cheapest_within(&self, link_share: f64) -> Option<Vec<Leg>> {
