--- a/crates/direct/src/callers/accept.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -1,4 +1,4 @@
-//! Accepts callers' connections and reads their requests.
+//! Reads the requests of one caller's connection.
 
 use std::io;
 use std::rc::Rc;
@@ -7,37 +7,14 @@
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::Bytes;
 use clementine_http1::{ReadError, ServerConn};
-use spdlog::{debug, warn};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use spdlog::debug;
 use tokio::time::sleep;
 
 use super::admit::answer;
 use crate::hub::Hub;
 
-/// Pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Accepts callers' connections until the process ends.
-pub(crate) async fn serve_callers(listener: TcpListener, hub: Rc<Hub>) {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                spawn_local(serve(io, Rc::clone(&hub)));
-            }
-            Err(error) => {
-                warn!("callers: a connection can't be accepted: {}", error);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn serve(io: TcpStream, hub: Rc<Hub>) {
-    let mut conn = match ServerConn::new(io, &hub.codec) {
-        Ok(conn) => conn,
-        Err(error) => return debug!("callers: a connection was lost at once: {}", error),
-    };
+/// Serves one caller's connection to its end.
+pub(crate) async fn serve_caller(mut conn: ServerConn, hub: Rc<Hub>) {
     match serve_requests(&mut conn, &hub).await {
         Ok(()) => conn.close().await,
         Err(error) => debug!("callers: a connection was lost: {}", error),
--- a/crates/direct/src/callers/mod.rs
+++ b/crates/direct/src/callers/mod.rs
@@ -1,8 +1,8 @@
 //! Connections of callers.
 
-mod accept;
 mod admit;
+mod connection;
 mod refusal;
 
-pub(crate) use accept::serve_callers;
+pub(crate) use connection::serve_caller;
 pub(crate) use refusal::{Refusal, refuse};
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! `clementine-platform` translates. What to do is decided in
 //! `clementine-decide`; this crate carries it out.
 
+mod accept;
 mod callers;
 mod engines;
 mod follow;
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -1,29 +1,30 @@
 //! Runs the process until it has drained.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clementine_platform::settings::{InstanceSettings, InstanceSettingsError, settings_path};
-use clementine_process::admin::{AdminError, serve_admin};
+use clementine_process::admin::serve_admin;
 use clementine_process::http::bind_reusable;
-use clementine_process::logging::{LogFormat, LogTarget, LoggingError, start_logging};
-use clementine_process::metrics::{Metrics, MetricsError};
+use clementine_process::logging::{LogFormat, LogTarget, start_logging};
+use clementine_process::metrics::Metrics;
 use clementine_process::settings::AdminSettings;
 use clementine_process::shutdown::watch_signals;
+use clementine_process::start::{BindSnafu, SignalsSnafu, StartError};
 use snafu::{ResultExt, Snafu};
 use spdlog::{Level, info};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::callers::serve_callers;
+use crate::accept::accept;
+use crate::callers::serve_caller;
 use crate::follow::{follow_backends, follow_config};
 use crate::hub::{Hub, Meters};
 use crate::peers::talk_to_peers;
 use crate::planner::plan_while_holder;
-use crate::readiness::serve_readiness;
+use crate::readiness::serve_balancer;
 use crate::reload::watch_settings;
 
 /// Least time from the request to stop to the end of the process. The balancer
@@ -35,43 +36,17 @@
 /// Why the process can't run.
 #[derive(Debug, Snafu)]
 pub enum DirectError {
-    /// The settings can't be used.
+    /// The platform's settings can't be used.
     #[snafu(transparent)]
     Settings {
         /// Cause.
         source: InstanceSettingsError,
     },
-    /// The log can't be set up.
+    /// The process can't start with them.
     #[snafu(transparent)]
-    Logging {
+    Start {
         /// Cause.
-        source: LoggingError,
-    },
-    /// The metrics can't be set up.
-    #[snafu(transparent)]
-    Metrics {
-        /// Cause.
-        source: MetricsError,
-    },
-    /// The address for metrics can't be served.
-    #[snafu(transparent)]
-    Admin {
-        /// Cause.
-        source: AdminError,
-    },
-    /// An address can't be bound.
-    #[snafu(display("{listen} can't be bound: {source}"))]
-    Bind {
-        /// The address.
-        listen: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// The signal handlers can't be installed.
-    #[snafu(display("the signal handlers can't be installed: {source}"))]
-    Signals {
-        /// Cause.
-        source: io::Error,
+        source: StartError,
     },
 }
 
@@ -81,7 +56,7 @@
 ///
 /// Fails when the settings can't be used or an address can't be bound.
 pub fn run(level: Level, metrics_port: Option<u16>) -> Result<(), DirectError> {
-    start_logging(LogTarget::Stdout, LogFormat::Text, level)?;
+    start_logging(LogTarget::Stdout, LogFormat::Text, level).map_err(StartError::from)?;
     let path = settings_path();
     let read = InstanceSettings::load(&path)?;
     let mut settings = read.clone();
@@ -110,7 +85,7 @@
 /// # Errors
 ///
 /// Fails when an address can't be bound.
-pub fn start(settings: InstanceSettings) -> Result<Running, DirectError> {
+pub fn start(settings: InstanceSettings) -> Result<Running, StartError> {
     let (callers, callers_at) = bind(settings.callers)?;
     let (readiness, readiness_at) = bind(settings.readiness)?;
     let metrics = Metrics::start()?;
@@ -122,8 +97,8 @@
         serve_admin(&settings, metrics, Rc::clone(&hub), None)?;
     }
     info!("process: started entry={} incarnation={}", hub.settings.entry, hub.incarnation);
-    spawn_local(serve_callers(callers, Rc::clone(&hub)));
-    spawn_local(serve_readiness(readiness, Rc::clone(&hub)));
+    spawn_local(accept(callers, Rc::clone(&hub), "callers", serve_caller));
+    spawn_local(accept(readiness, Rc::clone(&hub), "readiness", serve_balancer));
     spawn_local(follow_config(Rc::clone(&hub)));
     spawn_local(follow_backends(Rc::clone(&hub)));
     spawn_local(talk_to_peers(Rc::clone(&hub)));
@@ -131,7 +106,7 @@
     Ok(Running { callers: callers_at, readiness: readiness_at, hub })
 }
 
-fn bind(listen: SocketAddr) -> Result<(TcpListener, SocketAddr), DirectError> {
+fn bind(listen: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
     let listener = bind_reusable(listen).context(BindSnafu { listen })?;
     let address = listener.local_addr().context(BindSnafu { listen })?;
     Ok((listener, address))
--- a/crates/direct/tests/operations_page.rs
+++ b/crates/direct/tests/operations_page.rs
@@ -11,7 +11,7 @@
 use spdlog::sink::FileSink;
 use spdlog::{LevelFilter, Logger};
 use tokio::time::sleep;
-use world::{Backend, Behaviour, Store, ask_with, config, entry, until};
+use world::{Backend, Behaviour, Store, ask_with, config, entry, lose_an_engine, until};
 
 /// Layers of the model.
 const LAYERS: u32 = 12;
@@ -66,17 +66,7 @@
     }
     until("all engines hold layers", async || engines.iter().all(Backend::holds_layers)).await;
     sleep(Duration::from_millis(600)).await;
-    let stop_one = async {
-        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
-        let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
-        let path = first.ran.borrow()[0].clone();
-        let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
-        let lost = engines.iter().find(on_path).expect("another engine on the path");
-        lost.dark.set(true);
-        first.stalled_by.set(Some(lost.address));
-        lost.id.clone()
-    };
-    let (answer, lost) = tokio::join!(ask("/stream/x", "a1"), stop_one);
+    let (answer, lost) = tokio::join!(ask("/stream/x", "a1"), lose_an_engine(&engines));
     assert!(answer.whole);
     let moved = &lines(&log, &["stream: id=a1 repath away from"])[0];
     assert_eq!(value(moved, "backend"), lost);
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -6,7 +6,9 @@
 
 use actix_rt::test;
 use tokio::time::sleep;
-use world::{Answer, Backend, Behaviour, Store, ask, ask_with, config, entry, until};
+use world::{
+    Answer, Backend, Behaviour, Store, ask, ask_with, config, entry, lose_an_engine, until,
+};
 
 /// Layers of the model: three engines of ten hold two copies of it and some.
 const LAYERS: u32 = 12;
@@ -57,16 +59,8 @@
     let engines = engines(&store, 5).await;
     let entry = entry("one", &store).await;
     placed(&engines).await;
-    let stop_one = async {
-        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
-        let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
-        let path = first.ran.borrow()[0].clone();
-        let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
-        let lost = engines.iter().find(on_path).expect("another engine on the path");
-        lost.dark.set(true);
-        first.stalled_by.set(Some(lost.address));
-    };
-    let (answer, ()) = tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), stop_one);
+    let (answer, _) =
+        tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), lose_an_engine(&engines));
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
     assert_eq!(events(&answer), all_events());
 }
--- a/crates/direct/tests/world/mod.rs
+++ b/crates/direct/tests/world/mod.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// Waits until a run has begun, and lets an engine on its path go dark; gives
+/// that engine's id.
+pub async fn lose_an_engine(engines: &[Backend]) -> String {
+    until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+    let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+    let path = first.ran.borrow()[0].clone();
+    let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
+    let lost = engines.iter().find(on_path).expect("another engine on the path");
+    lost.dark.set(true);
+    first.stalled_by.set(Some(lost.address));
+    lost.id.clone()
+}
+
 /// Starts an entry and waits until it takes callers.
 pub async fn entry(name: &str, store: &Store) -> Running {
     let running = start(settings(name, store)).expect("started");
