--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -168,7 +168,7 @@
         })
     }
     let random = Gen::from_size_and_seed(64, 3_301);
-    let check = QuickCheck::new().rng(random).tests(300).max_tests(300);
+    let mut check = QuickCheck::new().rng(random).tests(300).max_tests(300);
     check.quickcheck(holds as fn(Vec<(u16, bool)>) -> bool);
 }
 
