--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::fleet::Listed;
+use clementine_decide::fleet::{Backend, Listed};
 use clementine_decide::ids::BackendId;
 use clementine_platform::backends::{BACKENDS_TABLE, decode_backend};
 use clementine_platform::store::{Feed, Row, Snapshot};
@@ -55,6 +55,22 @@
     }
 }
 
+fn log_listed(backend: &Backend, listed: Listed, version: u64) {
+    let word = if listed == Listed::Started { "listed" } else { "changed" };
+    let layers = backend.layers.map_or_else(|| "none".into(), |layers| layers.to_string());
+    info!(
+        "fleet: backend={} {} version={} pool={} address={} domain={} state={:?} layers={}",
+        backend.id,
+        word,
+        version,
+        backend.pool,
+        backend.address,
+        backend.domain,
+        backend.state,
+        layers
+    );
+}
+
 impl BackendsView {
     fn note_row(&mut self, row: &Row) {
         let id = BackendId(row.key.key.clone());
@@ -69,11 +85,10 @@
                 return self.remove(&id, "entry-unreadable");
             }
         };
-        let text = format!("{backend:?}");
         let now = self.hub.now();
-        let listed = self.hub.fleet.borrow_mut().list(backend, now);
+        let listed = self.hub.fleet.borrow_mut().list(backend.clone(), now);
         if listed != Listed::Same {
-            info!("fleet: {:?} version={} {}", listed, row.version, text);
+            log_listed(&backend, listed, row.version);
         }
     }
 
--- a/crates/direct/tests/world/mod.rs
+++ b/crates/direct/tests/world/mod.rs
@@ -46,17 +46,12 @@
         internal_ports: Some((0, 0)),
         metrics: None,
         store: store.address,
-        store_reads_per_s: 1_000.0,
         link_bytes_per_s: 1e8,
-        memory_mb: 256,
-        descriptors: 1_024,
         bounds: InstanceBounds {
             grace: Millis(8_000),
-            drain: Millis(2_000),
             retry_share: 0.2,
             retry_reserve: 100.0,
             retry_window: Millis(10_000),
-            stall: Millis(3_000),
         },
     }
 }
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -2,7 +2,6 @@
 
 use std::future::pending;
 use std::io;
-use std::net::SocketAddr;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -51,15 +50,6 @@
         ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build()
     }
 
-    /// Address of the caller.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the connection has ended.
-    pub fn peer(&self) -> io::Result<SocketAddr> {
-        self.io.peer_addr()
-    }
-
     /// Waits for the first byte of a request.
     ///
     /// # Errors
