--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -65,6 +65,53 @@
     assert_eq!(events(&answer), all_events());
 }
 
+#[test]
+async fn a_stream_runs_on_no_more_servers_than_its_route_allows() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    // Three copies of the model, so that three engines may be the first.
+    let engines = engines(&store, 9).await;
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    for engine in &engines {
+        engine.break_after.set(Some(3));
+    }
+    let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
+    assert!(!answer.whole, "a stream that breaks off must not look complete");
+    assert_eq!(events(&answer), (1..=6).collect::<Vec<u64>>(), "two runs, joined");
+    assert_eq!(engines.iter().filter(|engine| !engine.ran.borrow().is_empty()).count(), 2);
+}
+
+#[test]
+async fn a_stream_that_has_begun_waits_for_room() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = engines(&store, 9).await;
+    let entry = entry("one", &store).await;
+    placed(&engines).await;
+    for engine in &engines {
+        engine.break_after.set(Some(5));
+    }
+    let no_room_for_a_while = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        for engine in &engines {
+            engine.refuses_streams.set(true);
+            engine.break_after.set(None);
+        }
+        let begun = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+        begun.break_after.set(Some(5));
+        sleep(Duration::from_millis(900)).await;
+        begun.break_after.set(None);
+        for engine in &engines {
+            engine.refuses_streams.set(false);
+        }
+    };
+    let (answer, ()) =
+        tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), no_room_for_a_while);
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(events(&answer), all_events());
+}
+
 #[test]
 async fn an_operation_runs_once_and_its_loss_is_not_called_not_run() {
     let store = Store::start().await;
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -47,6 +47,10 @@
     pub stalled_by: Rc<Cell<Option<SocketAddr>>>,
     /// Whether it answers anything at all.
     pub dark: Rc<Cell<bool>>,
+    /// Events after which it breaks a stream off.
+    pub break_after: Rc<Cell<Option<u64>>>,
+    /// Whether it says of streams that it did not run them.
+    pub refuses_streams: Rc<Cell<bool>>,
     /// Orders to come that it neither answers nor carries out.
     pub lost_orders: Rc<Cell<u32>>,
     /// Requests that it ran, with their paths through engines.
@@ -71,6 +75,8 @@
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
             stalled_by: Rc::default(),
             dark: Rc::default(),
+            break_after: Rc::default(),
+            refuses_streams: Rc::default(),
             lost_orders: Rc::default(),
             ran: Rc::default(),
             last_stream: Rc::default(),
@@ -185,12 +191,7 @@
     async fn whole(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
         let body = Bytes::from(format!("answer of {}", self.id));
         match self.behaviour.get() {
-            Behaviour::Refuse => {
-                let mut res = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, ());
-                let yes = HeaderValue::from_static("1");
-                res.headers_mut().insert(HeaderName::from_static("not-executed"), yes);
-                return conn.send(res, &Bytes::new()).await.is_ok();
-            }
+            Behaviour::Refuse => Self::refuse(conn).await,
             Behaviour::Serve => {
                 self.note_run(message);
                 conn.send(Self::sealed(200, message), &body).await.is_ok()
@@ -212,7 +213,18 @@
         }
     }
 
+    /// Says that the request did not run.
+    async fn refuse(conn: &mut ServerConn) -> bool {
+        let mut res = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, ());
+        let yes = HeaderValue::from_static("1");
+        res.headers_mut().insert(HeaderName::from_static("not-executed"), yes);
+        conn.send(res, &Bytes::new()).await.is_ok()
+    }
+
     async fn stream(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
+        if self.refuses_streams.get() {
+            return Self::refuse(conn).await;
+        }
         self.note_run(message);
         let id = message.head.headers().get("request-id").and_then(|id| id.to_str().ok());
         self.last_stream.replace(id.unwrap_or_default().into());
@@ -220,6 +232,9 @@
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
         conn.start_stream(Self::sealed(200, message)).expect("started");
         for id in last + 1..=EVENTS {
+            if self.break_after.get().is_some_and(|events| id > last + events) {
+                return false;
+            }
             while self.stalled_by.get().is_some() && id > EVENTS / 2 {
                 sleep(PAUSE).await;
             }
