Say once which statuses promise not run, who may take work, and what an engine holds

Behaviour is the same. The rule of the four statuses stood in both kinds of attempts and is the platform's; the choice of candidates stood twice in the fleet, the note of a report in planner and inspection; Member::pause was used by nobody. Tests of the entry share their set-up, with their assertions as they were.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -1,6 +1,6 @@
 //! A backend server with what this process has seen of it.
 
-use clementine_objects::Millis;
+use clementine_objects::{LayerRange, Millis};
 
 use super::{Backend, BackendState, EngineSpec};
 use crate::ids::Tick;
@@ -100,9 +100,11 @@
         self.paused_until = now.after(Millis(pause.min(LONGEST_PAUSE.0)));
     }
 
-    /// Takes it out of use for a time without counting a failure.
-    pub fn pause(&mut self, now: Tick, pause: Millis) {
-        self.paused_until = self.paused_until.max(now.after(pause));
+    /// Takes in what an engine says that it holds, and how many orders it has
+    /// begun.
+    pub const fn note_held(&mut self, layers: Option<LayerRange>, orders: u64) {
+        self.backend.layers = layers;
+        self.backend.orders = orders;
     }
 
     /// Mean answer time, in ms.
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -85,6 +85,17 @@
         }
     }
 
+    /// Backend servers of a pool that take new work, but for those to avoid.
+    fn candidates<'a>(
+        &'a self,
+        pool: &'a PoolId,
+        now: Tick,
+        avoid: &'a [BackendId],
+    ) -> impl Iterator<Item = &'a Member> {
+        let usable = self.pool(pool).filter(move |member| member.is_usable(now));
+        usable.filter(|member| !avoid.contains(&member.backend.id))
+    }
+
     /// Engines of a pool that a request may pass through now.
     pub fn stops(
         &self,
@@ -93,9 +104,7 @@
         now: Tick,
         avoid: &[BackendId],
     ) -> Vec<Stop> {
-        let usable = self.pool(pool).filter(|member| member.is_usable(now));
-        let allowed = usable.filter(|member| !avoid.contains(&member.backend.id));
-        allowed.filter_map(|member| member.stop(spec)).collect()
+        self.candidates(pool, now, avoid).filter_map(|member| member.stop(spec)).collect()
     }
 
     /// The backend server of a pool that is likely to answer first: by work in
@@ -104,12 +113,11 @@
         &'a self,
         pool: &'a PoolId,
         now: Tick,
-        avoid: &[BackendId],
+        avoid: &'a [BackendId],
         rng: &mut impl Rng,
     ) -> Option<&'a Member> {
-        let usable = self.pool(pool).filter(|member| member.is_usable(now));
-        let allowed = usable.filter(|member| !avoid.contains(&member.backend.id));
-        let ranked = allowed.map(|member| (member, expected_ms(member, rng)));
+        let ranked =
+            self.candidates(pool, now, avoid).map(|member| (member, expected_ms(member, rng)));
         let better = |a: &(&Member, f64), b: &(&Member, f64)| {
             let doubt = a.0.is_doubtful().cmp(&b.0.is_doubtful());
             doubt.then(a.1.total_cmp(&b.1))
--- a/crates/direct/src/engines/inspect.rs
+++ b/crates/direct/src/engines/inspect.rs
@@ -84,8 +84,7 @@
 
 fn note_report(hub: &Hub, id: &BackendId, report: &EngineReport) {
     if let Some(member) = hub.fleet.borrow_mut().get_mut(id) {
-        member.backend.layers = report.layers;
-        member.backend.orders = report.orders;
+        member.note_held(report.layers, report.orders);
         member.slowness = report.slowness;
     }
 }
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -191,8 +191,7 @@
 
     fn note(&self, report: &EngineReport) {
         if let Some(member) = self.hub.fleet.borrow_mut().get_mut(&self.step.id) {
-            member.backend.layers = report.layers;
-            member.backend.orders = report.orders;
+            member.note_held(report.layers, report.orders);
         }
     }
 }
--- a/crates/direct/src/streams/attempt.rs
+++ b/crates/direct/src/streams/attempt.rs
@@ -69,6 +69,5 @@
 /// Whether a failure may be passed on: its status must not promise that the
 /// request did not run, and a success must be signed.
 fn may_pass_on(answer: &BackendAnswer) -> bool {
-    let status = answer.head.status;
-    !status.is_success() && !matches!(status.as_u16(), 408 | 421 | 429 | 503)
+    !answer.head.status.is_success() && !answer.promises_not_run()
 }
--- a/crates/direct/src/whole/attempt.rs
+++ b/crates/direct/src/whole/attempt.rs
@@ -73,9 +73,7 @@
     let Ok(body) = exchange.read_body(ANSWER_LIMIT).await else {
         return Attempt::Lost("answer-broke-off");
     };
-    let status = answer.head.status.as_u16();
-    let promises_not_run = matches!(status, 408 | 421 | 429 | 503);
-    if promises_not_run || (answer.head.status.is_success() && !answer.is_success()) {
+    if answer.promises_not_run() || (answer.head.status.is_success() && !answer.is_success()) {
         return Attempt::Lost("answer-unfit");
     }
     Attempt::Answered(WholeAnswer { answer, body, unframed: exchange.ends_with_connection() })
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::test;
+use clementine_direct::Running;
 use tokio::time::sleep;
 use world::{
     Answer, Backend, Behaviour, Store, ask, ask_with, config, entry, lose_an_engine, until,
@@ -22,7 +23,22 @@
     (1..=20).collect()
 }
 
-/// A store with a configuration, and engines that hold the model.
+/// A store with a configuration.
+async fn configured_store() -> Store {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    store
+}
+
+/// Engines that hold the model, and an entry.
+async fn placed_engines(store: &Store, count: usize) -> (Vec<Backend>, Running) {
+    let engines = engines(store, count).await;
+    let entry = entry("one", store).await;
+    placed(&engines).await;
+    (engines, entry)
+}
+
+/// Engines without layers.
 async fn engines(store: &Store, count: usize) -> Vec<Backend> {
     let mut engines = Vec::new();
     for n in 0..count {
@@ -39,11 +55,8 @@
 
 #[test]
 async fn a_stream_passes_through_engines_that_were_told_to_hold_the_layers() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    let engines = engines(&store, 4).await;
-    let entry = entry("one", &store).await;
-    placed(&engines).await;
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 4).await;
     let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
     assert_eq!(events(&answer), all_events());
@@ -54,11 +67,8 @@
 
 #[test]
 async fn a_run_whose_engine_is_down_changes_its_path_and_loses_no_event() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    let engines = engines(&store, 5).await;
-    let entry = entry("one", &store).await;
-    placed(&engines).await;
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 5).await;
     let (answer, _) =
         tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), lose_an_engine(&engines));
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
@@ -67,12 +77,9 @@
 
 #[test]
 async fn a_stream_runs_on_no_more_servers_than_its_route_allows() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     // Three copies of the model, so that three engines may be the first.
-    let engines = engines(&store, 9).await;
-    let entry = entry("one", &store).await;
-    placed(&engines).await;
+    let (engines, entry) = placed_engines(&store, 9).await;
     for engine in &engines {
         engine.break_after.set(Some(3));
     }
@@ -84,11 +91,8 @@
 
 #[test]
 async fn a_stream_that_has_begun_waits_for_room() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    let engines = engines(&store, 9).await;
-    let entry = entry("one", &store).await;
-    placed(&engines).await;
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 9).await;
     for engine in &engines {
         engine.break_after.set(Some(5));
     }
@@ -114,8 +118,7 @@
 
 #[test]
 async fn an_operation_runs_once_and_its_loss_is_not_called_not_run() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = entry("one", &store).await;
@@ -129,8 +132,7 @@
 
 #[test]
 async fn an_operation_that_was_refused_is_sent_elsewhere() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = entry("one", &store).await;
@@ -148,8 +150,7 @@
 
 #[test]
 async fn an_idempotent_request_is_sent_again_and_the_last_failure_is_passed_on() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = entry("one", &store).await;
@@ -166,8 +167,7 @@
 
 #[test]
 async fn an_answer_that_ends_with_its_connection_is_passed_on_alike() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let one = Backend::start("plain-1", "plain", &store).await;
     one.behaviour.set(Behaviour::ServeUnframed);
     let entry = entry("one", &store).await;
@@ -177,8 +177,7 @@
 
 #[test]
 async fn who_may_ask_what() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let _one = Backend::start("plain-1", "plain", &store).await;
     let entry = entry("one", &store).await;
     let no_key = ask_with(entry.callers, "GET", "/safe/x", "", &[]).await;
@@ -189,8 +188,7 @@
 
 #[test]
 async fn a_request_without_engines_is_refused_at_once_with_a_time_to_come_back() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let entry = entry("one", &store).await;
     let answer = ask(entry.callers, "POST", "/stream/x", "prompt").await;
     assert_eq!((answer.status, answer.retry_after.is_some()), (503, true));
@@ -198,8 +196,7 @@
 
 #[test]
 async fn an_order_without_an_answer_is_given_again_at_once() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let engines = engines(&store, 4).await;
     for engine in &engines {
         engine.lost_orders.set(2);
@@ -212,8 +209,7 @@
 
 #[test]
 async fn entries_that_start_together_find_each_other_and_one_plans() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let engines = engines(&store, 4).await;
     let (one, two) = tokio::join!(entry("one", &store), entry("two", &store));
     placed(&engines).await;
@@ -227,8 +223,7 @@
 
 #[test]
 async fn a_server_that_leaves_gets_nothing_more_and_a_new_version_takes_force() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = configured_store().await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let _two = Backend::start("plain-2", "plain", &store).await;
     let entry = entry("one", &store).await;
@@ -250,11 +245,8 @@
 
 #[test]
 async fn an_entry_that_stops_ends_its_streams_first() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    let engines = engines(&store, 4).await;
-    let entry = entry("one", &store).await;
-    placed(&engines).await;
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 4).await;
     let stop = async {
         until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
         entry.stop();
