Hold each entry to a share of the store's calls, and pause where the store doesn't wait

Cause: a store that answers questions for changes at once, without changes, was asked without pause; nothing bounded an entry's calls. Ruled out: a bound in platform/, which decides nothing.

--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -5,7 +5,7 @@
 use clementine_platform::store::{Feed, Row, Snapshot, StoreError};
 use rand::RngExt;
 use spdlog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::hub::{Followed, Hub};
 
@@ -22,6 +22,9 @@
 /// Pause after changes as a multiple of the time that they took on the
 /// instance's link, which callers share.
 const GATHER_FACTOR: f64 = 3.0;
+/// Pause after an answer without changes that came sooner than this, so that a
+/// store that doesn't wait isn't asked without pause.
+const UNWAITED: Duration = Duration::from_millis(500);
 /// First and longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
@@ -79,13 +82,14 @@
     view: &mut impl TableView,
 ) -> Result<Option<usize>, StoreError> {
     let Some(after) = *version else {
-        let snapshot = hub.store.read(table, "").await?;
+        let snapshot = hub.store.read(table).await?;
         *version = Some(snapshot.version);
         followed.advance(snapshot.version, newest(&snapshot.rows));
         let size = size(&snapshot.rows);
         view.note_snapshot(snapshot);
         return Ok(Some(size));
     };
+    let asked = Instant::now();
     let wait = if hub.plans.get().is_some() { PLANNER_FEED_WAIT } else { FEED_WAIT };
     let answer = tokio::select! {
         answer = hub.store.feed(table, after, wait) => answer,
@@ -97,6 +101,9 @@
             let changed = (!feed.rows.is_empty()).then(|| size(&feed.rows));
             followed.advance(feed.version.max(after), newest(&feed.rows));
             view.note_changes(feed);
+            if changed.is_none() && asked.elapsed() < UNWAITED {
+                sleep(UNWAITED).await;
+            }
             Ok(changed)
         }
         Err(StoreError::HistoryGone) => {
--- a/crates/direct/src/hub/mod.rs
+++ b/crates/direct/src/hub/mod.rs
@@ -7,6 +7,7 @@
 mod reservation;
 mod retries;
 mod state;
+mod store;
 
 pub(crate) use followed::Followed;
 pub(crate) use job::Job;
@@ -14,3 +15,4 @@
 pub(crate) use reservation::Reservation;
 pub(crate) use retries::{Retries, RetryFor};
 pub(crate) use state::Hub;
+pub(crate) use store::BoundedStore;
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -23,7 +23,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{Followed, Meters, Retries};
+use super::{BoundedStore, Followed, Meters, Retries};
 
 /// What the parts of the process share.
 #[derive(Debug)]
@@ -37,7 +37,7 @@
     pub(crate) clock: Clock,
     /// Codec settings of all connections.
     pub(crate) codec: ServiceConfig,
-    pub(crate) store: StoreClient,
+    pub(crate) store: BoundedStore,
     pub(crate) fleet: RefCell<Fleet>,
     /// Use of the links between failure domains.
     pub(crate) links: RefCell<LinkUse>,
@@ -75,10 +75,11 @@
         let mut rng = SmallRng::try_from_rng(&mut rand::rngs::SysRng)
             .unwrap_or_else(|_| SmallRng::seed_from_u64(u64::from(std::process::id())));
         let codec = ServerConn::codec_config();
+        let clock = Clock::start();
         Self {
             incarnation: IncarnationId(rng.random()),
-            clock: Clock::start(),
-            store: StoreClient::new(settings.store, codec.clone()),
+            store: BoundedStore::new(StoreClient::new(settings.store, codec.clone()), clock),
+            clock,
             codec,
             fleet: RefCell::default(),
             links: RefCell::default(),
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -26,7 +26,7 @@
 
 /// The addresses of the other entries.
 pub(super) async fn others(hub: &Hub) -> Result<HashMap<EntryId, SocketAddr>, StoreError> {
-    let snapshot = hub.store.read(ENTRIES_TABLE, "").await?;
+    let snapshot = hub.store.read(ENTRIES_TABLE).await?;
     let mut others = HashMap::new();
     for row in &snapshot.rows {
         let id = EntryId(row.key.key.clone());
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -81,7 +81,7 @@
 }
 
 async fn read_row(hub: &Hub, watch: &mut LeaseWatch) -> Result<LeaseStep, StoreError> {
-    let snapshot = hub.store.read(LEASE_TABLE, "").await?;
+    let snapshot = hub.store.read(LEASE_TABLE).await?;
     let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
     let read = row.map(decode);
     Ok(watch.note_row(read.as_ref().map(|(version, row)| (*version, row)), hub.now()))
--- a/crates/direct/tests/world/mod.rs
+++ b/crates/direct/tests/world/mod.rs
@@ -14,10 +14,12 @@
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use tokio::time::sleep;
 
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use backend::{Backend, Behaviour};
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use caller::{Answer, ask, ask_with};
-pub use store::Store;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
+pub use store::{Feeds, Store};
 
 /// Time for something to come about that takes some calls.
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/direct/tests/world/store.rs
+++ b/crates/direct/tests/world/store.rs
@@ -1,6 +1,6 @@
 //! A store with rows, transactions and a change feed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +37,22 @@
     pub address: SocketAddr,
     state: Rc<RefCell<State>>,
     changed: Rc<Notify>,
+    /// How questions for changes are answered.
+    pub feeds: Rc<Cell<Feeds>>,
+    /// Calls since the start.
+    pub calls: Rc<Cell<u32>>,
+}
+
+/// How a store answers questions for changes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Feeds {
+    /// Once there are changes, or the time is over.
+    #[default]
+    Wait,
+    /// At once, changes or not.
+    AtOnce,
+    /// Never, on connections that were open when this began.
+    Silent,
 }
 
 #[derive(Deserialize)]
@@ -59,17 +75,34 @@
     pub async fn start() -> Self {
         let listener = TcpListener::bind(anywhere()).await.expect("bound");
         let address = listener.local_addr().expect("an address");
-        let store = Self { address, state: Rc::default(), changed: Rc::default() };
-        let serving = store.clone();
-        spawn_local(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("a connection");
-                spawn_local(serving.clone().serve(conn));
-            }
-        });
+        let store = Self {
+            address,
+            state: Rc::default(),
+            changed: Rc::default(),
+            feeds: Rc::default(),
+            calls: Rc::default(),
+        };
+        spawn_local(store.clone().accept(listener));
+        store
+    }
+
+    /// The same rows at another address, where questions for changes are
+    /// answered differently.
+    pub async fn another_address(&self) -> Self {
+        let listener = TcpListener::bind(anywhere()).await.expect("bound");
+        let address = listener.local_addr().expect("an address");
+        let store = Self { address, feeds: Rc::default(), calls: Rc::default(), ..self.clone() };
+        spawn_local(store.clone().accept(listener));
         store
     }
 
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((io, _)) = listener.accept().await {
+            let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("a connection");
+            spawn_local(self.clone().serve(conn));
+        }
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.change(table, key, Some(value.as_bytes().to_vec()));
     }
@@ -95,9 +128,15 @@
 
     async fn serve(self, mut conn: ServerConn) {
         let limits = ReadLimits::default();
+        let opened_silent = self.feeds.get() == Feeds::Silent;
         while conn.wait_request(&limits).await.is_ok() {
             let Ok(message) = conn.read_request(&limits).await else { return };
+            self.calls.set(self.calls.get() + 1);
+            let is_feed = message.head.uri.path() == "/-/rows-feed";
             let (status, body) = self.answer(&message).await;
+            if is_feed && self.feeds.get() == Feeds::Silent && !opened_silent {
+                return conn.left().await;
+            }
             let status = StatusCode::from_u16(status).expect("a status");
             let body = Bytes::from(body.to_string());
             if conn.send(Response::with_body(status, ()), &body).await.is_err() {
@@ -153,6 +192,7 @@
                 changed.await;
             }
         };
+        let wait = if self.feeds.get() == Feeds::AtOnce { Duration::ZERO } else { wait };
         timeout(wait, news).await.unwrap_or_else(|_| self.rows(table, u64::MAX, true))
     }
 
