--- /dev/null
+++ b/crates/entry/src/cmd/completions.rs
@@ -0,0 +1,26 @@
+//! `clementine-entry completions`: prints a completion script for a shell.
+
+use std::io;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clap_complete::{Shell, generate};
+
+/// Name of the subcommand.
+pub(crate) const NAME: &str = "completions";
+
+/// Flags of the subcommand.
+pub(crate) fn command() -> Command {
+    let shell = Arg::new("shell")
+        .value_name("SHELL")
+        .help("Shell to complete for")
+        .required(true)
+        .value_parser(value_parser!(Shell));
+    Command::new(NAME).about("Prints a completion script for a shell").arg(shell)
+}
+
+/// Runs the subcommand for the whole command line.
+pub(crate) fn run(matches: &ArgMatches, mut whole: Command) {
+    if let Some(shell) = matches.get_one::<Shell>("shell").copied() {
+        generate(shell, &mut whole, "clementine-entry", &mut io::stdout());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cmd/explain.rs
@@ -0,0 +1,61 @@
+//! `clementine-entry explain`: follows one request through log files.
+
+use std::error::Error;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clementine_logs::{LogLine, Story};
+
+/// Name of the subcommand.
+pub(crate) const NAME: &str = "explain";
+
+/// Flags of the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Follows one request through log files")
+        .long_about(
+            "Prints the lines of a request (marked with *), and what happened meanwhile to the \
+             backend servers that it met, to the configuration and to the store. Fails when no \
+             line names the request.",
+        )
+        .arg(Arg::new("id").value_name("ID").required(true).help("Id of the request"))
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log files of one or more entries [default: standard input]"),
+        )
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let id = matches.get_one::<String>("id").map_or("", String::as_str);
+    let files: Vec<&PathBuf> = matches.get_many("files").unwrap_or_default().collect();
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        read(&mut lines, io::stdin(), "-")?;
+    }
+    for path in files {
+        let file = File::open(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        read(&mut lines, file, &path.to_string_lossy())?;
+    }
+    let story = Story::of(id, &lines).ok_or_else(|| format!("no line names request {id}"))?;
+    print!("{story}");
+    Ok(())
+}
+
+/// Reads the lines that begin with a time. Others, such as a panic's, are left
+/// out; bytes that are no text are replaced.
+fn read(lines: &mut Vec<LogLine>, input: impl Read, name: &str) -> io::Result<()> {
+    let name: Arc<str> = name.into();
+    for line in BufReader::new(input).split(b'\n') {
+        let line = line?;
+        lines.extend(LogLine::parse(&String::from_utf8_lossy(&line), &name));
+    }
+    Ok(())
+}
--- a/crates/entry/src/cmd/mod.rs
+++ b/crates/entry/src/cmd/mod.rs
@@ -1,4 +1,6 @@
 //! Subcommands.
 
 pub(crate) mod check;
+pub(crate) mod completions;
 pub(crate) mod direct;
+pub(crate) mod explain;
--- /dev/null
+++ b/crates/logs/src/story.rs
@@ -0,0 +1,99 @@
+//! What the logs tell of one request.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use chrono::{NaiveDateTime, TimeDelta};
+
+use crate::LogLine;
+
+/// Time before a request's first line in which a change of a backend server
+/// still matters to it.
+const BEFORE: TimeDelta = TimeDelta::seconds(10);
+/// Time after its last line in which the cause may still be logged.
+const AFTER: TimeDelta = TimeDelta::seconds(1);
+/// Time around a refusal in which a line on what bound another request tells
+/// of this one, too: such lines are left out when there are many.
+const SAME_SHORTAGE: TimeDelta = TimeDelta::milliseconds(600);
+/// Parts whose lines concern all requests of the process.
+const COMMON_PARTS: [&str; 4] = ["config", "store", "settings", "process"];
+/// Parts whose lines concern the backend servers that they name.
+const BACKEND_PARTS: [&str; 3] = ["fleet", "engines", "planner"];
+
+/// A line of a story.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoryLine {
+    /// The line.
+    pub line: LogLine,
+    /// Whether it names the request itself.
+    pub own: bool,
+}
+
+/// What the logs tell of one request, in order of time.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Story {
+    /// Invariant: holds at least one line of the request's own.
+    lines: Vec<StoryLine>,
+}
+
+impl Story {
+    /// Follows a request through log lines; none if no line names it.
+    pub fn of(request: &str, lines: &[LogLine]) -> Option<Self> {
+        let own: Vec<&LogLine> = lines.iter().filter(|line| line.is_about(request)).collect();
+        let first = own.iter().map(|line| line.at).min()?;
+        let last = own.iter().map(|line| line.at).max()?;
+        let backends: BTreeSet<&str> = own.iter().flat_map(|line| line.backends()).collect();
+        let refused = own.iter().rev().find(|line| line.value("outcome") == Some("overloaded"));
+        let frame = Frame { first, last, backends, refused_at: refused.map(|line| line.at) };
+        let mut told: Vec<StoryLine> = lines
+            .iter()
+            .filter_map(|line| {
+                let own = line.is_about(request);
+                (own || frame.holds(line)).then(|| StoryLine { line: line.clone(), own })
+            })
+            .collect();
+        told.sort_by_key(|told| told.line.at);
+        Some(Self { lines: told })
+    }
+
+    /// The lines in order of time.
+    pub fn lines(&self) -> &[StoryLine] {
+        &self.lines
+    }
+}
+
+/// What surrounds a request.
+struct Frame<'a> {
+    first: NaiveDateTime,
+    last: NaiveDateTime,
+    backends: BTreeSet<&'a str>,
+    refused_at: Option<NaiveDateTime>,
+}
+
+impl Frame<'_> {
+    fn holds(&self, line: &LogLine) -> bool {
+        if line.at < self.first - BEFORE || line.at > self.last + AFTER {
+            return false;
+        }
+        let Some(part) = line.part() else { return false };
+        let names_backend = || line.backends().any(|id| self.backends.contains(id));
+        COMMON_PARTS.contains(&part)
+            || (BACKEND_PARTS.contains(&part) && names_backend())
+            || (part == "paths" && self.tells_of_refusal(line))
+    }
+
+    fn tells_of_refusal(&self, line: &LogLine) -> bool {
+        self.refused_at.is_some_and(|at| (line.at - at).abs() <= SAME_SHORTAGE)
+    }
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for StoryLine { line, own } in &self.lines {
+            let mark = if *own { '*' } else { ' ' };
+            let time = line.at.format("%H:%M:%S%.3f");
+            writeln!(f, "{time} {mark} {}: {}", line.file, line.text)?;
+        }
+        Ok(())
+    }
+}
