--- a/crates/logs/tests/story.rs
+++ b/crates/logs/tests/story.rs
@@ -69,6 +69,7 @@
 
 #[test]
 fn no_text_makes_reading_panic() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck gives owned values")]
     fn reads(text: String) -> bool {
         let file: Arc<str> = "f".into();
         let line = LogLine::parse(&format!("[2026-12-04 02:00:00.5]{text}"), &file);
