Wait for the whole list of engines before the first plan

Cause: on the grown sites engines are listed over four seconds. The plan was made after three, with the few engines of a domain that were listed; so that these could hold the model, they got 11 layers each and room for 52,000 tokens of context beside them, a third of what the whole domain's engines leave. All later requests of the domain waited for that room. Seen in a dump of used and free context at each line that says that no path was found.

--- a/crates/decide/src/placement/settle.rs
+++ b/crates/decide/src/placement/settle.rs
@@ -5,10 +5,11 @@
 use super::Holder;
 use crate::ids::Tick;
 
-/// Time without a new engine after which the list counts as whole.
-const QUIET: Millis = Millis(700);
+/// Time without a new engine after which the list counts as whole. Engines are
+/// listed a few at a time, with pauses between.
+const QUIET: Millis = Millis(1_200);
 /// Longest wait for the list to be whole.
-const LONGEST_WAIT: Millis = Millis(3_000);
+const LONGEST_WAIT: Millis = Millis(6_000);
 
 /// Holds the plan back while nobody holds the model and engines are still
 /// being listed: a plan for the first few would spread the model over failure
