Connect to the engines of a silent run, and look sooner

An entry waited 160 ms, asked the first engine, and that one's report is up to 200 ms old, so that a second question was needed. A crashed engine's instance refuses connections at once. Ruled out: the orders for the new path (10 ms). Now the entry connects to those engines of the run that have shown no sign of life, after 1.75 usual pauses, and takes for down which refuses, or alone stays silent.

--- a/crates/direct/src/engines/inspect.rs
+++ b/crates/direct/src/engines/inspect.rs
@@ -59,7 +59,7 @@
 }
 
 /// Takes a backend server out of use until it gives its report again.
-fn mark_down(hub: &Rc<Hub>, id: &BackendId, reason: &'static str) {
+pub(super) fn mark_down(hub: &Rc<Hub>, id: &BackendId, reason: &'static str) {
     if hub.note_down(id, reason) {
         spawn_local(probe(Rc::clone(hub), id.clone()));
     }
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -54,6 +54,8 @@
     pub(crate) listed: Cell<bool>,
     /// Backend servers that are being asked for their report.
     pub(crate) questions: RefCell<HashSet<BackendId>>,
+    /// Backend servers that are being connected to for a sign of life.
+    pub(crate) reaching: RefCell<HashSet<BackendId>>,
     /// Wakes whoever waits for news of a backend server's loss.
     pub(crate) losses: Notify,
     /// Requests in progress, and whether the process is stopping.
@@ -89,6 +91,7 @@
             list_followed: Followed::default(),
             listed: Cell::new(false),
             questions: RefCell::default(),
+            reaching: RefCell::default(),
             losses: Notify::new(),
             drain: Drain::default(),
             rng: RefCell::new(rng),
--- a/crates/direct/src/streams/progress.rs
+++ b/crates/direct/src/streams/progress.rs
@@ -6,6 +6,11 @@
 use clementine_decide::events::Event;
 use tokio::time::Instant;
 
+/// Pause between events that is assumed before any has been seen.
+const FIRST_USUAL_PAUSE: Duration = Duration::from_millis(80);
+/// Weight of the newest pause in the mean.
+const PAUSE_WEIGHT: f64 = 0.2;
+
 /// What the caller has of a stream. Shared by the run that passes events on
 /// and the supervisor that watches it.
 #[derive(Debug)]
@@ -19,6 +24,8 @@
     /// When the last event was passed on, or the present run began.
     last_at: Cell<Instant>,
     longest_pause: Cell<Duration>,
+    /// Mean pause between events, the newest weighing most.
+    usual_pause: Cell<Duration>,
     /// Whether the present run has brought an event.
     run_has_events: Cell<bool>,
 }
@@ -32,6 +39,7 @@
             first_at: Cell::new(None),
             last_at: Cell::new(Instant::now()),
             longest_pause: Cell::new(Duration::ZERO),
+            usual_pause: Cell::new(FIRST_USUAL_PAUSE),
             run_has_events: Cell::new(false),
         }
     }
@@ -53,6 +61,8 @@
         if self.events.get() > 0 {
             let pause = now - self.last_at.get();
             self.longest_pause.set(self.longest_pause.get().max(pause));
+            let usual = self.usual_pause.get();
+            self.usual_pause.set(usual.mul_f64(1.0 - PAUSE_WEIGHT) + pause.mul_f64(PAUSE_WEIGHT));
         } else {
             self.first_at.set(Some(now));
         }
@@ -94,6 +104,10 @@
         self.first_at.get()
     }
 
+    pub(super) fn usual_pause(&self) -> Duration {
+        self.usual_pause.get()
+    }
+
     pub(super) fn longest_pause(&self) -> Duration {
         self.longest_pause.get()
     }
--- a/crates/direct/src/streams/repath.rs
+++ b/crates/direct/src/streams/repath.rs
@@ -32,10 +32,11 @@
     let order = RepathOrder { request: job.req.id.clone(), path: moved.path.clone() };
     let answer = change_path(hub, moved.address, &order).await;
     info!(
-        "stream: id={} repath away from backend={} answer={:?} path={}",
+        "stream: id={} repath away from backend={} answer={:?} silent_ms={} path={}",
         job.req.id,
         down,
         answer,
+        progress.last_at().elapsed().as_millis(),
         describe(&moved.path, hub)
     );
     let moved_on = matches!(answer, Ok(OrderAnswer::Begun | OrderAnswer::Done));
--- a/crates/direct/src/streams/watchdog.rs
+++ b/crates/direct/src/streams/watchdog.rs
@@ -11,13 +11,16 @@
 
 use super::progress::Progress;
 use super::route::StreamRoute;
-use crate::engines::inspect_run;
+use crate::engines::{inspect_run, reach_engines};
 use crate::hub::{Hub, Job};
 
 /// Silence before the first event after which the run is inspected.
 const INSPECT_FIRST: Duration = Duration::from_millis(350);
-/// Silence between two events after which the run is inspected.
-const INSPECT_NEXT: Duration = Duration::from_millis(160);
+/// Silence between two events after which the run is inspected, as a multiple
+/// of the usual pause between them, and its bounds.
+const INSPECT_NEXT_FACTOR: f64 = 1.75;
+const INSPECT_NEXT_AT_LEAST: Duration = Duration::from_millis(80);
+const INSPECT_NEXT_AT_MOST: Duration = Duration::from_millis(160);
 /// Silence before the first event after which another run is thought of.
 const SWITCH_FIRST: Duration = Duration::from_millis(1_200);
 /// Silence between two events after which another run is thought of.
@@ -69,17 +72,26 @@
                 }
                 if now >= progress.last_at() + inspect {
                     inspected_at = now;
-                    let first = route.borrow().first.clone();
-                    spawn_local(inspect_run(Rc::clone(hub), first, job.req.id.to_string()));
+                    inspect_now(hub, job, &route.borrow());
                 }
             }
         }
     }
 }
 
+fn inspect_now(hub: &Rc<Hub>, job: &Job, route: &StreamRoute) {
+    let request = job.req.id.to_string();
+    spawn_local(inspect_run(Rc::clone(hub), route.first.clone(), request.clone()));
+    if !route.path.is_empty() {
+        let engines = route.backends().cloned().collect();
+        spawn_local(reach_engines(Rc::clone(hub), engines, request));
+    }
+}
+
 fn limits(progress: &Progress) -> (Duration, Duration) {
     if progress.run_has_events() {
-        (INSPECT_NEXT, SWITCH_NEXT)
+        let inspect = progress.usual_pause().mul_f64(INSPECT_NEXT_FACTOR);
+        (inspect.clamp(INSPECT_NEXT_AT_LEAST, INSPECT_NEXT_AT_MOST), SWITCH_NEXT)
     } else {
         (INSPECT_FIRST, SWITCH_FIRST)
     }
