--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -12,6 +12,8 @@
 const LONGEST_PAUSE: Millis = Millis(4_000);
 /// Weight of the newest answer in the mean answer time.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Share of an engine's slots that entries fill.
+const SLOT_SHARE: f64 = 0.95;
 /// Answer time that is assumed before the first answer, in ms.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
 
@@ -112,6 +114,13 @@
         self.latency_ms
     }
 
+    /// Requests that it may still be sent. What the other entries have begun
+    /// since they last told is left some room.
+    fn free_slots(&self) -> u32 {
+        let given = (f64::from(self.backend.slots) * SLOT_SHARE) as u32;
+        given.saturating_sub(self.in_flight + self.others_in_flight)
+    }
+
     /// The engine as a part of a path, if it holds layers.
     pub fn stop(&self, spec: &EngineSpec) -> Option<Stop> {
         let layers = self.backend.layers?;
@@ -130,6 +139,7 @@
             read_ms_per_token: card.read_factor * speed,
             capacity_tokens: spec.context_tokens(card, layers.count()),
             used_tokens: self.used_tokens + self.others_tokens,
+            free_slots: self.free_slots(),
         })
     }
 }
--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -154,7 +154,10 @@
         let id = &self.stops[stop].id;
         match self.present.first() {
             Some(leg) => leg.id == *id && leg.layers.end() == to,
-            None => self.first.is_empty() || self.first.contains(id),
+            None => {
+                let has_slot = self.stops[stop].free_slots > 0;
+                has_slot && (self.first.is_empty() || self.first.contains(id))
+            }
         }
     }
 
--- a/crates/decide/src/paths/stop.rs
+++ b/crates/decide/src/paths/stop.rs
@@ -25,6 +25,9 @@
     pub capacity_tokens: f64,
     /// Tokens of context that are taken.
     pub used_tokens: f64,
+    /// Requests that it may still begin as the first of a path. Further ones
+    /// would wait there until others end.
+    pub free_slots: u32,
 }
 
 /// What a request needs.
--- a/crates/decide/tests/engines_world/mod.rs
+++ b/crates/decide/tests/engines_world/mod.rs
@@ -94,6 +94,7 @@
         read_ms_per_token: 0.02,
         capacity_tokens: 60_000.0,
         used_tokens: 0.0,
+        free_slots: 192,
     }
 }
 
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -164,3 +164,25 @@
         cheapest(&stops).is_none_or(|path| is_whole(&path, &stops))
     }
 }
+
+#[test]
+fn a_path_begins_where_a_slot_is_free_though_the_other_engine_is_faster() {
+    let mut stops = two_domains();
+    stops[0].step_ms /= 10.0;
+    stops[1].step_ms /= 10.0;
+    assert_eq!(ids(&cheapest(&stops).expect("a path"))[0], "engine-0");
+    stops[0].free_slots = 0;
+    assert_eq!(ids(&cheapest(&stops).expect("a path"))[0], "engine-2");
+}
+
+#[test]
+fn a_run_that_goes_on_keeps_its_slot_at_its_first_engine() {
+    let mut stops = two_domains();
+    let path = cheapest(&stops).expect("a path");
+    for stop in &mut stops {
+        stop.free_slots = 0;
+    }
+    assert_eq!(cheapest(&stops), None);
+    let moved = search(&stops, &LinkUse::default(), &[], &path).expect("a path");
+    assert_eq!(moved[0], path[0]);
+}
