Ask an engine that refuses work whether it is leaving

Ruled out: memory (no line says that a path is missing), the first engine's slots. An engine that refused is now asked for its health; unwell by its own word, it gets no new runs and counts as gone in the plan until it is well again. Of equal places a spare now takes the first layers: the loss of a first engine ends its runs, that of another moves them.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -39,6 +39,8 @@
     paused_until: Tick,
     /// Whether it did not answer when it was asked for a sign of life.
     down: bool,
+    /// Whether it said that it takes no new work; runs that it has go on.
+    leaving: bool,
 }
 
 impl Member {
@@ -56,12 +58,26 @@
             failures: 0,
             paused_until: Tick(0),
             down: false,
+            leaving: false,
         }
     }
 
     /// Whether new work may be sent to it.
     pub fn is_usable(&self, now: Tick) -> bool {
-        self.backend.state == BackendState::Ready && !self.down && now >= self.paused_until
+        self.may_hold_layers() && now >= self.paused_until
+    }
+
+    /// Whether it may be planned with.
+    pub fn may_hold_layers(&self) -> bool {
+        self.backend.state == BackendState::Ready && !self.down && !self.leaving
+    }
+
+    /// Notes whether it said that it takes no new work; tells whether that is
+    /// news.
+    pub const fn note_leaving(&mut self, leaving: bool) -> bool {
+        let news = self.leaving != leaving;
+        self.leaving = leaving;
+        news
     }
 
     /// Whether it did not answer when it was asked for a sign of life.
--- a/crates/decide/src/paths/choose.rs
+++ b/crates/decide/src/paths/choose.rs
@@ -152,13 +152,11 @@
 
     fn may_begin(&self, stop: usize, to: u32) -> bool {
         let id = &self.stops[stop].id;
-        match self.present.first() {
-            Some(leg) => leg.id == *id && leg.layers.end() == to,
-            None => {
-                let has_slot = self.stops[stop].free_slots > 0;
-                has_slot && (self.first.is_empty() || self.first.contains(id))
-            }
+        if let Some(leg) = self.present.first() {
+            return leg.id == *id && leg.layers.end() == to;
         }
+        let has_slot = self.stops[stop].free_slots > 0;
+        has_slot && (self.first.is_empty() || self.first.contains(id))
     }
 
     /// The best way to hand the request over to a stop: its index and its cost
--- a/crates/decide/src/placement/spares.rs
+++ b/crates/decide/src/placement/spares.rs
@@ -24,7 +24,9 @@
     pub(super) fn first_layer(&self, width: u32) -> u32 {
         let width = width.min(self.copies.len() as u32);
         let starts = 0..=(self.copies.len() as u32 - width);
-        let best = starts.max_by(|a, b| {
+        // Of equals the last is taken, hence the first layers: the loss of a
+        // path's first engine ends its runs, that of another moves them.
+        let best = starts.rev().max_by(|a, b| {
             let protects = self.protected(*a, width).total_cmp(&self.protected(*b, width));
             protects.then_with(|| self.room(*b, width).total_cmp(&self.room(*a, width)))
         });
--- a/crates/direct/src/engines/inspect.rs
+++ b/crates/direct/src/engines/inspect.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::ask_report;
+use super::leaving::check_leaving;
 use crate::hub::Hub;
 
 /// Time for an engine that is suspected to give its report.
@@ -33,7 +34,9 @@
 
 /// Checks a backend server that another process or an answer speaks ill of.
 pub(crate) async fn check_backend(hub: Rc<Hub>, id: BackendId) {
-    question(&hub, &id).await;
+    if question(&hub, &id).await.is_some() {
+        check_leaving(&hub, &id).await;
+    }
 }
 
 /// Asks a backend server for its report; one that gives none is down. Gives
--- a/crates/direct/src/engines/mod.rs
+++ b/crates/direct/src/engines/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod inspect;
+mod leaving;
 mod reach;
 
 pub(crate) use calls::{CALL_LIMIT, CallError, ask_report, change_path, place_layers};
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::fleet::{BackendState, CardSpec, EngineSpec, Fleet, Member};
+use clementine_decide::fleet::{CardSpec, EngineSpec, Fleet, Member};
 use clementine_decide::ids::{BackendId, DomainId, PoolId};
 use clementine_decide::placement::{Holder, Move, Settling, context_beside_layers, plan_layers};
 use clementine_objects::LayerRange;
@@ -71,8 +71,7 @@
 
     fn holders(&self, pool: &PoolId, engine: &EngineSpec) -> Vec<Holder> {
         let fleet: &Fleet = &self.hub.fleet.borrow();
-        let usable =
-            |member: &&Member| member.backend.state == BackendState::Ready && !member.is_down();
+        let usable = |member: &&Member| member.may_hold_layers();
         let card = |member: &Member| engine.card(member.backend.card.as_ref()?);
         let mut domains: HashMap<&DomainId, Vec<&CardSpec>> = HashMap::new();
         for member in fleet.pool(pool).filter(usable) {
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -6,6 +6,7 @@
 
 use actix_rt::test;
 use clementine_direct::Running;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 use world::{
     Answer, Backend, Behaviour, Store, ask, ask_with, config, entry, lose_an_engine, until,
@@ -257,3 +258,23 @@
         tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), stop, stopped);
     assert_eq!((events(&answer), answer.whole), (all_events(), true));
 }
+
+#[test]
+async fn an_engine_that_is_leaving_is_not_asked_again_though_its_runs_go_on() {
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 9).await;
+    let one_leaves = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        let leaving = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+        leaving.leaving.set(true);
+        for _ in 0..12 {
+            spawn_local(ask(entry.callers, "POST", "/stream/x", "prompt"));
+            sleep(Duration::from_millis(25)).await;
+        }
+        leaving.refused.get()
+    };
+    let (answer, refused) =
+        tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), one_leaves);
+    assert!(answer.whole, "the run that it has goes on");
+    assert!(refused <= 2, "{refused} of 12 requests were refused");
+}
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -49,8 +49,12 @@
     pub dark: Rc<Cell<bool>>,
     /// Events after which it breaks a stream off.
     pub break_after: Rc<Cell<Option<u64>>>,
+    /// Whether it takes no new streams and says so of its health.
+    pub leaving: Rc<Cell<bool>>,
     /// Whether it says of streams that it did not run them.
     pub refuses_streams: Rc<Cell<bool>>,
+    /// Streams that it refused.
+    pub refused: Rc<Cell<u32>>,
     /// Orders to come that it neither answers nor carries out.
     pub lost_orders: Rc<Cell<u32>>,
     /// Requests that it ran, with their paths through engines.
@@ -76,7 +80,9 @@
             stalled_by: Rc::default(),
             dark: Rc::default(),
             break_after: Rc::default(),
+            leaving: Rc::default(),
             refuses_streams: Rc::default(),
+            refused: Rc::default(),
             lost_orders: Rc::default(),
             ran: Rc::default(),
             last_stream: Rc::default(),
@@ -121,6 +127,7 @@
             }
             let keep = match message.head.uri.path() {
                 "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
+                "/health" => self.health(&mut conn).await,
                 "/-/order" => self.order(&mut conn, &message).await,
                 path if path.starts_with("/stream/") => self.stream(&mut conn, &message).await,
                 _ => self.whole(&mut conn, &message).await,
@@ -131,6 +138,14 @@
         }
     }
 
+    async fn health(&self, conn: &mut ServerConn) -> bool {
+        let status = if self.leaving.get() { 503 } else { 200 };
+        let mut res = Response::with_body(StatusCode::from_u16(status).expect("a status"), ());
+        let id = HeaderValue::from_str(&self.id).expect("a header value");
+        res.headers_mut().insert(HeaderName::from_static("instance-id"), id);
+        conn.send(res, &Bytes::new()).await.is_ok()
+    }
+
     fn report(&self) -> Value {
         let stalled: Vec<Value> = self
             .stalled_by
@@ -222,7 +237,8 @@
     }
 
     async fn stream(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
-        if self.refuses_streams.get() {
+        if self.refuses_streams.get() || self.leaving.get() {
+            self.refused.set(self.refused.get() + 1);
             return Self::refuse(conn).await;
         }
         self.note_run(message);
