--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -58,6 +58,8 @@
         }
         sleep(PLAN_PAUSE).await;
     }
+    // The others look for a planner as soon as nobody says that it plans.
+    hub.plans.set(None);
     if let Some((version, row)) = watch.release(hub.now()) {
         let released = write(&hub, version, &row).await;
         info!("planner: lease given back: {:?}", released.is_ok());
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -47,6 +47,8 @@
     pub stalled_by: Rc<Cell<Option<SocketAddr>>>,
     /// Whether it answers anything at all.
     pub dark: Rc<Cell<bool>>,
+    /// Whether it was sent anything while dark.
+    pub asked: Rc<Cell<bool>>,
     /// Events after which it breaks a stream off.
     pub break_after: Rc<Cell<Option<u64>>>,
     /// Whether it takes no new streams and says so of its health.
@@ -79,6 +81,7 @@
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
             stalled_by: Rc::default(),
             dark: Rc::default(),
+            asked: Rc::default(),
             break_after: Rc::default(),
             leaving: Rc::default(),
             refuses_streams: Rc::default(),
@@ -123,6 +126,7 @@
         while conn.wait_request(&limits).await.is_ok() {
             let Ok(message) = conn.read_request(&limits).await else { return };
             if self.dark.get() {
+                self.asked.set(true);
                 sleep(Duration::from_mins(1)).await;
             }
             let keep = match message.head.uri.path() {
--- a/crates/direct/tests/world/store.rs
+++ b/crates/direct/tests/world/store.rs
@@ -117,6 +117,11 @@
         rows.map(|((_, key), _)| key.clone()).collect()
     }
 
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.borrow();
+        state.rows.get(&(table.into(), key.into()))?.0.clone()
+    }
+
     fn change(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state.borrow_mut();
         state.version += 1;
