Give an engine that loads no other order

An order still being carried out counted as layers held, so that a second gap could move the engine away from the first; and a gap that nobody can close kept the ones behind it open. The first has a test that fails without the change. Cause looked at: a gap of one layer stayed open 1.6 s since no engine was wholly spare.

--- a/crates/decide/src/placement/holder.rs
+++ b/crates/decide/src/placement/holder.rs
@@ -17,6 +17,8 @@
     pub context: f64,
     /// Layers that it holds or is about to hold.
     pub held: Option<LayerRange>,
+    /// Whether it is carrying out an order; it is given no other meanwhile.
+    pub loading: bool,
 }
 
 /// Layers that an engine is to hold.
--- a/crates/decide/src/placement/plan.rs
+++ b/crates/decide/src/placement/plan.rs
@@ -66,9 +66,12 @@
     }
 
     fn plan(mut self) -> Vec<Move> {
-        while let Some((from, missing)) = self.first_gap() {
-            let Some(holder) = self.take_for(missing) else { break };
-            self.assign(holder, from, true);
+        let mut after = 0;
+        while let Some((from, missing)) = self.first_gap(after) {
+            match self.take_for(missing) {
+                Some(holder) => self.assign(holder, from, true),
+                None => after = from + missing,
+            }
         }
         while !self.free.is_empty() {
             let holder = self.free.remove(0);
@@ -85,9 +88,14 @@
         }
     }
 
-    /// First layer that nobody holds, and how many follow on without a holder.
-    fn first_gap(&self) -> Option<(u32, u32)> {
-        let from = self.copies.iter().position(|copies| *copies == 0)?;
+    /// First layer from one on that nobody holds, and how many follow on
+    /// without a holder.
+    fn first_gap(&self, after: u32) -> Option<(u32, u32)> {
+        let copies = self.copies.iter().skip(after as usize);
+        let from = after as usize + copies.take_while(|copies| **copies > 0).count();
+        if from >= self.copies.len() {
+            return None;
+        }
         let missing = self.copies[from..].iter().take_while(|copies| **copies == 0).count();
         Some((from as u32, missing as u32))
     }
@@ -98,8 +106,10 @@
         if let Some(at) = fitting(self.free.iter().map(|h| h.capacity), missing) {
             return Some(self.free.remove(at));
         }
+        let is_spare =
+            |(holder, held): &(&Holder, LayerRange)| !holder.loading && self.is_spare(*held);
         let spare: Vec<usize> =
-            (0..self.holding.len()).filter(|at| self.is_spare(self.holding[*at].1)).collect();
+            (0..self.holding.len()).filter(|at| is_spare(&self.holding[*at])).collect();
         let at = fitting(spare.iter().map(|at| self.holding[*at].0.capacity), missing)?;
         let (holder, held) = self.holding.remove(spare[at]);
         for layer in held.first()..held.end().min(self.layers) {
--- a/crates/decide/tests/engines_world/mod.rs
+++ b/crates/decide/tests/engines_world/mod.rs
@@ -70,6 +70,7 @@
                 capacity,
                 context: spec.context_tokens(card, capacity),
                 held: None,
+                loading: false,
             });
         }
     }
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -7,6 +7,7 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::placement::{Holder, Settling, plan_layers};
+use clementine_objects::LayerRange;
 use engines_world::{LAYERS, holders, range, spec};
 use quickcheck::{Gen, QuickCheck};
 
@@ -182,3 +183,19 @@
         assert!(2 * exposed < of_domain, "{exposed} of {of_domain} in domain {domain}");
     }
 }
+
+fn holder(n: u32, capacity: u32, held: LayerRange) -> Holder {
+    let id = format!("e{n}").as_str().into();
+    Holder { id, domain: "a".into(), capacity, context: 1e5, held: Some(held), loading: false }
+}
+
+#[test]
+fn an_engine_that_loads_is_given_nothing_else() {
+    let mut engines =
+        [holder(0, 4, range(0, 4)), holder(1, 4, range(0, 4)), holder(2, 7, range(5, 12))];
+    assert_eq!(plan_layers(12, &engines).len(), 1);
+    for engine in &mut engines {
+        engine.loading = true;
+    }
+    assert_eq!(plan_layers(12, &engines), []);
+}
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -90,6 +90,7 @@
             Some(Holder {
                 context: engine.context_tokens(card, capacity),
                 held: pending.get(&id).copied().or(member.backend.layers),
+                loading: pending.contains_key(&id),
                 id,
                 domain: member.backend.domain.clone(),
                 capacity,
