Go on planning while the store is away for all

The planner could not renew its lease, stopped 2.8 s after the last renewal, and gaps stayed open until 26 s; calls that got no answer also held up the plan between. An entry that hears the planner leaves the lease to it, so the planner now goes on as long as it hears most entries, none says that it plans, and none learns more from the store. The lease is renewed beside the plan. Ruled out: orders, which were answered at once.

--- /dev/null
+++ b/crates/decide/src/lease/audience.rs
@@ -0,0 +1,24 @@
+//! What a holder hears of the others while the store is away.
+
+/// What a holder hears of the others while the store doesn't answer it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Audience {
+    /// Processes that are heard, this one included.
+    pub heard: usize,
+    /// Processes that were heard at the last renewal, this one included.
+    pub heard_at_renewal: usize,
+    /// Whether another process says that it holds the lease.
+    pub another_holds: bool,
+    /// Whether others have learned from the store meanwhile: it is away for
+    /// this process only, and another can do better.
+    pub others_reach_store: bool,
+}
+
+impl Audience {
+    /// Whether the others still leave the lease to this process: a process
+    /// that hears the holder doesn't take the lease, and most do.
+    pub const fn follows(&self) -> bool {
+        let most = self.heard * 2 > self.heard_at_renewal;
+        most && !self.another_holds && !self.others_reach_store
+    }
+}
--- a/crates/decide/src/lease/watch.rs
+++ b/crates/decide/src/lease/watch.rs
@@ -3,8 +3,13 @@
 use clementine_objects::Millis;
 use serde::{Deserialize, Serialize};
 
+use super::Audience;
 use crate::ids::{EntryId, IncarnationId, Tick};
 
+/// Time for which a holder goes on after each renewal that the store did not
+/// answer: longer than the next one takes to fail.
+const GO_ON_FOR: Millis = Millis(3_000);
+
 /// Content of the lease's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -98,6 +103,16 @@
         Some(self.write(version, term))
     }
 
+    /// Goes on without a renewal, which the store did not answer, as long as the
+    /// others follow. The row stays as it is meanwhile: whoever hears the holder
+    /// does not take it.
+    pub fn go_on(&mut self, audience: Audience, now: Tick) {
+        let Some((term, until)) = self.held else { return };
+        if now < until && audience.follows() {
+            self.held = Some((term, until.max(now.after(GO_ON_FOR))));
+        }
+    }
+
     /// Notes that the row is not as this process last saw it.
     pub const fn note_conflict(&mut self) {
         self.held = None;
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -90,7 +90,7 @@
         return Ok(Some(size));
     };
     let asked = Instant::now();
-    let wait = if hub.plans.get().is_some() { PLANNER_FEED_WAIT } else { FEED_WAIT };
+    let wait = if hub.holds_lease().is_some() { PLANNER_FEED_WAIT } else { FEED_WAIT };
     let answer = tokio::select! {
         answer = hub.store.feed(table, after, wait) => answer,
         () = followed.gone_silent() => return Ok(None),
--- a/crates/direct/src/hub/dump.rs
+++ b/crates/direct/src/hub/dump.rs
@@ -34,7 +34,7 @@
             "routes": self.table().map(|table| table.route_count()),
             "config_newest_row": self.config_followed.newest(),
             "list_newest_row": self.list_followed.newest(),
-            "plans_with_row": self.plans.get(),
+            "plans_with_row": self.holds_lease(),
             "entries_serving": self.peers.borrow().serving(),
             "requests_in_progress": self.drain.in_progress(),
             "stopping": self.drain.is_draining(),
--- a/crates/direct/src/hub/followed.rs
+++ b/crates/direct/src/hub/followed.rs
@@ -35,6 +35,11 @@
         self.newest.get()
     }
 
+    /// Version of the newest change that any entry knows.
+    pub(crate) fn newest_anywhere(&self) -> u64 {
+        self.newest.get().max(self.elsewhere.get())
+    }
+
     /// Notes a change that another entry knows.
     pub(crate) fn note_elsewhere(&self, newest: u64) {
         self.elsewhere.set(self.elsewhere.get().max(newest));
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -8,6 +8,7 @@
 use actix_http::ServiceConfig;
 use clementine_decide::fleet::Fleet;
 use clementine_decide::ids::{BackendId, IncarnationId, Tick};
+use clementine_decide::lease::{LeaseLimits, LeaseWatch};
 use clementine_decide::overload::Pressure;
 use clementine_decide::paths::LinkUse;
 use clementine_decide::peers::PeerView;
@@ -43,9 +44,8 @@
     pub(crate) links: RefCell<LinkUse>,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
-    /// Version of the lease's row with which this process holds the planner's
-    /// lease, if it does.
-    pub(crate) plans: Cell<Option<u64>>,
+    /// The planner's lease.
+    pub(crate) lease: RefCell<LeaseWatch>,
     /// How far the configuration is followed.
     pub(crate) config_followed: Followed,
     /// How far the list of backend servers is followed.
@@ -76,17 +76,22 @@
     pub(crate) fn new(settings: InstanceSettings, meters: Meters) -> Self {
         let mut rng = SmallRng::try_from_rng(&mut rand::rngs::SysRng)
             .unwrap_or_else(|_| SmallRng::seed_from_u64(u64::from(std::process::id())));
+        let incarnation = IncarnationId(rng.random());
         let codec = ServerConn::codec_config();
         let clock = Clock::start();
         Self {
-            incarnation: IncarnationId(rng.random()),
+            incarnation,
             store: BoundedStore::new(StoreClient::new(settings.store, codec.clone()), clock),
             clock,
             codec,
             fleet: RefCell::default(),
             links: RefCell::default(),
             peers: RefCell::default(),
-            plans: Cell::new(None),
+            lease: RefCell::new(LeaseWatch::new(
+                LeaseLimits::default(),
+                settings.entry.clone(),
+                incarnation,
+            )),
             config_followed: Followed::default(),
             list_followed: Followed::default(),
             listed: Cell::new(false),
@@ -112,6 +117,12 @@
         self.clock.now()
     }
 
+    /// Version of the lease's row with which this process holds the planner's
+    /// lease, if it does.
+    pub(crate) fn holds_lease(&self) -> Option<u64> {
+        self.lease.borrow().held_version(self.now())
+    }
+
     /// The configuration in force, once there is one.
     pub(crate) fn table(&self) -> Option<Rc<RoutingTable>> {
         self.table.borrow().clone()
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -164,7 +164,7 @@
             number: self.number,
             config_newest: self.hub.config_followed.newest(),
             list_newest: self.hub.list_followed.newest(),
-            plans: self.hub.plans.get(),
+            plans: self.hub.holds_lease(),
             leaving: self.hub.drain.is_draining(),
             loads: loads.collect(),
             links: self.links(),
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -1,15 +1,14 @@
-//! Holds the planner's lease and plans as long as it is held.
+//! Holds the planner's lease.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::lease::{LeaseLimits, LeaseRow, LeaseStep, LeaseWatch};
+use clementine_decide::lease::{Audience, LeaseRow, LeaseStep};
 use clementine_platform::store::{Row, RowKey, StoreError, Transaction};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::time::{Instant, sleep};
 
-use super::orders::Orders;
 use crate::hub::Hub;
 
 /// Table of the system's leases.
@@ -20,73 +19,118 @@
 const RENEW_PAUSE: Duration = Duration::from_millis(1_100);
 /// Pause between two looks at the row while nobody is known to hold the lease.
 const LOOK_PAUSE: Duration = Duration::from_millis(600);
-/// Pause between two looks at the plan.
-const PLAN_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks at what the others say.
+const LISTEN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Plans whenever this process holds the lease, until it is to stop. While
-/// another entry says that it holds the lease, the row is left alone.
-pub(crate) async fn plan_while_holder(hub: Rc<Hub>) {
-    let mut watch =
-        LeaseWatch::new(LeaseLimits::default(), hub.settings.entry.clone(), hub.incarnation);
-    let mut orders = Orders::new(Rc::clone(&hub));
+/// Holds the planner's lease, or takes it when nobody does, until the process
+/// is to stop. While another entry says that it holds the lease, the row is
+/// left alone.
+pub(crate) async fn hold_lease(hub: Rc<Hub>) {
+    let mut holder = Holder { hub: &hub, held: false, renewal: Renewal::default() };
     let mut look_at = Instant::now();
-    let mut was_holder = false;
     while !hub.drain.is_draining() {
         let other = hub.peers.borrow().planner(hub.now());
         if let Some(version) = other {
-            watch.note_heard(version, hub.now());
+            hub.lease.borrow_mut().note_heard(version, hub.now());
         }
-        let settled = other.is_some() && hub.plans.get().is_none();
-        if Instant::now() >= look_at && !settled {
-            if let Err(error) = look(&hub, &mut watch).await {
-                warn!("planner: the lease can't be read or written: {}", error);
-            }
+        let left_alone = other.is_some() && hub.holds_lease().is_none();
+        if Instant::now() >= look_at && !left_alone {
+            holder.step().await;
             let spread = hub.rng.borrow_mut().random_range(0.8..1.2);
-            let pause = if hub.plans.get().is_some() { RENEW_PAUSE } else { LOOK_PAUSE };
+            let pause = if hub.holds_lease().is_some() { RENEW_PAUSE } else { LOOK_PAUSE };
             look_at = Instant::now() + pause.mul_f64(spread);
         }
-        let term = watch.term(hub.now());
-        hub.plans.set(watch.held_version(hub.now()));
-        if term.is_some() != was_holder {
-            was_holder = term.is_some();
-            hub.config_followed.ask_again();
-            hub.list_followed.ask_again();
-            info!("planner: lease {} term={:?}", if was_holder { "held" } else { "lost" }, term);
-        }
-        if let Some(term) = term {
-            orders.step(term);
-        }
-        sleep(PLAN_PAUSE).await;
+        holder.note_news();
+        sleep(LISTEN_PAUSE).await;
     }
-    // The others look for a planner as soon as nobody says that it plans.
-    hub.plans.set(None);
-    if let Some((version, row)) = watch.release(hub.now()) {
+    let released = hub.lease.borrow_mut().release(hub.now());
+    if let Some((version, row)) = released {
         let released = write(&hub, version, &row).await;
         info!("planner: lease given back: {:?}", released.is_ok());
     }
 }
 
-async fn look(hub: &Hub, watch: &mut LeaseWatch) -> Result<(), StoreError> {
-    let step = match watch.renewal(hub.now()) {
+/// What was known at the last renewal, and at the first that failed since.
+#[derive(Debug, Default)]
+struct Renewal {
+    heard: usize,
+    /// Newest change of the list that any entry knew when the first renewal
+    /// failed; none while they succeed.
+    list_at_failure: Option<u64>,
+}
+
+/// One process on its way to the lease, or with it.
+struct Holder<'a> {
+    hub: &'a Rc<Hub>,
+    held: bool,
+    renewal: Renewal,
+}
+
+impl Holder<'_> {
+    /// Renews the lease, or looks whether it can be taken.
+    async fn step(&mut self) {
+        match look(self.hub).await {
+            Ok(()) => {
+                let heard = self.hub.peers.borrow().serving();
+                self.renewal = Renewal { heard, list_at_failure: None };
+            }
+            Err(error) => {
+                warn!("planner: the lease can't be read or written: {}", error);
+                let audience = self.audience();
+                self.hub.lease.borrow_mut().go_on(audience, self.hub.now());
+            }
+        }
+    }
+
+    fn audience(&mut self) -> Audience {
+        let newest = self.hub.list_followed.newest_anywhere();
+        let at_failure = *self.renewal.list_at_failure.get_or_insert(newest);
+        let peers = self.hub.peers.borrow();
+        Audience {
+            heard: peers.serving(),
+            heard_at_renewal: self.renewal.heard,
+            another_holds: peers.planner(self.hub.now()).is_some(),
+            others_reach_store: newest > at_failure,
+        }
+    }
+
+    /// Logs that the lease was won or lost. What the store's tables hold is
+    /// asked again, by the pauses of a holder.
+    fn note_news(&mut self) {
+        let term = self.hub.lease.borrow().term(self.hub.now());
+        if term.is_some() == self.held {
+            return;
+        }
+        self.held = term.is_some();
+        self.hub.config_followed.ask_again();
+        self.hub.list_followed.ask_again();
+        info!("planner: lease {} term={:?}", if self.held { "held" } else { "lost" }, term);
+    }
+}
+
+async fn look(hub: &Hub) -> Result<(), StoreError> {
+    let renewal = hub.lease.borrow().renewal(hub.now());
+    let step = match renewal {
         Some(step) => step,
-        None => read_row(hub, watch).await?,
+        None => read_row(hub).await?,
     };
     let LeaseStep::Write { version, row } = step else { return Ok(()) };
     let sent = hub.now();
     match write(hub, version, &row).await {
-        Ok(written) => watch.note_written(written, row.term, sent),
+        Ok(written) => hub.lease.borrow_mut().note_written(written, row.term, sent),
         // Another process was quicker.
-        Err(StoreError::Conflict { .. }) => watch.note_conflict(),
+        Err(StoreError::Conflict { .. }) => hub.lease.borrow_mut().note_conflict(),
         Err(error) => return Err(error),
     }
     Ok(())
 }
 
-async fn read_row(hub: &Hub, watch: &mut LeaseWatch) -> Result<LeaseStep, StoreError> {
+async fn read_row(hub: &Hub) -> Result<LeaseStep, StoreError> {
     let snapshot = hub.store.read(LEASE_TABLE).await?;
     let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
     let read = row.map(decode);
-    Ok(watch.note_row(read.as_ref().map(|(version, row)| (*version, row)), hub.now()))
+    let read = read.as_ref().map(|(version, row)| (*version, row));
+    Ok(hub.lease.borrow_mut().note_row(read, hub.now()))
 }
 
 /// A row that can't be read is held by nobody.
--- a/crates/direct/src/planner/mod.rs
+++ b/crates/direct/src/planner/mod.rs
@@ -3,4 +3,26 @@
 mod lease;
 mod orders;
 
-pub(crate) use lease::plan_while_holder;
+use std::rc::Rc;
+use std::time::Duration;
+
+pub(crate) use lease::hold_lease;
+use orders::Orders;
+use tokio::time::sleep;
+
+use crate::hub::Hub;
+
+/// Pause between two looks at the plan.
+const PLAN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Plans whenever this process holds the lease, until it is to stop.
+pub(crate) async fn plan_while_holder(hub: Rc<Hub>) {
+    let mut orders = Orders::new(Rc::clone(&hub));
+    while !hub.drain.is_draining() {
+        let term = hub.lease.borrow().term(hub.now());
+        if let Some(term) = term {
+            orders.step(term);
+        }
+        sleep(PLAN_PAUSE).await;
+    }
+}
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -23,7 +23,7 @@
 use crate::follow::{follow_backends, follow_config};
 use crate::hub::{Hub, Meters};
 use crate::peers::talk_to_peers;
-use crate::planner::plan_while_holder;
+use crate::planner::{hold_lease, plan_while_holder};
 use crate::readiness::serve_balancer;
 use crate::reload::watch_settings;
 
@@ -102,6 +102,7 @@
     spawn_local(follow_config(Rc::clone(&hub)));
     spawn_local(follow_backends(Rc::clone(&hub)));
     spawn_local(talk_to_peers(Rc::clone(&hub)));
+    spawn_local(hold_lease(Rc::clone(&hub)));
     spawn_local(plan_while_holder(Rc::clone(&hub)));
     Ok(Running { callers: callers_at, readiness: readiness_at, hub })
 }
