Give memory that first engines can't fill to further copies

A domain now keeps 1.4 times what the slots' requests take, the rest goes to copies, and a second engine with the first layers counts as much as one stood in for. Entries fill 0.85 of the slots, since their views are half a second old. Ruled out: links, unread losses.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -13,7 +13,7 @@
 /// Weight of the newest answer in the mean answer time.
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Share of an engine's slots that entries fill.
-const SLOT_SHARE: f64 = 0.95;
+const SLOT_SHARE: f64 = 0.85;
 /// Answer time that is assumed before the first answer, in ms.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
 
--- a/crates/decide/src/placement/context.rs
+++ b/crates/decide/src/placement/context.rs
@@ -7,8 +7,10 @@
 const COPIES: f64 = 1.35;
 /// Tokens of context beside each layer of which there is never less.
 const LEAST_CONTEXT: f64 = 40_000.0;
-/// Largest number of tokens that is tried, and the step between two tries.
-const MOST_CONTEXT: f64 = 400_000.0;
+/// Part by which the context of as many usual requests as an engine begins is
+/// exceeded at most: sizes differ, and spares let a domain begin more.
+const REQUESTS_MARGIN: f64 = 1.4;
+/// Step between two numbers of tokens that are tried.
 const STEP: f64 = 5_000.0;
 
 /// Tokens of context that each engine of a failure domain keeps room for.
@@ -16,10 +18,13 @@
 /// Every copy of the model takes memory from the context of requests, and a
 /// request needs room at every layer: what binds is the layer with the fewest
 /// copies. A part of a copy beside a whole one adds nothing to it, so the engines
-/// hold one copy and some spares.
-pub fn context_beside_layers(spec: &EngineSpec, cards: &[&CardSpec]) -> f64 {
+/// hold one copy and some spares. Context beyond what the requests of a first
+/// engine take, of which there are at most `slots`, would stay empty: the memory
+/// goes to further copies.
+pub fn context_beside_layers(spec: &EngineSpec, cards: &[&CardSpec], slots: u32) -> f64 {
     let wanted = COPIES * f64::from(spec.layers);
-    let mut tokens = MOST_CONTEXT;
+    let usual = f64::from(spec.usual_prompt + spec.usual_answer);
+    let mut tokens = (f64::from(slots) * usual * REQUESTS_MARGIN).max(LEAST_CONTEXT);
     while tokens > LEAST_CONTEXT {
         let held: u32 = cards.iter().map(|card| spec.layers_beside(card, tokens)).sum();
         if f64::from(held) >= wanted {
--- a/crates/decide/src/placement/spares.rs
+++ b/crates/decide/src/placement/spares.rs
@@ -2,6 +2,10 @@
 
 use clementine_objects::LayerRange;
 
+/// What a second engine that paths can begin with is worth, in engines stood in
+/// for: its slots are added to the other's.
+const FIRST_ENGINE: f64 = 1.0;
+
 /// The engines of a group by what they hold, with a choice of layers for one
 /// more.
 #[derive(Debug)]
@@ -41,7 +45,9 @@
             let covered = self.held_alone(first, held.end().min(from + width).max(first));
             if alone == 0 { 0.0 } else { (covered as f64 / alone as f64).powi(2) }
         };
-        self.held.iter().map(part).sum()
+        let begins_alone = from == 0 && self.copies.first() == Some(&1);
+        let begins = if begins_alone { FIRST_ENGINE } else { 0.0 };
+        begins + self.held.iter().map(part).sum::<f64>()
     }
 
     /// Layers of a part that just one engine holds.
--- a/crates/decide/tests/engines_world/mod.rs
+++ b/crates/decide/tests/engines_world/mod.rs
@@ -61,7 +61,7 @@
                 vec![spec.card(&(*id).into()).expect("a card"); *count as usize]
             })
             .collect();
-        let context = context_beside_layers(spec, &cards);
+        let context = context_beside_layers(spec, &cards, 192);
         for (n, card) in cards.into_iter().enumerate() {
             let capacity = spec.layers_beside(card, context);
             holders.push(Holder {
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -74,12 +74,14 @@
         let usable = |member: &&Member| member.may_hold_layers();
         let card = |member: &Member| engine.card(member.backend.card.as_ref()?);
         let mut domains: HashMap<&DomainId, Vec<&CardSpec>> = HashMap::new();
+        let mut slots = 0;
         for member in fleet.pool(pool).filter(usable) {
             domains.entry(&member.backend.domain).or_default().extend(card(member));
+            slots = slots.max(member.backend.slots);
         }
         let context: HashMap<&DomainId, f64> = domains
             .iter()
-            .map(|(domain, cards)| (*domain, context_beside_layers(engine, cards)))
+            .map(|(domain, cards)| (*domain, context_beside_layers(engine, cards, slots)))
             .collect();
         let pending = self.pending.borrow();
         let holder = |member: &Member| {
