Ask the engines of a silent run for their pace, and connect to them less often

An engine that takes the connection is now asked for its pace on it, and not connected to again for 250 ms; its word holds for 4 s, since it was believed for good before.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -12,6 +12,14 @@
 const LONGEST_PAUSE: Millis = Millis(4_000);
 /// Weight of the newest answer in the mean answer time.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Time for which an engine's word of its pace is believed.
+const PACE_HOLDS: Millis = Millis(4_000);
+/// Time after which it is asked again, when a run is silent.
+const PACE_ASKED_AGAIN: Millis = Millis(1_500);
+/// Time after an event, and after a connection, in which an engine isn't
+/// connected to for a sign of life.
+const ALIVE_HOLDS: Millis = Millis(60);
+const REACHED_HOLDS: Millis = Millis(250);
 /// Share of an engine's slots that entries fill.
 const SLOT_SHARE: f64 = 0.85;
 /// Answer time that is assumed before the first answer, in ms.
@@ -32,8 +40,10 @@
     pub others_tokens: f64,
     /// Last time that something came of it.
     pub alive_at: Tick,
-    /// How much slower it is than usual; 1 is usual.
-    pub slowness: f64,
+    /// How much slower than usual it said that it is, and when.
+    pace: Option<(f64, Tick)>,
+    /// Last time that it took a connection for a sign of life.
+    reached_at: Option<Tick>,
     latency_ms: f64,
     failures: u32,
     paused_until: Tick,
@@ -53,7 +63,8 @@
             others_in_flight: 0,
             others_tokens: 0.0,
             alive_at: now,
-            slowness: 1.0,
+            pace: None,
+            reached_at: None,
             latency_ms: UNKNOWN_LATENCY_MS,
             failures: 0,
             paused_until: Tick(0),
@@ -125,6 +136,34 @@
         self.backend.orders = orders;
     }
 
+    /// Takes in how much slower than usual an engine says that it is.
+    pub const fn note_pace(&mut self, slowness: f64, now: Tick) {
+        self.pace = Some((slowness, now));
+    }
+
+    /// How much slower it is than usual, by its last word; 1 is usual.
+    pub fn slowness(&self, now: Tick) -> f64 {
+        let known = self.pace.filter(|(_, at)| now.since(*at) < PACE_HOLDS);
+        known.map_or(1.0, |(slowness, _)| slowness)
+    }
+
+    /// Whether it is time to ask an engine of a silent run for its pace.
+    pub fn is_pace_old(&self, now: Tick) -> bool {
+        self.pace.is_none_or(|(_, at)| now.since(at) >= PACE_ASKED_AGAIN)
+    }
+
+    /// Notes that it took a connection for a sign of life.
+    pub const fn note_reached(&mut self, now: Tick) {
+        self.reached_at = Some(now);
+    }
+
+    /// Whether something came of it so lately that a silent run is no reason
+    /// to doubt it.
+    pub fn is_surely_alive(&self, now: Tick) -> bool {
+        let reached = self.reached_at.is_some_and(|at| now.since(at) < REACHED_HOLDS);
+        reached || now.since(self.alive_at) < ALIVE_HOLDS
+    }
+
     /// Mean answer time, in ms.
     pub const fn latency_ms(&self) -> f64 {
         self.latency_ms
@@ -138,20 +177,21 @@
     }
 
     /// The engine as a part of a path, if it holds layers.
-    pub fn stop(&self, spec: &EngineSpec) -> Option<Stop> {
+    pub fn stop(&self, spec: &EngineSpec, now: Tick) -> Option<Stop> {
         let layers = self.backend.layers?;
         let card = spec.card(self.backend.card.as_ref()?)?;
         let running = f64::from(self.in_flight + self.others_in_flight);
         let context = f64::from(spec.usual_prompt) / TOKENS_PER_KILOTOKEN;
         let per_request = spec.step_ms_per_request + spec.step_ms_per_kilotoken * context;
         let step = spec.step_ms + per_request * running;
-        let speed = self.slowness / spec.read_tokens_per_ms;
+        let slowness = self.slowness(now);
+        let speed = slowness / spec.read_tokens_per_ms;
         Some(Stop {
             id: self.backend.id.clone(),
             address: self.backend.address,
             domain: self.backend.domain.clone(),
             layers,
-            step_ms: step * card.step_factor * self.slowness,
+            step_ms: step * card.step_factor * slowness,
             read_ms_per_token: card.read_factor * speed,
             capacity_tokens: spec.context_tokens(card, layers.count()),
             used_tokens: self.used_tokens + self.others_tokens,
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -104,7 +104,7 @@
         now: Tick,
         avoid: &[BackendId],
     ) -> Vec<Stop> {
-        self.candidates(pool, now, avoid).filter_map(|member| member.stop(spec)).collect()
+        self.candidates(pool, now, avoid).filter_map(|member| member.stop(spec, now)).collect()
     }
 
     /// The backend server of a pool that is likely to answer first: by work in
--- a/crates/decide/tests/reach.rs
+++ b/crates/decide/tests/reach.rs
@@ -1,7 +1,10 @@
 //! Which engines of a silent run are taken for down.
 
-use clementine_decide::fleet::{Reach, unreachable};
-use clementine_decide::ids::BackendId;
+mod engines_world;
+
+use clementine_decide::fleet::{Member, Reach, unreachable};
+use clementine_decide::ids::{BackendId, Tick};
+use engines_world::backend;
 
 fn down(reached: &[Reach]) -> Vec<BackendId> {
     let named = reached.iter().enumerate();
@@ -26,3 +29,23 @@
     assert_eq!(down(&[Reach::NoAnswer; 4]), []);
     assert_eq!(down(&[Reach::Connected, Reach::NoAnswer, Reach::Connected]), []);
 }
+
+#[test]
+fn an_engine_counts_as_slow_as_long_as_its_word_is_new() {
+    let mut member = Member::new(backend("e0", "model"), Tick(0));
+    assert!(member.is_pace_old(Tick(0)));
+    member.note_pace(4.0, Tick(1_000));
+    assert!((member.slowness(Tick(3_000)) - 4.0).abs() < 1e-9);
+    assert!(!member.is_pace_old(Tick(2_000)) && member.is_pace_old(Tick(3_000)));
+    assert!((member.slowness(Tick(6_000)) - 1.0).abs() < 1e-9, "it may be well by now");
+}
+
+#[test]
+fn an_engine_that_took_a_connection_is_not_connected_to_at_every_silence() {
+    let mut member = Member::new(backend("e0", "model"), Tick(0));
+    assert!(!member.is_surely_alive(Tick(500)));
+    member.note_reached(Tick(500));
+    assert!(member.is_surely_alive(Tick(700)) && !member.is_surely_alive(Tick(800)));
+    member.note_alive(Tick(1_000));
+    assert!(member.is_surely_alive(Tick(1_050)) && !member.is_surely_alive(Tick(1_100)));
+}
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -41,15 +41,22 @@
 ) -> Result<EngineReport, CallError> {
     let call = async {
         let connected = Exchange::connect(engine, limit, &hub.codec).await;
-        let mut exchange = connected.map_err(failed)?;
-        exchange.queue(report_request(engine), Bytes::new()).map_err(failed)?;
-        exchange.read_head().await.map_err(failed)?;
-        let body = exchange.read_body(REPORT_LIMIT).await.map_err(failed)?;
-        EngineReport::decode(&body).map_err(failed)
+        read_report(connected.map_err(failed)?, engine).await
     };
     timeout(limit, call).await.map_err(failed)?
 }
 
+/// Asks an engine for its report on a connection to it.
+pub(super) async fn read_report(
+    mut exchange: Exchange,
+    engine: SocketAddr,
+) -> Result<EngineReport, CallError> {
+    exchange.queue(report_request(engine), Bytes::new()).map_err(failed)?;
+    exchange.read_head().await.map_err(failed)?;
+    let body = exchange.read_body(REPORT_LIMIT).await.map_err(failed)?;
+    EngineReport::decode(&body).map_err(failed)
+}
+
 /// Has an engine hold layers.
 pub(crate) async fn place_layers(
     hub: &Hub,
--- a/crates/direct/src/engines/inspect.rs
+++ b/crates/direct/src/engines/inspect.rs
@@ -85,9 +85,9 @@
     }
 }
 
-fn note_report(hub: &Hub, id: &BackendId, report: &EngineReport) {
+pub(super) fn note_report(hub: &Hub, id: &BackendId, report: &EngineReport) {
     if let Some(member) = hub.fleet.borrow_mut().get_mut(id) {
         member.note_held(report.layers, report.orders);
-        member.slowness = report.slowness;
+        member.note_pace(report.slowness, hub.now());
     }
 }
--- a/crates/direct/src/engines/reach.rs
+++ b/crates/direct/src/engines/reach.rs
@@ -7,17 +7,17 @@
 use clementine_decide::fleet::{Reach, unreachable};
 use clementine_decide::ids::BackendId;
 use clementine_http1::{ConnectError, Exchange};
-use clementine_objects::Millis;
 use futures::future::join_all;
 use spdlog::info;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
 
-use super::inspect::mark_down;
+use super::calls::{CALL_LIMIT, read_report};
+use super::inspect::{mark_down, note_report};
 use crate::hub::Hub;
 
 /// Time for a connection; in one region it takes a few ms.
 const CONNECT_LIMIT: Duration = Duration::from_millis(90);
-/// Time after a sign of life in which an engine is not connected to.
-const ALIVE_FOR: Millis = Millis(60);
 
 /// Connects to the engines of a silent run that have shown no sign of life, and
 /// takes those for down that refuse, or alone don't answer. A crash is found
@@ -36,31 +36,43 @@
 }
 
 /// Connects to an engine; none if it is down already, or being connected to.
-async fn reach(hub: &Hub, id: BackendId) -> Option<(BackendId, Reach)> {
+async fn reach(hub: &Rc<Hub>, id: BackendId) -> Option<(BackendId, Reach)> {
     let address = match hub.fleet.borrow().get(&id)? {
         member if member.is_down() => return None,
-        member if hub.now().since(member.alive_at) < ALIVE_FOR => {
-            return Some((id, Reach::Connected));
-        }
+        member if member.is_surely_alive(hub.now()) => return Some((id, Reach::Connected)),
         member => member.backend.address,
     };
     if !hub.reaching.borrow_mut().insert(id.clone()) {
         return None;
     }
-    let reach = connect(hub, address).await;
+    let connected = Exchange::connect(address, CONNECT_LIMIT, &hub.codec).await;
     hub.reaching.borrow_mut().remove(&id);
-    if reach == Reach::Connected
-        && let Some(member) = hub.fleet.borrow_mut().get_mut(&id)
-    {
-        member.alive_at = hub.now();
-    }
+    let reach = match connected {
+        Ok(exchange) => {
+            note_connected(hub, &id, exchange, address);
+            Reach::Connected
+        }
+        Err(ConnectError::Refused { .. }) => Reach::Refused,
+        Err(ConnectError::TimedOut) => Reach::NoAnswer,
+    };
     Some((id, reach))
 }
 
-async fn connect(hub: &Hub, address: SocketAddr) -> Reach {
-    match Exchange::connect(address, CONNECT_LIMIT, &hub.codec).await {
-        Ok(_) => Reach::Connected,
-        Err(ConnectError::Refused { .. }) => Reach::Refused,
-        Err(ConnectError::TimedOut) => Reach::NoAnswer,
+/// Notes the sign of life. An engine that lives may be slow, and is asked for
+/// its pace on the same connection.
+fn note_connected(hub: &Rc<Hub>, id: &BackendId, exchange: Exchange, address: SocketAddr) {
+    let now = hub.now();
+    let mut fleet = hub.fleet.borrow_mut();
+    let Some(member) = fleet.get_mut(id) else { return };
+    member.note_reached(now);
+    if !member.is_pace_old(now) {
+        return;
     }
+    let (hub, id) = (Rc::clone(hub), id.clone());
+    spawn_local(async move {
+        // One that gives none is found by whoever waits for its work.
+        if let Ok(Ok(report)) = timeout(CALL_LIMIT, read_report(exchange, address)).await {
+            note_report(&hub, &id, &report);
+        }
+    });
 }
