Tell an outage of the store for all from one for the planner only

All that are heard count now, and news has 1.5 s to travel. An engine that refuses an order is left alone for 500 ms: one that was still loading refused one each 200 ms for 3 s.

--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -61,6 +61,11 @@
         gone
     }
 
+    /// Entries that are heard, this one included.
+    pub fn heard(&self) -> usize {
+        1 + self.peers.len()
+    }
+
     /// Entries that take callers, this one included.
     pub fn serving(&self) -> usize {
         1 + self.peers.values().filter(|peer| !peer.last.leaving).count()
--- a/crates/decide/tests/lease_without_store.rs
+++ b/crates/decide/tests/lease_without_store.rs
@@ -1,7 +1,7 @@
 //! A holder of a lease while the store is away.
 
 use clementine_decide::ids::{IncarnationId, Tick};
-use clementine_decide::lease::{Audience, LeaseLimits, LeaseStep, LeaseWatch};
+use clementine_decide::lease::{Audience, LeaseLimits, LeaseStep, LeaseWatch, Outage};
 
 const ALL: Audience =
     Audience { heard: 5, heard_at_renewal: 5, another_holds: false, others_reach_store: false };
@@ -43,3 +43,11 @@
     watch.go_on(ALL, Tick(3_000));
     assert_eq!(watch.term(Tick(3_000)), None);
 }
+
+#[test]
+fn what_others_learned_before_an_outage_is_no_sign_that_they_reach_the_store() {
+    let mut outage = Outage::new(40, Tick(1_000));
+    assert!(!outage.others_learn(44, Tick(1_900)), "still on its way");
+    assert!(!outage.others_learn(44, Tick(9_000)));
+    assert!(outage.others_learn(45, Tick(9_000)), "learned meanwhile");
+}
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::lease::{Audience, LeaseRow, LeaseStep};
+use clementine_decide::lease::{Audience, LeaseRow, LeaseStep, Outage};
 use clementine_platform::store::{Row, RowKey, StoreError, Transaction};
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -50,13 +50,11 @@
     }
 }
 
-/// What was known at the last renewal, and at the first that failed since.
+/// What was known at the last renewal, and the outage since.
 #[derive(Debug, Default)]
 struct Renewal {
     heard: usize,
-    /// Newest change of the list that any entry knew when the first renewal
-    /// failed; none while they succeed.
-    list_at_failure: Option<u64>,
+    outage: Option<Outage>,
 }
 
 /// One process on its way to the lease, or with it.
@@ -71,26 +69,38 @@
     async fn step(&mut self) {
         match look(self.hub).await {
             Ok(()) => {
-                let heard = self.hub.peers.borrow().serving();
-                self.renewal = Renewal { heard, list_at_failure: None };
+                let heard = self.hub.peers.borrow().heard();
+                self.renewal = Renewal { heard, outage: None };
             }
             Err(error) => {
                 warn!("planner: the lease can't be read or written: {}", error);
-                let audience = self.audience();
-                self.hub.lease.borrow_mut().go_on(audience, self.hub.now());
+                self.go_on();
             }
         }
     }
 
+    /// Goes on without a renewal, if this process holds the lease and the others
+    /// follow.
+    fn go_on(&mut self) {
+        if self.hub.holds_lease().is_none() {
+            return;
+        }
+        let audience = self.audience();
+        info!("planner: lease not renewed, goes_on={} {:?}", audience.follows(), audience);
+        self.hub.lease.borrow_mut().go_on(audience, self.hub.now());
+    }
+
     fn audience(&mut self) -> Audience {
+        let now = self.hub.now();
         let newest = self.hub.list_followed.newest_anywhere();
-        let at_failure = *self.renewal.list_at_failure.get_or_insert(newest);
+        let outage = self.renewal.outage.get_or_insert(Outage::new(newest, now));
+        let others_reach_store = outage.others_learn(newest, now);
         let peers = self.hub.peers.borrow();
         Audience {
-            heard: peers.serving(),
+            heard: peers.heard(),
             heard_at_renewal: self.renewal.heard,
-            another_holds: peers.planner(self.hub.now()).is_some(),
-            others_reach_store: newest > at_failure,
+            another_holds: peers.planner(now).is_some(),
+            others_reach_store,
         }
     }
 
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -25,6 +25,8 @@
 /// Least time after which an order counts as lost.
 const LOAD_AT_LEAST: Duration = Duration::from_secs(2);
 
+/// Pause after an order that an engine refused, before it is given another.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 /// Times that an order is sent which gets no answer.
 const MOST_SENDS: usize = 6;
 /// Reports in a row of an engine that does nothing and does not hold the
@@ -142,8 +144,11 @@
                 // Lost, or carried out later: the count of orders makes sure
                 // that only one of two copies is carried out.
                 Err(_) => {}
-                // The plan is made again from what the engine says then.
-                Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) => return,
+                // The plan is made again from what the engine says then; one
+                // that is busy refuses every order until it is done.
+                Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) => {
+                    return sleep(REFUSED_PAUSE).await;
+                }
             }
         }
     }
