--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -96,7 +96,10 @@
         let settings = AdminSettings { listen, token: None };
         serve_admin(&settings, metrics, Rc::clone(&hub), None)?;
     }
-    info!("process: started entry={} incarnation={}", hub.settings.entry, hub.incarnation);
+    info!(
+        "process: started entry={} incarnation={} readiness={} callers={}",
+        hub.settings.entry, hub.incarnation, readiness_at, callers_at
+    );
     spawn_local(accept(callers, Rc::clone(&hub), "callers", serve_caller));
     spawn_local(accept(readiness, Rc::clone(&hub), "readiness", serve_balancer));
     spawn_local(follow_config(Rc::clone(&hub)));
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -61,6 +61,10 @@
     pub lost_orders: Rc<Cell<u32>>,
     /// Requests that it ran, with their paths through engines.
     pub ran: Rc<RefCell<Vec<String>>>,
+    /// Ids of the requests that it ran, in order.
+    pub ran_ids: Rc<RefCell<Vec<String>>>,
+    /// Headers that it should not have been sent.
+    pub strays: Rc<RefCell<Vec<String>>>,
     /// Id of the last stream that it was sent.
     last_stream: Rc<RefCell<String>>,
     /// Changes of path that it was told.
@@ -88,6 +92,8 @@
             refused: Rc::default(),
             lost_orders: Rc::default(),
             ran: Rc::default(),
+            ran_ids: Rc::default(),
+            strays: Rc::default(),
             last_stream: Rc::default(),
             repaths: Rc::default(),
             layers: Rc::default(),
@@ -203,6 +209,14 @@
     }
 
     fn note_run(&self, message: &CallerMessage) {
+        let header = |name: &str| message.head.headers().get(name)?.to_str().ok();
+        self.ran_ids.borrow_mut().push(header("request-id").unwrap_or_default().into());
+        if let Some(key) = header("x-api-key") {
+            self.strays.borrow_mut().push(format!("the caller's key {key}"));
+        }
+        if header("tenant") != Some("w") {
+            self.strays.borrow_mut().push(format!("workspace {:?}", header("tenant")));
+        }
         let path = message.head.headers().get("hop-count").and_then(|value| value.to_str().ok());
         self.ran.borrow_mut().push(path.unwrap_or_default().into());
     }
--- a/crates/e2e/src/process/mod.rs
+++ b/crates/e2e/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Processes of a test.
 
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,9 +28,19 @@
     ///
     /// When the program was not built.
     pub fn start(program: &str, args: &[String]) -> Self {
+        Self::start_in(program, args, &[])
+    }
+
+    /// Starts a program of the workspace with variables of its environment.
+    ///
+    /// # Panics
+    ///
+    /// When the program was not built.
+    pub fn start_in(program: &str, args: &[String], variables: &[(&str, &OsStr)]) -> Self {
         let path = program_path(program);
         let mut child = Command::new(&path)
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -86,6 +97,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Freezes the process.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
