Don't take an engine for down that carries out an order

One that takes connections is now asked for its report, and isn't down while it is busy. Ruled out: dark engines, which take no connection and are taken for down as before.

--- a/crates/direct/src/engines/inspect.rs
+++ b/crates/direct/src/engines/inspect.rs
@@ -15,6 +15,8 @@
 
 /// Time for an engine that is suspected to give its report.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Time for an engine that others wait for to say that it carries out an order.
+const BUSY_LIMIT: Duration = Duration::from_millis(120);
 /// Pause between two questions to an engine that is down.
 const PROBE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -27,11 +29,31 @@
         let at_fault = hub.fleet.borrow().at(run.at_fault).cloned();
         if let Some(id) = at_fault {
             info!("engines: request={} waits for backend={} says={}", request, id, first);
-            mark_down(&hub, &id, "stalled-run");
+            spawn_local(judge_stalling(Rc::clone(&hub), id));
         }
     }
 }
 
+/// Takes an engine for down that others wait for. One that takes connections may
+/// be carrying out an order, by its own word, and then isn't down; if it is not,
+/// the others can't reach it.
+async fn judge_stalling(hub: Rc<Hub>, id: BackendId) {
+    let now = hub.now();
+    let alive = match hub.fleet.borrow().get(&id) {
+        Some(member) => member.is_surely_alive(now).then_some(member.backend.address),
+        None => return,
+    };
+    if let Some(address) = alive
+        && let Ok(report) = ask_report(&hub, address, BUSY_LIMIT).await
+    {
+        note_report(&hub, &id, &report);
+        if report.busy {
+            return info!("engines: backend={} carries out an order, not down", id);
+        }
+    }
+    mark_down(&hub, &id, "stalled-run");
+}
+
 /// Checks a backend server that another process or an answer speaks ill of.
 pub(crate) async fn check_backend(hub: Rc<Hub>, id: BackendId) {
     if question(&hub, &id).await.is_some() {
--- /dev/null
+++ b/crates/direct/tests/reload.rs
@@ -0,0 +1,59 @@
+//! Changes of the settings file while an entry runs as a process.
+
+mod world;
+
+use std::path::{Path, PathBuf};
+use std::{env, fs, process};
+
+use actix_rt::test;
+use clementine_e2e::Process;
+use tokio::task::spawn_blocking;
+use world::{Store, ask, config, until};
+
+fn write_settings(path: &Path, store: &Store, bounds: &str) {
+    let text = format!(
+        "node=one\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:0\nlisten.ready=127.0.0.1:0\n\
+         internal-ports=0,0\nlimits.link-mbps=1000\nbounds.grace-s=8\n\
+         bounds.retry-budget-ratio=0.2\nbounds.budget-window-s=10\n{bounds}\n\
+         platform.address={}\n",
+        store.address
+    );
+    fs::write(path, text).expect("written");
+}
+
+/// Waits for a line beside the stand-ins, which run on this thread.
+async fn line_with(entry: Process, text: &'static str) -> Process {
+    let waited = spawn_blocking(move || {
+        entry.line_with(text);
+        entry
+    });
+    waited.await.expect("the line came")
+}
+
+fn settings_path() -> PathBuf {
+    env::temp_dir().join(format!("clementine-reload-{}.conf", process::id()))
+}
+
+#[test]
+async fn changed_settings_take_force_with_and_without_a_signal_and_faulty_ones_do_not() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let path = settings_path();
+    write_settings(&path, &store, "bounds.retry-budget-slack=101");
+    let variable = ("CLEMENTINEHUB_CONFIG", path.as_os_str());
+    let entry = Process::start_in("clementine-entry", &["direct".into()], &[variable]);
+    let callers = entry.address_after("callers=");
+    until("it is served", async || ask(callers, "GET", "/none/", "").await.status == 404).await;
+
+    write_settings(&path, &store, "bounds.retry-budget-slack=102");
+    entry.hang_up();
+    let entry = line_with(entry, "retry_reserve: 102").await;
+
+    write_settings(&path, &store, "bounds.retry-budget-slack=103");
+    let entry = line_with(entry, "retry_reserve: 103").await;
+
+    write_settings(&path, &store, "bounds.retry-budget-slack=many");
+    let _entry = line_with(entry, "the last ones stay in force").await;
+    assert_eq!(ask(callers, "GET", "/none/", "").await.status, 404, "it serves on");
+    fs::remove_file(path).expect("removed");
+}
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -278,3 +278,23 @@
     assert!(answer.whole, "the run that it has goes on");
     assert!(refused <= 2, "{refused} of 12 requests were refused");
 }
+
+#[test]
+async fn an_engine_that_carries_out_an_order_is_not_taken_for_down() {
+    let store = configured_store().await;
+    let (engines, entry) = placed_engines(&store, 5).await;
+    let one_loads = async {
+        until("a run has begun", async || engines.iter().any(|e| !e.ran.borrow().is_empty())).await;
+        let first = engines.iter().find(|e| !e.ran.borrow().is_empty()).expect("a first engine");
+        let path = first.ran.borrow()[0].clone();
+        let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
+        let loads = engines.iter().find(on_path).expect("another engine on the path");
+        loads.busy.set(true);
+        first.stalled_by.set(Some(loads.address));
+        sleep(Duration::from_millis(550)).await;
+        first.stalled_by.set(None);
+    };
+    let (answer, ()) = tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), one_loads);
+    assert_eq!(events(&answer), all_events());
+    assert!(engines.iter().all(|engine| engine.repaths.borrow().is_empty()));
+}
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -45,6 +45,8 @@
     pub behaviour: Rc<Cell<Behaviour>>,
     /// Address of an engine that streams wait for from some event on.
     pub stalled_by: Rc<Cell<Option<SocketAddr>>>,
+    /// Whether it says that it carries out an order.
+    pub busy: Rc<Cell<bool>>,
     /// Whether it answers anything at all.
     pub dark: Rc<Cell<bool>>,
     /// Whether it was sent anything while dark.
@@ -84,6 +86,7 @@
             pool,
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
             stalled_by: Rc::default(),
+            busy: Rc::default(),
             dark: Rc::default(),
             asked: Rc::default(),
             break_after: Rc::default(),
@@ -163,8 +166,8 @@
             .map(|at| json!({"id": *self.last_stream.borrow(), "address": at.to_string()}))
             .into_iter()
             .collect();
-        json!({"layers": self.held(), "busy": false, "sequence": self.orders.get(), "born": 1,
-            "stalled": stalled})
+        json!({"layers": self.held(), "busy": self.busy.get(), "sequence": self.orders.get(),
+            "born": 1, "stalled": stalled})
     }
 
     async fn order(&self, conn: &mut ServerConn, message: &CallerMessage) -> bool {
--- a/crates/e2e/src/process/mod.rs
+++ b/crates/e2e/src/process/mod.rs
@@ -77,12 +77,24 @@
     ///
     /// When the process does not print it in time.
     pub fn address_after(&self, text: &str) -> SocketAddr {
+        let line = self.line_with(text);
+        let rest = line.split_once(text).map_or("", |(_, rest)| rest);
+        let word = rest.split_whitespace().next().unwrap_or_default();
+        word.parse().unwrap_or_else(|_| panic!("`{word}` is not an address"))
+    }
+
+    /// The next line that the process prints with a text in it.
+    ///
+    /// # Panics
+    ///
+    /// When the process does not print it in time.
+    pub fn line_with(&self, text: &str) -> String {
         loop {
             let line = self.lines.recv_timeout(START_TIME);
             let line = line.unwrap_or_else(|_| panic!("the process did not print `{text}`"));
-            let Some((_, rest)) = line.split_once(text) else { continue };
-            let word = rest.split_whitespace().next().unwrap_or_default();
-            return word.parse().unwrap_or_else(|_| panic!("`{word}` is not an address"));
+            if line.contains(text) {
+                return line;
+            }
         }
     }
 
