Count an engine that left the list among those that ran a stream

One that leaves while it isn't known to be down counts for 60 s now. Ruled out: an engine found down, which has ended and doesn't count.

--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use clementine_objects::Millis;
 use rand::{Rng, RngExt};
 
 use super::{Backend, EngineSpec, Member};
@@ -13,8 +14,14 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: BTreeMap<BackendId, Member>,
+    /// Backend servers that left the list and were not down, and when.
+    left: BTreeMap<BackendId, Tick>,
 }
 
+/// Time for which a backend server that has left may still run what it has:
+/// longer than any caller waits.
+const LEFT_RUNS_FOR: Millis = Millis(60_000);
+
 /// What became of a listed backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listed {
@@ -45,9 +52,21 @@
         }
     }
 
-    /// Forgets a backend server that has left.
-    pub fn remove(&mut self, id: &BackendId) -> bool {
-        self.members.remove(id).is_some()
+    /// Takes a backend server that has left the list out of use.
+    pub fn remove(&mut self, id: &BackendId, now: Tick) -> bool {
+        self.left.retain(|_, at| now.since(*at) < LEFT_RUNS_FOR);
+        let Some(member) = self.members.remove(id) else { return false };
+        if !member.is_down() {
+            self.left.insert(id.clone(), now);
+        }
+        true
+    }
+
+    /// Whether a backend server may still run a request that it was sent. One
+    /// that left the list may serve for a while; one that was found down and
+    /// then left has ended.
+    pub fn may_still_run(&self, id: &BackendId) -> bool {
+        self.members.contains_key(id) || self.left.contains_key(id)
     }
 
     /// A backend server.
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -234,3 +234,17 @@
     assert!(splitter.next_event().is_some() && splitter.next_event().is_none());
     assert!(splitter.pending() > 0);
 }
+
+#[test]
+fn a_server_that_left_the_list_may_still_run_unless_it_was_found_down() {
+    let mut fleet = Fleet::default();
+    for id in ["left", "crashed"] {
+        fleet.list(backend(id, "p"), Tick(0));
+    }
+    fleet.get_mut(&"crashed".into()).expect("listed").note_down(true);
+    for id in ["left", "crashed"] {
+        assert!(fleet.remove(&id.into(), Tick(1_000)));
+    }
+    assert!(fleet.may_still_run(&"left".into()));
+    assert!(!fleet.may_still_run(&"crashed".into()));
+}
--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -106,7 +106,7 @@
     }
 
     fn remove(&self, id: &BackendId, reason: &str) {
-        if self.hub.fleet.borrow_mut().remove(id) {
+        if self.hub.fleet.borrow_mut().remove(id, self.hub.now()) {
             info!("fleet: backend={} removed reason={}", id, reason);
         }
     }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -296,8 +296,8 @@
     fn choose_after(&self, progress: &Progress) -> Option<StreamRoute> {
         let fleet = self.hub.fleet.borrow();
         // One that gives no report may be only slow, and counts.
-        let listed = |id: &&BackendId| fleet.get(id).is_some();
-        let ran_on: Vec<BackendId> = self.ran_on.iter().filter(listed).cloned().collect();
+        let counts = |id: &&BackendId| fleet.may_still_run(id);
+        let ran_on: Vec<BackendId> = self.ran_on.iter().filter(counts).cloned().collect();
         drop(fleet);
         let all_used = ran_on.len() >= self.job.rule.max_attempts as usize;
         let first = if all_used { ran_on } else { Vec::new() };
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -298,3 +298,35 @@
     assert_eq!(events(&answer), all_events());
     assert!(engines.iter().all(|engine| engine.repaths.borrow().is_empty()));
 }
+
+#[test]
+async fn an_engine_that_left_the_list_counts_among_those_that_ran_a_stream() {
+    let store = configured_store().await;
+    // Three copies of the model, so that a third engine could begin a run.
+    let (engines, entry) = placed_engines(&store, 14).await;
+    let began = |engine: &&Backend| !engine.ran.borrow().is_empty();
+    let count = || engines.iter().filter(began).count();
+    for engine in &engines {
+        engine.break_after.set(Some(6));
+        engine.refuses_repaths.set(true);
+    }
+    let two_runs_end = async {
+        until("a run has begun", async || count() == 1).await;
+        let one = engines.iter().find(began).expect("a first engine");
+        for engine in engines.iter().filter(|engine| engine.id != one.id) {
+            engine.break_after.set(None);
+        }
+        store.remove("servers", &one.id);
+        until("a second run has begun", async || count() == 2).await;
+        let two = engines.iter().find(|e| began(e) && e.id != one.id).expect("a second engine");
+        let path = two.ran.borrow()[0].clone();
+        let on_path = |e: &&Backend| e.id != two.id && path.contains(&e.address.to_string());
+        let lost = engines.iter().find(on_path).expect("another engine on the path");
+        lost.dark.set(true);
+        two.stalled_by.set(Some(lost.address));
+        sleep(Duration::from_millis(1_500)).await;
+        two.stalled_by.set(None);
+    };
+    tokio::join!(ask(entry.callers, "POST", "/stream/x", "prompt"), two_runs_end);
+    assert_eq!(count(), 2, "no third engine while the first may still run it");
+}
--- a/crates/direct/tests/world/backend.rs
+++ b/crates/direct/tests/world/backend.rs
@@ -69,6 +69,8 @@
     pub strays: Rc<RefCell<Vec<String>>>,
     /// Id of the last stream that it was sent.
     last_stream: Rc<RefCell<String>>,
+    /// Whether it refuses to change a run's path.
+    pub refuses_repaths: Rc<Cell<bool>>,
     /// Changes of path that it was told.
     pub repaths: Rc<RefCell<Vec<Value>>>,
     layers: Rc<Cell<(u64, u64)>>,
@@ -98,6 +100,7 @@
             ran_ids: Rc::default(),
             strays: Rc::default(),
             last_stream: Rc::default(),
+            refuses_repaths: Rc::default(),
             repaths: Rc::default(),
             layers: Rc::default(),
             orders: Rc::default(),
@@ -176,6 +179,9 @@
             sleep(Duration::from_mins(1)).await;
         }
         let order: Value = serde_json::from_slice(&message.body).expect("an order");
+        if order["operation"] == "repath" && self.refuses_repaths.get() {
+            return self.send_json(conn, 409, &json!({})).await;
+        }
         if order["operation"] == "repath" {
             self.repaths.borrow_mut().push(order);
             self.stalled_by.set(None);
