Call engines for their health by the same call as for orders; hash ids once

The health check of an engine connected, sent and read the answer's headers on its own, beside the same steps for an order: one function makes both now. Whether an engine is leaving is noted in the hub, beside whether it is down. A backend server keeps the tag by which messages between entries name it, which was hashed for all servers at every message.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -5,6 +5,7 @@
 use super::{Backend, BackendState, EngineSpec};
 use crate::ids::Tick;
 use crate::paths::Stop;
+use crate::peers::BackendTag;
 
 /// Time out of use after a first failure; doubled after each further one.
 const FIRST_PAUSE: Millis = Millis(250);
@@ -30,6 +31,8 @@
 pub struct Member {
     /// What the platform lists.
     pub backend: Backend,
+    /// The server's identity as messages between entries name it.
+    pub tag: BackendTag,
     /// Requests of this process that it runs.
     pub in_flight: u32,
     /// Tokens of context that requests of this process take there.
@@ -55,8 +58,9 @@
 
 impl Member {
     /// A backend server that has just been listed.
-    pub const fn new(backend: Backend, now: Tick) -> Self {
+    pub fn new(backend: Backend, now: Tick) -> Self {
         Self {
+            tag: BackendTag::from(&backend.id),
             backend,
             in_flight: 0,
             used_tokens: 0.0,
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -98,7 +98,7 @@
     /// Takes in the other entries' work; where nothing is said, there is none.
     pub fn note_others(&mut self, totals: &HashMap<BackendTag, BackendLoad>) {
         for member in self.members.values_mut() {
-            let load = totals.get(&BackendTag::from(&member.backend.id));
+            let load = totals.get(&member.tag);
             member.others_in_flight = load.map_or(0, |load| load.in_flight);
             member.others_tokens = load.map_or(0.0, |load| load.tokens.into());
         }
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::RequestHead;
+use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use clementine_http1::Exchange;
 use clementine_platform::engines::{
-    EngineReport, OrderAnswer, PlaceOrder, RepathOrder, report_request,
+    EngineReport, Health, OrderAnswer, PlaceOrder, RepathOrder, health_request, report_request,
 };
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
@@ -19,6 +19,8 @@
 pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(800);
 /// Time for the answer to an order, which comes before the order is done.
 const ORDER_LIMIT: Duration = Duration::from_millis(300);
+/// Time for the answer to a health check.
+const HEALTH_LIMIT: Duration = Duration::from_millis(300);
 /// Largest report that is read, in bytes.
 const REPORT_LIMIT: usize = 256 * 1024;
 
@@ -80,12 +82,34 @@
     engine: SocketAddr,
     (head, body): (RequestHead, Bytes),
 ) -> Result<OrderAnswer, CallError> {
+    let answer = ask_head(hub, engine, ORDER_LIMIT, head, body).await?;
+    Ok(OrderAnswer::from(answer.status))
+}
+
+/// Asks an engine for its health at a path of the configuration.
+pub(super) async fn ask_health(
+    hub: &Hub,
+    engine: SocketAddr,
+    path: &str,
+) -> Result<Health, CallError> {
+    let request = health_request(engine, path).ok_or_else(|| failed("no path for the check"))?;
+    let answer = ask_head(hub, engine, HEALTH_LIMIT, request, Bytes::new()).await?;
+    Ok(Health::from(&answer))
+}
+
+/// Makes a call of which only the headers of the answer matter.
+async fn ask_head(
+    hub: &Hub,
+    engine: SocketAddr,
+    limit: Duration,
+    head: RequestHead,
+    body: Bytes,
+) -> Result<ResponseHead, CallError> {
     let call = async {
-        let connected = Exchange::connect(engine, ORDER_LIMIT, &hub.codec).await;
+        let connected = Exchange::connect(engine, limit, &hub.codec).await;
         let mut exchange = connected.map_err(failed)?;
         exchange.queue(head, body).map_err(failed)?;
-        let head = exchange.read_head().await.map_err(failed)?;
-        Ok(OrderAnswer::from(head.status))
+        exchange.read_head().await.map_err(failed)
     };
-    timeout(ORDER_LIMIT, call).await.map_err(failed)?
+    timeout(limit, call).await.map_err(failed)?
 }
--- a/crates/direct/src/hub/state.rs
+++ b/crates/direct/src/hub/state.rs
@@ -195,6 +195,12 @@
         self.fleet.borrow_mut().get_mut(id).is_some_and(|member| member.note_down(false))
     }
 
+    /// Notes whether a backend server takes new runs; tells whether that is
+    /// news.
+    pub(crate) fn note_leaving(&self, id: &BackendId, leaving: bool) -> bool {
+        self.fleet.borrow_mut().get_mut(id).is_some_and(|member| member.note_leaving(leaving))
+    }
+
     /// Counts the other entries' work at the backend servers.
     pub(crate) fn share_loads(&self) {
         let peers = self.peers.borrow();
--- a/crates/direct/src/peers/talk.rs
+++ b/crates/direct/src/peers/talk.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clementine_decide::ids::EntryId;
-use clementine_decide::peers::{BackendLoad, BackendTag, LinkLoad, PeerMessage, PeerNews};
+use clementine_decide::peers::{BackendLoad, LinkLoad, PeerMessage, PeerNews};
 use clementine_platform::store::StoreError;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
@@ -154,7 +154,7 @@
         let fleet = self.hub.fleet.borrow();
         let busy = fleet.iter().filter(|member| member.in_flight > 0);
         let loads = busy.take(LOADS_LIMIT).map(|member| BackendLoad {
-            backend: BackendTag::from(&member.backend.id),
+            backend: member.tag,
             in_flight: member.in_flight,
             tokens: member.used_tokens as u32,
         });
