Admit no suspect between the loss of a run and the proof that the engine is alive

Cause: the agent dropped its count of the running suspect when it read the end of that connection, but marked the engine as down only at the next refused connection. A bystander of an earlier crash that arrived in between was sent to the engine that had just crashed, and the crash was counted against it. Change: SuspectGate, closed from a lost run until a new connection has stayed open. The failure itself was never reproduced, before or after.

--- a/crates/agent/src/backend/address.rs
+++ b/crates/agent/src/backend/address.rs
@@ -47,6 +47,14 @@
         Some(stream)
     }
 
+    /// Whether a new connection is accepted and not closed by the server within
+    /// `time`.
+    pub(crate) async fn stays_connected(self, time: Duration) -> bool {
+        let Some(stream) = self.connect().await else { return false };
+        // Readable without a request: closed, reset, or not an HTTP server.
+        timeout(time, stream.readable()).await.is_err()
+    }
+
     /// Returns the value of the `Host` header.
     pub(super) fn host(self) -> String {
         self.0.to_string()
--- a/crates/agent/src/shared/health.rs
+++ b/crates/agent/src/shared/health.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::SharedState;
+use super::suspects::LIVENESS_CHECK_TIME;
 
 /// Interval between connection attempts while the backend server is down.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,10 +29,11 @@
     pub(crate) fn probe_backend(self: &Rc<Self>) {
         let shared = Rc::clone(self);
         spawn_local(async move {
-            while shared.settings.backend.connect().await.is_none() {
+            while !shared.settings.backend.stays_connected(LIVENESS_CHECK_TIME).await {
                 sleep(PROBE_INTERVAL).await;
             }
             shared.backend_up.set(true);
+            shared.suspect_gate.borrow_mut().record_alive();
             info!("backend: accepts connections");
         });
     }
--- a/crates/agent/src/shared/job.rs
+++ b/crates/agent/src/shared/job.rs
@@ -7,6 +7,7 @@
 use clementine_process::shutdown::InProgressGuard;
 use clementine_wire::RunRequest;
 
+use super::SuspectGuard;
 use crate::responses::ResponseBuffer;
 
 /// Work that the deduplication table has accepted, from admission to its
@@ -22,9 +23,8 @@
     pub(crate) response: Rc<ResponseBuffer>,
     /// Time by which the response has to be complete.
     pub(crate) deadline: Tick,
-    /// Counts the job as an admitted suspect until it is dropped; `None` if the
-    /// request is not suspected of crashing backend servers.
-    pub(crate) suspect: Option<InProgressGuard>,
+    /// `None` if the request is not suspected of crashing backend servers.
+    pub(crate) suspect: Option<SuspectGuard>,
     /// Counts the job as in progress, which a drain waits for.
     pub(crate) in_progress: InProgressGuard,
 }
--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -9,7 +9,7 @@
 use clementine_decide::config::{ConfigUpdate, LocalConfig};
 use clementine_decide::dedup::DedupTable;
 use clementine_decide::ids::{AgentRef, IncarnationId};
-use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
+use clementine_decide::quarantine::{Quarantine, QuarantineLimits, SuspectGate};
 use clementine_decide::stage::StageLimits;
 use clementine_net::Dialer;
 use clementine_objects::{Repeat, Revision};
@@ -46,9 +46,8 @@
     pub(super) admission: RefCell<AdmissionQueue<Job>>,
     pub(super) responses: RefCell<ResponseStore>,
     pub(super) quarantine: RefCell<Quarantine>,
-    /// Counts admitted requests that are suspected of crashing a backend server.
-    /// At most one is admitted at a time, so that a crash can be attributed.
-    pub(super) suspects: Drain,
+    /// Admits requests that are suspected of crashing a backend server.
+    pub(super) suspect_gate: Rc<RefCell<SuspectGate>>,
     pub(super) idle_connections: IdleConnections,
     pub(super) backend_up: Cell<bool>,
     pub(super) drain: Drain,
@@ -87,7 +86,7 @@
             admission: RefCell::new(AdmissionQueue::new(limits)),
             responses: RefCell::new(ResponseStore::new(response_limits)),
             quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
-            suspects: Drain::default(),
+            suspect_gate: Rc::default(),
             idle_connections: IdleConnections::default(),
             backend_up: Cell::new(false),
             drain,
--- a/crates/agent/src/shared/work.rs
+++ b/crates/agent/src/shared/work.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::{Job, SharedState};
+use super::{Job, SharedState, SuspectGuard};
 use crate::backend::{CallOutcome, call_backend};
 use crate::responses::ResponseBuffer;
 use crate::stages::run_chain;
@@ -30,7 +30,7 @@
 const ATTACH_WAIT: Millis = Millis(250);
 
 /// Retry delay given to a suspect that is refused while another suspect is in
-/// progress here.
+/// progress here, or while the backend server may have crashed.
 const SUSPECT_RETRY_AFTER: Millis = Millis(100);
 
 /// Interval between evictions of expired responses and idle stage requests.
@@ -167,7 +167,7 @@
         let urgency = Urgency { level: request.level, deadline: now.after(request.time_left) };
         let response = self.responses.borrow_mut().create(work, repeat);
         let suspected = self.quarantine.borrow().is_suspected(request.fingerprint, now);
-        let suspect = suspected.then(|| self.suspects.track());
+        let suspect = if suspected { SuspectGuard::try_admit(&self.suspect_gate) } else { None };
         let in_progress = self.drain.track();
         let deadline = urgency.deadline;
         let job = Job { request, permit, response, deadline, suspect, in_progress };
@@ -194,11 +194,12 @@
         if quarantine.is_quarantined(request.fingerprint, now) {
             return Some(self.refusal(NotRunReason::Quarantined, None));
         }
-        let suspect = quarantine.is_suspected(request.fingerprint, now);
-        if suspect && self.suspects.in_progress() > 0 {
-            return Some(self.refusal(NotRunReason::SuspectsApart, Some(SUSPECT_RETRY_AFTER)));
+        if !self.backend_up.get() {
+            return Some(self.refusal(NotRunReason::BackendDown, None));
         }
-        (!self.backend_up.get()).then(|| self.refusal(NotRunReason::BackendDown, None))
+        let suspect = quarantine.is_suspected(request.fingerprint, now);
+        let apart = suspect && !self.suspect_gate.borrow().is_open();
+        apart.then(|| self.refusal(NotRunReason::SuspectsApart, Some(SUSPECT_RETRY_AFTER)))
     }
 
     fn refusal(&self, reason: NotRunReason, retry_after: Option<Millis>) -> RunRefusal {
@@ -229,6 +230,9 @@
             }
             CallOutcome::Sent(outcome) => {
                 self.record_outcome(&job, outcome);
+                if outcome == WorkOutcome::BackendLost && job.request.split.is_none() {
+                    self.record_backend_loss();
+                }
                 self.finish(&job, outcome);
                 drop((job.suspect, job.in_progress));
                 self.admission.borrow_mut().finish(elapsed)
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -2,6 +2,8 @@
 
 mod crash_counts;
 mod fingerprint;
+mod suspect_gate;
 
 pub use crash_counts::{Quarantine, QuarantineLimits};
 pub use fingerprint::Fingerprint;
+pub use suspect_gate::SuspectGate;
--- a/crates/decide/tests/guards.rs
+++ b/crates/decide/tests/guards.rs
@@ -6,7 +6,7 @@
 use clementine_decide::circuit::{CircuitBreaker, CircuitLimits, TokenBucket};
 use clementine_decide::ids::Tick;
 use clementine_decide::outcome::{ErrorKind, Outcome};
-use clementine_decide::quarantine::{Fingerprint, Quarantine, QuarantineLimits};
+use clementine_decide::quarantine::{Fingerprint, Quarantine, QuarantineLimits, SuspectGate};
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_objects::Millis;
 use rand::SeedableRng;
@@ -63,6 +63,21 @@
     assert!(!quarantine.is_suspected(b, Tick(31)));
 }
 
+/// A request crashes an engine, and a bystander of an earlier crash arrives
+/// before the agent has noticed that the engine is gone.
+#[test]
+fn suspect_is_not_admitted_between_a_loss_and_the_proof_of_liveness() {
+    let mut gate = SuspectGate::default();
+    assert!(gate.try_admit(), "the request that crashes the engine");
+    assert!(!gate.try_admit(), "suspects run apart");
+    assert!(gate.record_loss());
+    gate.record_end();
+    assert!(!gate.try_admit(), "the bystander must not share the crash");
+    assert!(!gate.record_loss(), "one check is enough for all runs lost in the crash");
+    gate.record_alive();
+    assert!(gate.try_admit(), "the engine is back");
+}
+
 #[test]
 fn each_error_kind_has_a_unique_code_and_a_consistent_response() {
     let codes: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| kind.code()).collect();
