Send loads within a failure domain, and sums between domains

Cause: each entry sent its status to all others, at an interval that grew with their number: 1.6 s at 103 entries, while an entry counted as gone after 1.5 s. Live entries expired and joined again, and views of the load were seconds old. The loads of all entries were summed up for each received message. Change: status messages go to the entries of the own domain; in each round, the entries of a domain together send its sum to every entry of the others.

--- a/crates/decide/src/lease/outage.rs
+++ b/crates/decide/src/lease/outage.rs
@@ -7,7 +7,7 @@
 /// Time until a version that one process has read from the store is known to
 /// all others: readers batch changes, and each process sends the newest version
 /// that it knows in periodic messages.
-const PROPAGATION_TIME: Millis = Millis(1_500);
+const PROPAGATION_TIME: Millis = Millis(2_000);
 
 /// An outage of the store, as one process sees it.
 #[derive(Debug, Clone, Copy)]
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Messages that entries send to each other.
 
+use clementine_objects::Millis;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -15,7 +16,7 @@
     }
 }
 
-/// Load that one entry puts on one backend server.
+/// Load on one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendLoad {
     /// The backend server.
@@ -26,40 +27,85 @@
     pub tokens: u32,
 }
 
-/// Periodic status message of one entry to the others.
+/// Traffic on the link between two failure domains.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LinkLoad {
+    /// One failure domain.
+    pub a: DomainId,
+    /// The other failure domain.
+    pub b: DomainId,
+    /// Traffic in bytes per ms.
+    pub bytes_per_ms: f64,
+}
+
+/// Load that one entry, or all entries of a failure domain, cause.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadStatus {
+    /// Load on each backend server. Backend servers without load are omitted.
+    pub backends: Vec<BackendLoad>,
+    /// Traffic on the links between failure domains. Unused links are omitted.
+    pub links: Vec<LinkLoad>,
+}
+
+/// Periodic status message of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// The sender.
     pub from: EntryId,
+    /// Failure domain of the sender.
+    pub domain: DomainId,
     /// Incarnation of the sender's process.
     pub incarnation: IncarnationId,
     /// Sequence number, incremented for each message of an incarnation. A
     /// message that is not newer than the last one is ignored.
-    #[serde(rename = "number")]
     pub sequence: u64,
-    /// Whether the sender is draining and accepts no more callers.
-    pub leaving: bool,
-    /// Version of the newest configuration change known to the sender.
+    /// Time until the sender's next message.
+    pub interval: Millis,
+    /// Version of the newest configuration change known to any entry that the
+    /// sender has heard of.
     pub config_newest: u64,
-    /// Version of the newest change of the backend server list known to the
-    /// sender.
+    /// Likewise for the backend server list.
     pub list_newest: u64,
-    /// Version of the lease row if the sender holds the planner's lease.
-    #[serde(rename = "plans")]
-    pub planner_lease_version: Option<u64>,
-    /// Load on each backend server. Backend servers without load are omitted.
-    pub loads: Vec<BackendLoad>,
-    /// Traffic on the links between failure domains. Unused links are omitted.
-    pub links: Vec<LinkLoad>,
+    /// The holder of the planner's lease, as the sender knows it.
+    pub planner: Option<PlannerAnnouncement>,
+    /// What the message reports on.
+    pub report: PeerReport,
+}
+
+/// Announcement of the holder of the planner's lease, which other entries pass
+/// on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerAnnouncement {
+    /// The holder.
+    pub holder: EntryId,
+    /// Version of the lease row that the holder has written.
+    pub lease_version: u64,
+    /// Time since the holder announced it.
+    pub age: Millis,
 }
 
-/// Traffic of one entry on the link between two failure domains.
+/// What a message reports on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LinkLoad {
-    /// One failure domain.
-    pub a: DomainId,
-    /// The other failure domain.
-    pub b: DomainId,
-    /// Traffic in bytes per ms.
-    pub bytes_per_ms: f64,
+pub enum PeerReport {
+    /// The sender; sent to the entries of its failure domain.
+    Entry {
+        /// Whether the sender is draining and accepts no more callers.
+        leaving: bool,
+        /// Load that the sender causes.
+        load: LoadStatus,
+    },
+    /// All entries of the sender's failure domain that it knows, including
+    /// itself; sent to entries of other failure domains.
+    Domain(DomainSummary),
+}
+
+/// The entries of a failure domain and their load.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DomainSummary {
+    /// Number of live entries.
+    pub live: u32,
+    /// Number of entries that accept callers.
+    pub serving: u32,
+    /// Load that the entries cause.
+    pub load: LoadStatus,
 }
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -1,8 +1,19 @@
 //! State that entries share with each other, such as their load on backend
 //! servers.
+//!
+//! An entry reports on itself to the entries of its failure domain, and on its
+//! domain as a whole to a few entries of each other domain. The cost for an
+//! entry grows with the size of its domain and the number of domains.
 
 mod message;
+mod schedule;
+mod totals;
 mod view;
 
-pub use message::{BackendHash, BackendLoad, LinkLoad, PeerMessage};
+pub use message::{
+    BackendHash, BackendLoad, DomainSummary, LinkLoad, LoadStatus, PeerMessage, PeerReport,
+    PlannerAnnouncement,
+};
+pub use schedule::{send_interval, summary_targets};
+pub use totals::LoadTotals;
 pub use view::{PeerUpdate, PeerView};
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -1,15 +1,20 @@
 //! The live entries and their last messages.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use clementine_objects::Millis;
 
-use super::{BackendHash, BackendLoad, PeerMessage};
-use crate::ids::{EntryId, Tick};
-use crate::paths::Link;
+use super::{DomainSummary, LoadStatus, LoadTotals, PeerMessage, PeerReport, PlannerAnnouncement};
+use crate::ids::{DomainId, EntryId, IncarnationId, Tick};
 
-/// Time after its last message for which an entry is considered live.
-const LIVENESS_TIMEOUT: Millis = Millis(1_500);
+/// Minimum time after its last message for which an entry is considered live.
+const MIN_LIVENESS_TIMEOUT: Millis = Millis(1_500);
+/// Number of the sender's intervals for which an entry is considered live, so
+/// that lost messages do not make it expire.
+const LIVENESS_INTERVALS: u64 = 4;
+/// Time for which an announcement of the planner's lease is passed on. Longer
+/// than it takes through two failure domains.
+const PLANNER_ANNOUNCEMENT_TTL: Millis = Millis(2_000);
 
 /// Effect of a received message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,87 +23,217 @@
     Joined,
     /// The sender is already known as live.
     Known,
-    /// The message is not newer than the last one of the sender and was
-    /// ignored.
-    Stale,
+    /// The message is not newer than the last one of the sender, or covers far
+    /// fewer entries than the summary that is in use, and was ignored.
+    Ignored,
 }
 
+/// Identity and reception time of a message.
+#[derive(Debug, Clone)]
+struct Received {
+    incarnation: IncarnationId,
+    sequence: u64,
+    expires_at: Tick,
+}
+
+impl Received {
+    fn new(message: &PeerMessage, now: Tick) -> Self {
+        let intervals = Millis(message.interval.0.saturating_mul(LIVENESS_INTERVALS));
+        Self {
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            expires_at: now.after(intervals.max(MIN_LIVENESS_TIMEOUT)),
+        }
+    }
+
+    fn is_superseded_by(&self, message: &PeerMessage) -> bool {
+        self.incarnation != message.incarnation || self.sequence < message.sequence
+    }
+}
+
+/// An entry of this failure domain.
+#[derive(Debug)]
+struct Neighbor {
+    received: Received,
+    leaving: bool,
+    load: LoadStatus,
+}
+
+/// The last summary of another failure domain.
+#[derive(Debug)]
+struct RemoteDomain {
+    from: EntryId,
+    received: Received,
+    summary: DomainSummary,
+}
+
+impl RemoteDomain {
+    /// Whether another summary may replace this one. A sender that has just
+    /// started knows few entries of its domain.
+    fn is_replaced_by(&self, from: &EntryId, message: &PeerMessage, live: u32, now: Tick) -> bool {
+        if self.from == *from && !self.received.is_superseded_by(message) {
+            return false;
+        }
+        now >= self.received.expires_at || live.saturating_mul(2) > self.summary.live
+    }
+}
+
+/// The last announced holder of the planner's lease.
 #[derive(Debug)]
-struct Peer {
-    last_message: PeerMessage,
-    received_at: Tick,
+struct HeardPlanner {
+    holder: EntryId,
+    lease_version: u64,
+    announced_at: Tick,
 }
 
-/// The other entries, by the last message of each.
+impl HeardPlanner {
+    fn is_current(&self, now: Tick) -> bool {
+        now.since(self.announced_at) < PLANNER_ANNOUNCEMENT_TTL
+    }
+}
+
+/// The other entries: each one of this failure domain, and the sums of the other
+/// domains.
 #[derive(Debug, Default)]
 pub struct PeerView {
-    peers: BTreeMap<EntryId, Peer>,
+    neighbors: BTreeMap<EntryId, Neighbor>,
+    domains: BTreeMap<DomainId, RemoteDomain>,
+    planner: Option<HeardPlanner>,
 }
 
 impl PeerView {
     /// Records a received message.
     pub fn record(&mut self, message: PeerMessage, now: Tick) -> PeerUpdate {
-        let known = self.peers.get(&message.from);
-        let stale = known.is_some_and(|peer| {
-            peer.last_message.incarnation == message.incarnation
-                && peer.last_message.sequence >= message.sequence
-        });
-        if stale {
-            return PeerUpdate::Stale;
+        if let Some(planner) = &message.planner {
+            self.record_planner(planner, now);
+        }
+        let received = Received::new(&message, now);
+        match &message.report {
+            PeerReport::Entry { leaving, load } => {
+                let neighbor = Neighbor { received, leaving: *leaving, load: load.clone() };
+                self.record_neighbor(&message, neighbor, now)
+            }
+            PeerReport::Domain(summary) => {
+                let from = message.from.clone();
+                let domain = RemoteDomain { from, received, summary: summary.clone() };
+                self.record_domain(&message, domain, now)
+            }
         }
-        let joined = known.is_none_or(|peer| now.since(peer.received_at) >= LIVENESS_TIMEOUT);
-        self.peers.insert(message.from.clone(), Peer { last_message: message, received_at: now });
-        if joined { PeerUpdate::Joined } else { PeerUpdate::Known }
     }
 
-    /// Removes the entries that are no longer live, and returns their ids.
-    pub fn remove_expired(&mut self, now: Tick) -> Vec<EntryId> {
-        let expired = |peer: &Peer| now.since(peer.received_at) >= LIVENESS_TIMEOUT;
-        let removed: Vec<EntryId> =
-            self.peers.iter().filter(|(_, peer)| expired(peer)).map(|(id, _)| id.clone()).collect();
-        for id in &removed {
-            self.peers.remove(id);
+    fn record_neighbor(
+        &mut self,
+        message: &PeerMessage,
+        neighbor: Neighbor,
+        now: Tick,
+    ) -> PeerUpdate {
+        let known = self.neighbors.get(&message.from);
+        if known.is_some_and(|known| !known.received.is_superseded_by(message)) {
+            return PeerUpdate::Ignored;
+        }
+        let live = known.is_some_and(|known| now < known.received.expires_at);
+        self.neighbors.insert(message.from.clone(), neighbor);
+        if live { PeerUpdate::Known } else { PeerUpdate::Joined }
+    }
+
+    fn record_domain(
+        &mut self,
+        message: &PeerMessage,
+        domain: RemoteDomain,
+        now: Tick,
+    ) -> PeerUpdate {
+        let live = domain.summary.live;
+        let known = self.domains.get(&message.domain);
+        let replaces =
+            known.is_none_or(|known| known.is_replaced_by(&message.from, message, live, now));
+        if !replaces {
+            return PeerUpdate::Ignored;
         }
-        removed
+        self.domains.insert(message.domain.clone(), domain);
+        PeerUpdate::Known
+    }
+
+    /// Keeps the announcement with the newest lease version, and the latest one of
+    /// that version.
+    fn record_planner(&mut self, announced: &PlannerAnnouncement, now: Tick) {
+        let heard = HeardPlanner {
+            holder: announced.holder.clone(),
+            lease_version: announced.lease_version,
+            announced_at: Tick(now.0.saturating_sub(announced.age.0)),
+        };
+        let rank = |planner: &HeardPlanner| (planner.lease_version, planner.announced_at);
+        let current = self.planner.as_ref().filter(|known| known.is_current(now));
+        if current.is_none_or(|current| rank(&heard) > rank(current)) {
+            self.planner = Some(heard);
+        }
+    }
+
+    /// Removes the entries and domains that are no longer live, and returns the
+    /// ids of the entries.
+    pub fn remove_expired(&mut self, now: Tick) -> Vec<EntryId> {
+        self.domains.retain(|_, domain| now < domain.received.expires_at);
+        let expired = self.neighbors.extract_if(.., |_, peer| now >= peer.received.expires_at);
+        expired.map(|(id, _)| id).collect()
+    }
+
+    /// Ids of the live entries of this failure domain, without this entry, in
+    /// ascending order.
+    pub fn neighbors(&self) -> impl Iterator<Item = &EntryId> {
+        self.neighbors.keys()
     }
 
     /// Number of known entries, including this one.
     pub fn live_count(&self) -> usize {
-        1 + self.peers.len()
+        1 + self.neighbors.len() + self.remote_count(|summary| summary.live)
     }
 
     /// Number of entries that accept callers, including this one.
     pub fn serving_count(&self) -> usize {
-        1 + self.peers.values().filter(|peer| !peer.last_message.leaving).count()
+        let serving = self.neighbors.values().filter(|peer| !peer.leaving).count();
+        1 + serving + self.remote_count(|summary| summary.serving)
     }
 
-    /// Newest version of the lease row that another live entry announces as the
-    /// holder of the planner's lease.
-    pub fn planner_lease_version(&self, now: Tick) -> Option<u64> {
-        let live =
-            self.peers.values().filter(|peer| now.since(peer.received_at) < LIVENESS_TIMEOUT);
-        live.filter_map(|peer| peer.last_message.planner_lease_version).max()
+    fn remote_count(&self, count: impl Fn(&DomainSummary) -> u32) -> usize {
+        self.domains.values().map(|domain| count(&domain.summary) as usize).sum()
     }
 
-    /// Traffic of all other entries on the links between failure domains, in
-    /// bytes per ms.
-    pub fn link_totals(&self) -> HashMap<Link, f64> {
-        let mut totals = HashMap::new();
-        for load in self.peers.values().flat_map(|peer| &peer.last_message.links) {
-            *totals.entry(Link::between(&load.a, &load.b)).or_insert(0.0) += load.bytes_per_ms;
+    /// The last announcement of the holder of the planner's lease.
+    pub fn planner(&self, now: Tick) -> Option<PlannerAnnouncement> {
+        let planner = self.planner.as_ref().filter(|planner| planner.is_current(now))?;
+        Some(PlannerAnnouncement {
+            holder: planner.holder.clone(),
+            lease_version: planner.lease_version,
+            age: now.since(planner.announced_at),
+        })
+    }
+
+    /// Load of all other entries.
+    pub fn load_totals(&self) -> LoadTotals {
+        let mut totals = self.neighbor_totals();
+        for domain in self.domains.values() {
+            totals.add(&domain.summary.load);
         }
         totals
     }
 
-    /// Load of all other entries on each backend server.
-    pub fn load_totals(&self) -> HashMap<BackendHash, BackendLoad> {
-        let mut totals = HashMap::new();
-        for load in self.peers.values().flat_map(|peer| &peer.last_message.loads) {
-            let zero = BackendLoad { in_flight: 0, tokens: 0, ..*load };
-            let total = totals.entry(load.backend).or_insert(zero);
-            total.in_flight = total.in_flight.saturating_add(load.in_flight);
-            total.tokens = total.tokens.saturating_add(load.tokens);
+    /// Load of the other entries of this failure domain.
+    fn neighbor_totals(&self) -> LoadTotals {
+        let mut totals = LoadTotals::default();
+        for peer in self.neighbors.values() {
+            totals.add(&peer.load);
         }
         totals
     }
+
+    /// Summary of this failure domain, with this entry's own status.
+    pub fn summarize(&self, own: &LoadStatus, leaving: bool, max_backends: usize) -> DomainSummary {
+        let mut totals = self.neighbor_totals();
+        totals.add(own);
+        let serving = self.neighbors.values().filter(|peer| !peer.leaving).count();
+        DomainSummary {
+            live: 1 + self.neighbors.len() as u32,
+            serving: serving as u32 + u32::from(!leaving),
+            load: totals.into_status(max_backends),
+        }
+    }
 }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -1,34 +1,38 @@
-//! Sends and receives the entries' messages.
+//! Sends and receives the messages.
 
-use std::collections::HashMap;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::ids::EntryId;
-use clementine_decide::peers::{BackendLoad, LinkLoad, PeerMessage, PeerUpdate};
-use clementine_platform::store::StoreError;
+use clementine_decide::ids::Tick;
+use clementine_decide::peers::{
+    BackendLoad, LinkLoad, LoadStatus, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement,
+    send_interval,
+};
+use clementine_objects::Millis;
 use spdlog::{debug, info, warn};
 use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-use super::directory::{read_peers, register};
+use super::directory::{EntryRecord, follow_directory};
+use super::receivers::Receivers;
 use crate::shared::SharedState;
 
-/// Minimum interval between two messages to the same entry.
-const MIN_SEND_INTERVAL: Duration = Duration::from_millis(100);
-/// Time by which each peer lengthens the interval. This bounds the bytes that an
-/// entry sends and receives.
-const SEND_INTERVAL_PER_PEER: Duration = Duration::from_millis(15);
-/// Interval at which the directory is read.
-const DIRECTORY_INTERVAL: Duration = Duration::from_secs(15);
-/// Delay after the directory could not be read.
-const DIRECTORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Interval at which received loads are applied. Summing them up costs more than
+/// receiving a message.
+const APPLY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after the start in which this entry sends no summaries, because it may not
+/// have heard all entries of its failure domain yet.
+const LISTEN_TIME: Millis = Millis(1_000);
 /// Maximum size of a received message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of backend servers in one message.
 const MAX_LOADS: usize = 512;
+/// Minimum traffic on a link that is reported, in bytes per ms.
+const MIN_LINK_BYTES_PER_MS: f64 = 1.0;
 
 /// Exchanges messages with the other entries until the process ends.
 pub(crate) async fn exchange_messages(shared: Rc<SharedState>) {
@@ -41,84 +45,68 @@
         Err(error) => return warn!("peers: cannot bind {}: {}", address, error),
     };
     let address = socket.local_addr().unwrap_or(address);
-    let mut exchange = PeerExchange {
-        shared,
-        socket,
-        address,
-        peers: HashMap::new(),
-        registered: false,
-        sequence: 0,
-    };
+    let receivers = Receivers::new(shared.settings.entry.clone(), shared.settings.domain.clone());
+    let receivers = Rc::new(RefCell::new(receivers));
+    spawn_local(follow_directory(Rc::clone(&shared), address, Rc::clone(&receivers)));
+    let mut exchange =
+        PeerExchange { shared, socket, receivers, sequence: 0, round: 0, loads_changed: false };
     exchange.run().await;
 }
 
 struct PeerExchange {
     shared: Rc<SharedState>,
     socket: UdpSocket,
-    address: SocketAddr,
-    peers: HashMap<EntryId, SocketAddr>,
-    registered: bool,
+    receivers: Rc<RefCell<Receivers>>,
     /// Sequence number of the last message.
     sequence: u64,
+    /// Number of times that messages were sent.
+    round: u64,
+    /// Whether loads were received that have not been applied yet.
+    loads_changed: bool,
 }
 
 impl PeerExchange {
     async fn run(&mut self) {
         let mut buf = vec![0; MAX_MESSAGE_BYTES];
         let mut send_at = Instant::now();
-        let mut refresh_at = Instant::now();
+        let mut apply_at = Instant::now();
         loop {
-            if Instant::now() >= refresh_at {
-                refresh_at = Instant::now() + self.refresh_directory().await;
-            }
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => self.receive(received, &buf),
-                () = sleep_until(send_at) => {
-                    self.send().await;
-                    let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-                    send_at = Instant::now() + MIN_SEND_INTERVAL + SEND_INTERVAL_PER_PEER * peers;
+                () = sleep_until(send_at) => send_at = Instant::now() + self.send().await,
+                () = sleep_until(apply_at), if self.loads_changed => {
+                    self.loads_changed = false;
+                    self.shared.apply_peer_loads();
+                    apply_at = Instant::now() + APPLY_INTERVAL;
                 }
             }
         }
     }
 
-    /// Refreshes the peers' addresses and returns the time until the next
-    /// refresh.
-    async fn refresh_directory(&mut self) -> Duration {
-        match self.register_and_read().await {
-            Ok(()) => DIRECTORY_INTERVAL,
-            Err(error) => {
-                warn!("peers: cannot access the directory of entries: {}", error);
-                DIRECTORY_RETRY_DELAY
-            }
-        }
-    }
-
-    /// Registers this entry before it reads the directory: of two entries that
-    /// start at the same time, the second one to read finds the first.
-    async fn register_and_read(&mut self) -> Result<(), StoreError> {
-        if !self.registered {
-            register(&self.shared, self.address).await?;
-            self.registered = true;
-        }
-        self.peers = read_peers(&self.shared).await?;
-        Ok(())
-    }
-
     fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, buf: &[u8]) {
         let (size, from) = match received {
             Ok(received) => received,
             Err(error) => return warn!("peers: receiving a message failed: {}", error),
         };
-        let message: PeerMessage = match rmp_serde::from_slice(&buf[..size]) {
-            Ok(message) => message,
-            Err(error) => return warn!("peers: malformed message from {}: {}", from, error),
-        };
+        match rmp_serde::from_slice(&buf[..size]) {
+            Ok(message) => self.apply(message, from),
+            Err(error) => {
+                self.shared.metrics.count_malformed_message();
+                debug!("peers: malformed message from {}: {}", from, error);
+            }
+        }
+    }
+
+    fn apply(&mut self, mut message: PeerMessage, from: SocketAddr) {
         let id = message.from.clone();
-        if id == self.shared.settings.entry {
+        let own_id = &self.shared.settings.entry;
+        if id == *own_id {
             return;
         }
-        self.peers.insert(id.clone(), from);
+        // Others pass on the announcements of this entry as well.
+        message.planner.take_if(|planner| planner.holder == *own_id);
+        let record = EntryRecord { address: from, domain: message.domain.clone() };
+        self.receivers.borrow_mut().insert(id.clone(), record);
         self.shared.config_sync.record_peer_version(message.config_newest);
         self.shared.backend_list_sync.record_peer_version(message.list_newest);
         let now = self.shared.now();
@@ -126,57 +114,99 @@
         if update == PeerUpdate::Joined {
             info!("peers: entry={} address={} joined", id, from);
         }
-        self.shared.apply_peer_loads();
+        self.loads_changed |= update != PeerUpdate::Ignored;
     }
 
-    async fn send(&mut self) {
+    /// Sends the next messages and returns the time until those after them.
+    async fn send(&mut self) -> Duration {
         let now = self.shared.now();
-        let expired = self.shared.peers.borrow_mut().remove_expired(now);
-        for id in expired {
+        for id in self.shared.peers.borrow_mut().remove_expired(now) {
             info!("peers: entry={} expired, no recent message", id);
-            self.shared.apply_peer_loads();
+            self.loads_changed = true;
         }
-        self.sequence += 1;
-        let message = self.message();
+        self.round += 1;
+        let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
+        let remote = if now < Tick(LISTEN_TIME.0) {
+            Vec::new()
+        } else {
+            self.receivers.borrow().summary_receivers(&self.shared.peers.borrow(), self.round)
+        };
+        let interval = send_interval(neighbors.len() + remote.len());
+        let load = self.load();
+        let leaving = self.shared.drain.is_draining();
+        if !remote.is_empty() {
+            let peers = self.shared.peers.borrow();
+            let report = PeerReport::Domain(peers.summarize(&load, leaving, MAX_LOADS));
+            drop(peers);
+            self.send_report(report, interval, &remote).await;
+        }
+        self.send_report(PeerReport::Entry { leaving, load }, interval, &neighbors).await;
+        interval.duration()
+    }
+
+    async fn send_report(
+        &mut self,
+        report: PeerReport,
+        interval: Millis,
+        receivers: &[SocketAddr],
+    ) {
+        let message = self.message(report, interval);
         let bytes = match rmp_serde::to_vec(&message) {
             Ok(bytes) => bytes,
             Err(error) => return warn!("peers: encoding a message failed: {}", error),
         };
-        for (id, address) in &self.peers {
+        for address in receivers {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
-                debug!("peers: sending to entry={} failed: {}", id, error);
+                debug!("peers: sending to {} failed: {}", address, error);
             }
         }
     }
 
-    fn links(&self) -> Vec<LinkLoad> {
-        let links = self.shared.links.borrow();
-        let used = links.local(self.shared.now()).filter(|(_, bytes_per_ms)| *bytes_per_ms >= 1.0);
-        let loads = used.map(|(link, bytes_per_ms)| {
-            let (a, b) = link.domains();
-            LinkLoad { a: a.clone(), b: b.clone(), bytes_per_ms }
-        });
-        loads.collect()
+    fn message(&mut self, report: PeerReport, interval: Millis) -> PeerMessage {
+        self.sequence += 1;
+        PeerMessage {
+            from: self.shared.settings.entry.clone(),
+            domain: self.shared.settings.domain.clone(),
+            incarnation: self.shared.incarnation,
+            sequence: self.sequence,
+            interval,
+            config_newest: self.shared.config_sync.newest_version_anywhere(),
+            list_newest: self.shared.backend_list_sync.newest_version_anywhere(),
+            planner: self.planner(),
+            report,
+        }
+    }
+
+    /// The holder of the planner's lease: this entry, or the one that others have
+    /// announced.
+    fn planner(&self) -> Option<PlannerAnnouncement> {
+        let Some(lease_version) = self.shared.held_lease_version() else {
+            return self.shared.peers.borrow().planner(self.shared.now());
+        };
+        let holder = self.shared.settings.entry.clone();
+        Some(PlannerAnnouncement { holder, lease_version, age: Millis(0) })
     }
 
-    fn message(&self) -> PeerMessage {
+    /// Load that this entry causes.
+    fn load(&self) -> LoadStatus {
         let fleet = self.shared.fleet.borrow();
         let busy = fleet.iter().filter(|member| member.in_flight > 0);
-        let loads = busy.take(MAX_LOADS).map(|member| BackendLoad {
+        let backends = busy.take(MAX_LOADS).map(|member| BackendLoad {
             backend: member.id_hash,
             in_flight: member.in_flight,
             tokens: member.used_tokens as u32,
         });
-        PeerMessage {
-            from: self.shared.settings.entry.clone(),
-            incarnation: self.shared.incarnation,
-            sequence: self.sequence,
-            config_newest: self.shared.config_sync.newest_version(),
-            list_newest: self.shared.backend_list_sync.newest_version(),
-            planner_lease_version: self.shared.held_lease_version(),
-            leaving: self.shared.drain.is_draining(),
-            loads: loads.collect(),
-            links: self.links(),
-        }
+        LoadStatus { backends: backends.collect(), links: self.links() }
+    }
+
+    fn links(&self) -> Vec<LinkLoad> {
+        let links = self.shared.links.borrow();
+        let used = links.local(self.shared.now());
+        let used = used.filter(|(_, bytes_per_ms)| *bytes_per_ms >= MIN_LINK_BYTES_PER_MS);
+        let loads = used.map(|(link, bytes_per_ms)| {
+            let (a, b) = link.domains();
+            LinkLoad { a: a.clone(), b: b.clone(), bytes_per_ms }
+        });
+        loads.collect()
     }
 }
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -6,5 +6,6 @@
 
 mod directory;
 mod exchange;
+mod receivers;
 
 pub(crate) use exchange::exchange_messages;
--- /dev/null
+++ b/crates/direct/src/peers/receivers.rs
@@ -0,0 +1,64 @@
+//! Addresses of the other entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use clementine_decide::ids::{DomainId, EntryId};
+use clementine_decide::peers::{PeerView, summary_targets};
+
+use super::directory::EntryRecord;
+
+/// Addresses of the other entries, and the receivers of the next messages.
+#[derive(Debug)]
+pub(super) struct Receivers {
+    entry: EntryId,
+    domain: DomainId,
+    /// Entries of this failure domain.
+    neighbors: BTreeMap<EntryId, SocketAddr>,
+    /// Entries of the other failure domains.
+    remote: BTreeMap<DomainId, BTreeMap<EntryId, SocketAddr>>,
+}
+
+impl Receivers {
+    /// Creates the receivers of an entry that knows no others yet.
+    pub(super) const fn new(entry: EntryId, domain: DomainId) -> Self {
+        Self { entry, domain, neighbors: BTreeMap::new(), remote: BTreeMap::new() }
+    }
+
+    /// Records the address of an entry.
+    pub(super) fn insert(&mut self, id: EntryId, record: EntryRecord) {
+        let domain = if record.domain == self.domain {
+            &mut self.neighbors
+        } else {
+            self.remote.entry(record.domain).or_default()
+        };
+        domain.insert(id, record.address);
+    }
+
+    /// Replaces all addresses by those of the directory.
+    pub(super) fn replace(&mut self, directory: BTreeMap<EntryId, EntryRecord>) {
+        self.neighbors.clear();
+        self.remote.clear();
+        for (id, record) in directory {
+            self.insert(id, record);
+        }
+    }
+
+    /// Addresses of the entries of this failure domain.
+    pub(super) fn neighbors(&self) -> impl Iterator<Item = SocketAddr> {
+        self.neighbors.values().copied()
+    }
+
+    /// Addresses of the entries of other failure domains that get this entry's
+    /// summary in a round.
+    pub(super) fn summary_receivers(&self, view: &PeerView, round: u64) -> Vec<SocketAddr> {
+        let rank = view.neighbors().filter(|id| **id < self.entry).count();
+        let senders = view.neighbors().count() + 1;
+        let domains = self.remote.values().map(|entries| {
+            let addresses: Vec<SocketAddr> = entries.values().copied().collect();
+            let targets = summary_targets(rank, senders, addresses.len(), round);
+            targets.map(|index| addresses[index]).collect::<Vec<_>>()
+        });
+        domains.flatten().collect()
+    }
+}
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -30,9 +30,9 @@
     let mut task = LeaseTask { shared: &shared, held: false, renewal: LastRenewal::default() };
     let mut next_attempt = Instant::now();
     while !shared.drain.is_draining() {
-        let announced = shared.peers.borrow().planner_lease_version(shared.now());
-        if let Some(version) = announced {
-            shared.lease.borrow_mut().record_announcement(version, shared.now());
+        let announced = shared.peers.borrow().planner(shared.now());
+        if let Some(planner) = &announced {
+            shared.lease.borrow_mut().record_announcement(planner.lease_version, shared.now());
         }
         let held_elsewhere = announced.is_some() && shared.held_lease_version().is_none();
         if Instant::now() >= next_attempt && !held_elsewhere {
@@ -107,7 +107,7 @@
         LeaseQuorum {
             live: peers.live_count(),
             live_at_renewal: self.renewal.live,
-            other_holder: peers.planner_lease_version(now).is_some(),
+            other_holder: peers.planner(now).is_some(),
             others_reach_store,
         }
     }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -19,6 +19,7 @@
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
     store_failures: Counter<u64>,
+    malformed_messages: Counter<u64>,
 }
 
 impl DirectMetrics {
@@ -46,6 +47,10 @@
                 "direct_store_failures",
                 "Calls to the store that failed, by table",
             ),
+            malformed_messages: counter(
+                "direct_malformed_messages",
+                "Messages of other entries that could not be decoded",
+            ),
         }
     }
 
@@ -86,4 +91,9 @@
     pub(crate) fn count_store_failure(&self, table: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("table", table)]);
     }
+
+    /// Counts a message of another entry that could not be decoded.
+    pub(crate) fn count_malformed_message(&self) {
+        self.malformed_messages.add(1, &[]);
+    }
 }
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -210,8 +210,9 @@
     pub(crate) fn apply_peer_loads(&self) {
         let peers = self.peers.borrow();
         self.retry_budgets.borrow_mut().set_entry_count(peers.serving_count());
-        self.fleet.borrow_mut().set_remote_load(&peers.load_totals());
-        self.links.borrow_mut().set_remote(peers.link_totals());
+        let totals = peers.load_totals();
+        self.fleet.borrow_mut().set_remote_load(&totals.backends);
+        self.links.borrow_mut().set_remote(totals.links);
     }
 
     /// Records that a backend server failed a request, which starts its backoff.
