--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -60,6 +60,9 @@
     /// Whether the server reported that it is draining. Its current runs
     /// continue.
     leaving: bool,
+    /// Whether the server's row is that of a restored store and may be out of
+    /// date.
+    unconfirmed: bool,
 }
 
 impl Member {
@@ -80,6 +83,7 @@
             backoff_until: Tick(0),
             down: false,
             leaving: false,
+            unconfirmed: false,
         }
     }
 
@@ -91,7 +95,26 @@
     /// Whether the layer placement may include the server. Unlike
     /// [`Self::is_usable`], this ignores the backoff after failures.
     pub fn can_host_layers(&self) -> bool {
-        self.backend.state == BackendState::Ready && !self.down && !self.leaving
+        let alive = !self.down && !self.unconfirmed;
+        self.backend.state == BackendState::Ready && alive && !self.leaving
+    }
+
+    /// Excludes the server until its identity is confirmed.
+    pub(super) const fn require_confirmation(&mut self) {
+        self.unconfirmed = true;
+    }
+
+    /// Whether the server's identity has to be confirmed before it is used.
+    pub const fn is_unconfirmed(&self) -> bool {
+        self.unconfirmed
+    }
+
+    /// Confirms that the server is alive and has the id under which it is listed.
+    /// Returns whether that was not known.
+    pub const fn confirm_identity(&mut self) -> bool {
+        let changed = self.unconfirmed;
+        self.unconfirmed = false;
+        changed
     }
 
     /// Sets whether the server reported that it is draining. Returns whether the
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -5,7 +5,7 @@
 use clementine_objects::Millis;
 use rand::{Rng, RngExt};
 
-use super::{Backend, EngineSpec, Member};
+use super::{Backend, BackendState, EngineSpec, Member};
 use crate::ids::{BackendId, PoolId, Tick};
 use crate::paths::PathCandidate;
 use crate::peers::{BackendHash, BackendLoad};
@@ -53,6 +53,26 @@
         }
     }
 
+    /// Inserts or updates a backend server from its row in a copy of the list that
+    /// may be older than what is known. A row never takes back what was known
+    /// before: the start, the orders that it has carried out, or that it is
+    /// draining. A server that was not known is not used until its identity is
+    /// confirmed, because its row may be that of a server that is gone.
+    pub fn upsert_restored(&mut self, backend: Backend, now: Tick) -> ListUpdate {
+        let Some(known) = self.members.get(&backend.id) else {
+            let id = backend.id.clone();
+            let update = self.upsert(backend, now);
+            if let Some(member) = self.members.get_mut(&id) {
+                member.require_confirmation();
+            }
+            return update;
+        };
+        if is_older(&backend, &known.backend) {
+            return ListUpdate::Unchanged;
+        }
+        self.upsert(backend, now)
+    }
+
     /// Removes a backend server that is no longer listed. Returns whether it was
     /// known.
     pub fn remove(&mut self, id: &BackendId, now: Tick) -> bool {
@@ -150,6 +170,16 @@
     }
 }
 
+/// Whether a row of the list is known to be older than another one of the same
+/// server.
+fn is_older(row: &Backend, known: &Backend) -> bool {
+    if row.started_ms != known.started_ms {
+        return row.started_ms < known.started_ms;
+    }
+    let forgets_drain = known.state == BackendState::Leaving && row.state == BackendState::Ready;
+    forgets_drain || row.orders_started < known.orders_started
+}
+
 /// Expected response time in ms, with random jitter so that the entries do not
 /// all choose the same server.
 fn expected_ms(member: &Member, rng: &mut impl Rng) -> f64 {
--- a/crates/decide/src/lease/outage.rs
+++ b/crates/decide/src/lease/outage.rs
@@ -2,7 +2,7 @@
 
 use clementine_objects::Millis;
 
-use crate::ids::Tick;
+use crate::ids::{StoreVersion, Tick};
 
 /// Time until a version that one process has read from the store is known to
 /// all others: readers batch changes, and each process sends the newest version
@@ -14,12 +14,12 @@
 pub struct StoreOutage {
     since: Tick,
     /// Newest version that any process may have read before the outage.
-    baseline: u64,
+    baseline: StoreVersion,
 }
 
 impl StoreOutage {
     /// Starts an outage at `now`, with the newest version known so far.
-    pub const fn new(newest: u64, now: Tick) -> Self {
+    pub const fn new(newest: StoreVersion, now: Tick) -> Self {
         Self { since: now, baseline: newest }
     }
 
@@ -28,7 +28,7 @@
     ///
     /// Versions that arrive within the propagation time may have been read before
     /// the outage and raise the baseline.
-    pub fn others_reach_store(&mut self, newest: u64, now: Tick) -> bool {
+    pub fn others_reach_store(&mut self, newest: StoreVersion, now: Tick) -> bool {
         if now.since(self.since) < PROPAGATION_TIME {
             self.baseline = self.baseline.max(newest);
         }
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{BackendId, DomainId, EntryId, IncarnationId};
+use super::{FeedPositions, TableChanges};
+use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
 
 /// Hash of a backend server's id, used in messages to save space.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -47,6 +48,15 @@
     pub links: Vec<LinkLoad>,
 }
 
+/// Content of a datagram between two entries.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerDatagram {
+    /// Periodic status message.
+    Status(PeerMessage),
+    /// Changes of a store table, passed on to the neighbors.
+    Changes(TableChanges),
+}
+
 /// Periodic status message of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
@@ -63,9 +73,9 @@
     pub interval: Millis,
     /// Version of the newest configuration change known to any entry that the
     /// sender has heard of.
-    pub config_newest: u64,
+    pub config_newest: StoreVersion,
     /// Likewise for the backend server list.
-    pub list_newest: u64,
+    pub list_newest: StoreVersion,
     /// The holder of the planner's lease, as the sender knows it.
     pub planner: Option<PlannerAnnouncement>,
     /// What the message reports on.
@@ -79,7 +89,7 @@
     /// The holder.
     pub holder: EntryId,
     /// Version of the lease row that the holder has written.
-    pub lease_version: u64,
+    pub lease_version: StoreVersion,
     /// Time since the holder announced it.
     pub age: Millis,
 }
@@ -91,6 +101,9 @@
     Entry {
         /// Whether the sender is draining and accepts no more callers.
         leaving: bool,
+        /// Positions in the store's tables, if the sender follows them and the
+        /// store has responded recently.
+        feed: Option<FeedPositions>,
         /// Load that the sender causes.
         load: LoadStatus,
     },
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -5,14 +5,16 @@
 //! domain as a whole to a few entries of each other domain. The cost for an
 //! entry grows with the size of its domain and the number of domains.
 
+mod feed;
 mod message;
 mod schedule;
 mod totals;
 mod view;
 
+pub use feed::{ChangedRow, FeedPosition, FeedPositions, FollowedTable, TableChanges, must_follow};
 pub use message::{
-    BackendHash, BackendLoad, DomainSummary, LinkLoad, LoadStatus, PeerMessage, PeerReport,
-    PlannerAnnouncement,
+    BackendHash, BackendLoad, DomainSummary, LinkLoad, LoadStatus, PeerDatagram, PeerMessage,
+    PeerReport, PlannerAnnouncement,
 };
 pub use schedule::{send_interval, summary_targets};
 pub use totals::LoadTotals;
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -5,7 +5,7 @@
 use clementine_objects::Millis;
 
 use super::{DomainSummary, LoadStatus, LoadTotals, PeerMessage, PeerReport, PlannerAnnouncement};
-use crate::ids::{DomainId, EntryId, IncarnationId, Tick};
+use crate::ids::{DomainId, EntryId, IncarnationId, StoreVersion, Tick};
 
 /// Minimum time after its last message for which an entry is considered live.
 const MIN_LIVENESS_TIMEOUT: Millis = Millis(1_500);
@@ -56,6 +56,7 @@
 struct Neighbor {
     received: Received,
     leaving: bool,
+    follows_store: bool,
     load: LoadStatus,
 }
 
@@ -82,7 +83,7 @@
 #[derive(Debug)]
 struct HeardPlanner {
     holder: EntryId,
-    lease_version: u64,
+    lease_version: StoreVersion,
     announced_at: Tick,
 }
 
@@ -109,8 +110,13 @@
         }
         let received = Received::new(&message, now);
         match &message.report {
-            PeerReport::Entry { leaving, load } => {
-                let neighbor = Neighbor { received, leaving: *leaving, load: load.clone() };
+            PeerReport::Entry { leaving, feed, load } => {
+                let neighbor = Neighbor {
+                    received,
+                    leaving: *leaving,
+                    follows_store: feed.is_some(),
+                    load: load.clone(),
+                };
                 self.record_neighbor(&message, neighbor, now)
             }
             PeerReport::Domain(summary) => {
@@ -182,6 +188,14 @@
         self.neighbors.keys()
     }
 
+    /// Number of neighbors that follow the store and precede `entry` in the order
+    /// of ids.
+    pub fn followers_before(&self, entry: &EntryId, now: Tick) -> usize {
+        let preceding = self.neighbors.range(..entry.clone()).map(|(_, peer)| peer);
+        let live = preceding.filter(|peer| now < peer.received.expires_at && !peer.leaving);
+        live.filter(|peer| peer.follows_store).count()
+    }
+
     /// Number of known entries, including this one.
     pub fn live_count(&self) -> usize {
         1 + self.neighbors.len() + self.remote_count(|summary| summary.live)
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeSet;
 
-use clementine_decide::ids::{DomainId, EntryId, IncarnationId, Tick};
+use clementine_decide::ids::{DomainId, EntryId, IncarnationId, StoreEra, StoreVersion, Tick};
 use clementine_decide::peers::{
-    BackendHash, BackendLoad, DomainSummary, LoadStatus, PeerMessage, PeerReport, PeerUpdate,
-    PeerView, PlannerAnnouncement, send_interval, summary_targets,
+    BackendHash, BackendLoad, DomainSummary, FeedPosition, FeedPositions, LoadStatus, PeerMessage,
+    PeerReport, PeerUpdate, PeerView, PlannerAnnouncement, must_follow, send_interval,
+    summary_targets,
 };
 use clementine_objects::Millis;
 
 const BACKEND: BackendHash = BackendHash(7);
 
+const fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(0), number }
+}
+
 fn load(tokens: u32) -> LoadStatus {
     LoadStatus {
         backends: vec![BackendLoad { backend: BACKEND, in_flight: 1, tokens }],
@@ -25,15 +30,20 @@
         incarnation: IncarnationId(1),
         sequence,
         interval: Millis(150),
-        config_newest: 0,
-        list_newest: 0,
+        config_newest: version(0),
+        list_newest: version(0),
         planner: None,
         report,
     }
 }
 
 fn neighbor(from: &str, sequence: u64, tokens: u32) -> PeerMessage {
-    message(from, "a", sequence, PeerReport::Entry { leaving: false, load: load(tokens) })
+    message(
+        from,
+        "a",
+        sequence,
+        PeerReport::Entry { leaving: false, feed: None, load: load(tokens) },
+    )
 }
 
 fn summary(from: &str, sequence: u64, live: u32, tokens: u32) -> PeerMessage {
@@ -100,8 +110,11 @@
 
 #[test]
 fn a_planner_that_has_ended_is_forgotten_although_others_pass_it_on() {
-    let announced =
-        |age| PlannerAnnouncement { holder: "one".into(), lease_version: 5, age: Millis(age) };
+    let announced = |age| PlannerAnnouncement {
+        holder: "one".into(),
+        lease_version: version(5),
+        age: Millis(age),
+    };
     let (mut two, mut three) = (PeerView::default(), PeerView::default());
     two.record(PeerMessage { planner: Some(announced(0)), ..neighbor("one", 1, 0) }, Tick(0));
     // Two entries keep passing the announcement on to each other.
@@ -151,7 +164,7 @@
         let mut sent = Vec::new();
         for (id, domain, view) in &self.entries {
             let own = load(1);
-            let entry = PeerReport::Entry { leaving: false, load: own.clone() };
+            let entry = PeerReport::Entry { leaving: false, feed: None, load: own.clone() };
             let summary = PeerReport::Domain(view.summarize(&own, false, 512));
             let rank = view.neighbors().filter(|other| *other < id).count();
             let senders = view.neighbors().count() + 1;
@@ -206,3 +219,27 @@
     assert!(per_entry_and_round <= 30, "{per_entry_and_round} messages");
     assert!(send_interval(per_entry_and_round) <= Millis(500));
 }
+
+#[test]
+fn two_entries_of_a_domain_follow_the_store_and_others_replace_them() {
+    let position = FeedPosition { unchanged_since: version(3), position: version(9) };
+    let feed = FeedPositions { config: position, backends: position };
+    let follows = |from: &str, sequence, feed| {
+        let report = PeerReport::Entry { leaving: false, feed, load: LoadStatus::default() };
+        message(from, "a", sequence, report)
+    };
+    let mut view = PeerView::default();
+    let own: EntryId = "d".into();
+    let must = |view: &PeerView, now| must_follow(view.followers_before(&own, now));
+    assert!(must(&view, Tick(0)), "alone");
+    view.record(follows("a", 1, Some(feed)), Tick(0));
+    view.record(follows("e", 1, Some(feed)), Tick(0));
+    assert!(must(&view, Tick(0)), "an entry that comes later in the order does not count");
+    view.record(follows("b", 1, Some(feed)), Tick(0));
+    assert!(!must(&view, Tick(0)));
+    view.record(follows("b", 2, None), Tick(10));
+    assert!(must(&view, Tick(10)), "the store does not respond to the second one");
+    view.record(follows("c", 1, Some(feed)), Tick(20));
+    assert!(!must(&view, Tick(20)));
+    assert!(must(&view, Tick(1_510)), "the first one is gone");
+}
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -1,12 +1,11 @@
-//! State that entries share (leases, retry budgets), fleet membership and
-//! splitting of event streams.
+//! Retry budgets that entries share, fleet membership and splitting of event
+//! streams.
 
 mod engine_fixtures;
 
 use clementine_decide::events::EventSplitter;
 use clementine_decide::fleet::{BackendState, Fleet, ListUpdate};
-use clementine_decide::ids::{IncarnationId, Tick};
-use clementine_decide::lease::{LeaseLimits, LeaseRow, LeaseState, LeaseStep};
+use clementine_decide::ids::Tick;
 use clementine_decide::retry::{WindowBudget, WindowLimits};
 use clementine_objects::Millis;
 use engine_fixtures::backend;
@@ -14,77 +13,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-fn lease(entry: &str, incarnation: u128) -> LeaseState {
-    LeaseState::new(LeaseLimits::default(), entry.into(), IncarnationId(incarnation))
-}
-
-/// Takes the lease for a process and returns the written row.
-fn take(
-    lease: &mut LeaseState,
-    read: Option<(u64, &LeaseRow)>,
-    written: u64,
-    now: Tick,
-) -> LeaseRow {
-    let LeaseStep::Write { row, .. } = lease.record_read(read, now) else {
-        panic!("expected a write")
-    };
-    lease.record_write(written, row.term, now);
-    row
-}
-
-#[test]
-fn a_lease_is_taken_over_only_after_it_has_expired() {
-    let (mut one, mut two) = (lease("one", 1), lease("two", 2));
-    let row = take(&mut one, None, 10, Tick(0));
-    assert_eq!(one.term(Tick(2_700)), Some(1));
-    assert_eq!(one.term(Tick(2_800)), None, "the validity ends before the time to live");
-    assert_eq!(two.record_read(Some((10, &row)), Tick(100)), LeaseStep::Wait);
-    assert_eq!(two.record_read(Some((10, &row)), Tick(3_500)), LeaseStep::Wait);
-    let taken = take(&mut two, Some((10, &row)), 11, Tick(3_600));
-    assert_eq!((taken.term, two.term(Tick(3_700))), (2, Some(2)));
-    assert_eq!(one.record_read(Some((11, &taken)), Tick(3_700)), LeaseStep::Wait);
-}
-
-#[test]
-fn a_renewed_lease_does_not_expire() {
-    let (mut one, mut two) = (lease("one", 1), lease("two", 2));
-    let row = take(&mut one, None, 10, Tick(0));
-    for n in 0..10 {
-        let now = Tick(1_000 * n);
-        let step = one.renewal(now).expect("held");
-        assert_eq!(step, LeaseStep::Write { version: 10 + n, row: row.clone() });
-        one.record_write(11 + n, 1, now);
-        assert_eq!(two.record_read(Some((11 + n, &row)), now), LeaseStep::Wait);
-    }
-}
-
-#[test]
-fn an_announced_lease_expires_from_the_announcement() {
-    let (mut one, mut two) = (lease("one", 1), lease("two", 2));
-    let row = take(&mut one, None, 10, Tick(0));
-    two.record_announcement(10, Tick(100));
-    two.record_announcement(9, Tick(2_000));
-    assert_eq!(one.term(Tick(2_800)), None);
-    assert_eq!(two.record_read(Some((10, &row)), Tick(3_000)), LeaseStep::Wait);
-    assert_eq!(take(&mut two, Some((10, &row)), 11, Tick(3_600)).term, 2);
-}
-
-#[test]
-fn a_restarted_process_takes_its_own_lease_at_once() {
-    let row = take(&mut lease("one", 1), None, 10, Tick(0));
-    let taken = take(&mut lease("one", 2), Some((10, &row)), 11, Tick(50));
-    assert_eq!(taken.term, 2);
-}
-
-#[test]
-fn a_released_lease_can_be_taken_at_once() {
-    let mut one = lease("one", 1);
-    take(&mut one, None, 10, Tick(0));
-    let (version, row) = one.release(Tick(100)).expect("held");
-    assert_eq!((version, one.term(Tick(100))), (10, None));
-    assert_eq!(take(&mut lease("two", 2), Some((11, &row)), 12, Tick(200)).term, 2);
-}
-
 const WINDOW: WindowLimits = WindowLimits { window: Millis(10_000), ratio: 0.2, slack: 10.0 };
 
 #[test]
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -5,9 +5,11 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
+use clementine_decide::ids::BackendId;
 use clementine_http1::ClientConn;
 use clementine_platform::engines::{
     EngineReport, Health, OrderResponse, PlaceOrder, RepathOrder, health_request, report_request,
+    responding_server,
 };
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
@@ -87,16 +89,24 @@
     Ok(OrderResponse::from(response.status))
 }
 
-/// Checks an engine's health at the path that the configuration sets.
+/// Response to a health check.
+#[derive(Debug)]
+pub(super) struct HealthResponse {
+    pub(super) health: Health,
+    /// Id by which the server identifies itself.
+    pub(super) server: Option<BackendId>,
+}
+
+/// Checks a server's health at the path that the configuration sets.
 pub(super) async fn check_health(
     shared: &SharedState,
     engine: SocketAddr,
     path: &str,
-) -> Result<Health, CallError> {
+) -> Result<HealthResponse, CallError> {
     let request = health_request(engine, path)
         .ok_or_else(|| call_error("the health check path is not a valid URI"))?;
     let response = fetch_head(shared, engine, HEALTH_TIMEOUT, request, Bytes::new()).await?;
-    Ok(Health::from(&response))
+    Ok(HealthResponse { health: Health::from(&response), server: responding_server(&response) })
 }
 
 /// Sends a request and returns the head of the response. The body is not read.
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -1,14 +1,16 @@
-//! Health checks of engines that failed or rejected a request.
+//! Health checks of engines that failed or rejected a request, and of servers whose
+//! row may be out of date.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
 use clementine_platform::engines::Health;
 use spdlog::info;
 use tokio::time::sleep;
 
-use super::calls::check_health;
+use super::calls::{HealthResponse, check_health};
 use crate::shared::SharedState;
 
 /// Interval of the health checks of an unhealthy engine.
@@ -32,13 +34,32 @@
     }
 }
 
+/// Waits until a backend server whose row came from a restored store responds to a
+/// health check under its own id, and then uses it.
+pub(crate) async fn confirm_identity(shared: Rc<SharedState>, id: BackendId) {
+    while shared.fleet.borrow().get(&id).is_some_and(Member::is_unconfirmed) {
+        let response = health_response(&shared, &id).await;
+        let is_server = |response: &HealthResponse| response.server.as_ref() == Some(&id);
+        if response.as_ref().is_some_and(is_server) {
+            let mut fleet = shared.fleet.borrow_mut();
+            if fleet.get_mut(&id).is_some_and(Member::confirm_identity) {
+                info!("fleet: backend={} up, it responds under its id", id);
+            }
+            return;
+        }
+        sleep(HEALTH_CHECK_INTERVAL).await;
+    }
+}
+
 /// An engine's health, or `Unknown` if the check fails.
 async fn health(shared: &SharedState, id: &BackendId) -> Health {
-    let Some(engine) = shared.fleet.borrow().get(id).map(|member| member.backend.clone()) else {
-        return Health::Unknown;
-    };
-    let table = shared.routing_table();
-    let pool = table.as_ref().and_then(|table| table.pools.get(&engine.pool));
-    let Some(pool) = pool else { return Health::Unknown };
-    check_health(shared, engine.address, &pool.health_path).await.unwrap_or(Health::Unknown)
+    health_response(shared, id).await.map_or(Health::Unknown, |response| response.health)
+}
+
+/// A server's response to a health check, or `None` if the check fails.
+async fn health_response(shared: &SharedState, id: &BackendId) -> Option<HealthResponse> {
+    let server = shared.fleet.borrow().get(id).map(|member| member.backend.clone())?;
+    let table = shared.routing_table()?;
+    let pool = table.pools.get(&server.pool)?;
+    check_health(shared, server.address, &pool.health_path).await.ok()
 }
--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -4,14 +4,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::fleet::{Backend, ListUpdate};
-use clementine_decide::ids::BackendId;
+use clementine_decide::fleet::{Backend, ListUpdate, Member};
+use clementine_decide::ids::{BackendId, StoreEra};
+use clementine_decide::peers::FollowedTable;
 use clementine_platform::backends::{BACKENDS_TABLE, decode_backend};
-use clementine_platform::store::{ChangeBatch, Row, Snapshot};
+use clementine_platform::store::{Row, Snapshot};
 use spdlog::{info, warn};
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use super::table::{TableObserver, follow_table};
+use crate::engines::confirm_identity;
 use crate::shared::SharedState;
 
 /// Time for which a backend server that is missing from a snapshot is kept.
@@ -21,14 +24,26 @@
 
 /// Follows the list of backend servers until the process ends.
 pub(crate) async fn follow_backends(shared: Rc<SharedState>) {
-    let mut observer = BackendsObserver { shared: Rc::clone(&shared), missing: HashMap::new() };
-    follow_table(&shared, BACKENDS_TABLE, &shared.backend_list_sync, &mut observer).await;
+    let mut observer =
+        BackendsObserver { shared: Rc::clone(&shared), missing: HashMap::new(), era: None };
+    follow_table(&shared, FollowedTable::Backends, BACKENDS_TABLE, &mut observer).await;
+}
+
+/// Where a row was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RowSource {
+    /// The current list.
+    List,
+    /// An older copy from which the store was restored.
+    RestoredCopy,
 }
 
 struct BackendsObserver {
     shared: Rc<SharedState>,
     /// Known servers that the last snapshots did not contain, and since when.
     missing: HashMap<BackendId, Instant>,
+    /// Era of the store of the last snapshot.
+    era: Option<StoreEra>,
 }
 
 impl TableObserver for BackendsObserver {
@@ -42,19 +57,25 @@
             self.missing.entry(id).or_insert(now);
         }
         drop(fleet);
+        let restored = self.era.is_some_and(|era| era < snapshot.version.era);
+        self.era = Some(snapshot.version.era);
         for row in &snapshot.rows {
-            self.apply_row(row);
+            self.apply_row(row, if restored { RowSource::RestoredCopy } else { RowSource::List });
         }
         self.shared.backend_list_loaded.set(true);
         self.remove_missing();
     }
 
-    fn apply_changes(&mut self, batch: ChangeBatch) {
-        for row in &batch.rows {
-            self.apply_row(row);
+    fn apply_changes(&mut self, rows: &[Row]) {
+        for row in rows {
+            self.apply_row(row, RowSource::List);
         }
         self.remove_missing();
     }
+
+    fn check_time(&mut self) {
+        self.remove_missing();
+    }
 }
 
 fn log_update(backend: &Backend, update: ListUpdate, version: u64) {
@@ -74,7 +95,7 @@
 }
 
 impl BackendsObserver {
-    fn apply_row(&mut self, row: &Row) {
+    fn apply_row(&mut self, row: &Row, source: RowSource) {
         let id = BackendId(row.key.key.clone());
         self.missing.remove(&id);
         if row.removed {
@@ -88,10 +109,34 @@
             }
         };
         let now = self.shared.now();
-        let update = self.shared.fleet.borrow_mut().upsert(backend.clone(), now);
+        let mut fleet = self.shared.fleet.borrow_mut();
+        let update = match source {
+            RowSource::List => fleet.upsert(backend.clone(), now),
+            RowSource::RestoredCopy => fleet.upsert_restored(backend.clone(), now),
+        };
+        drop(fleet);
         if update != ListUpdate::Unchanged {
             log_update(&backend, update, row.version);
         }
+        match source {
+            RowSource::List => self.confirm(&id),
+            RowSource::RestoredCopy if self.is_unconfirmed(&id) => {
+                info!("fleet: backend={} down reason=restored-row", id);
+                spawn_local(confirm_identity(Rc::clone(&self.shared), id));
+            }
+            RowSource::RestoredCopy => {}
+        }
+    }
+
+    fn is_unconfirmed(&self, id: &BackendId) -> bool {
+        self.shared.fleet.borrow().get(id).is_some_and(Member::is_unconfirmed)
+    }
+
+    /// A server that writes its row after the store was restored is alive.
+    fn confirm(&self, id: &BackendId) {
+        if self.shared.fleet.borrow_mut().get_mut(id).is_some_and(Member::confirm_identity) {
+            info!("fleet: backend={} up, it has written its row again", id);
+        }
     }
 
     /// Removes the servers whose grace period has ended.
--- a/crates/direct/src/follow/config.rs
+++ b/crates/direct/src/follow/config.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use clementine_decide::peers::FollowedTable;
 use clementine_platform::config::{CONFIG_KEY, CONFIG_TABLE, decode_config};
-use clementine_platform::store::{ChangeBatch, Row, Snapshot};
+use clementine_platform::store::{Row, Snapshot};
 use spdlog::error;
 
 use super::table::{TableObserver, follow_table};
@@ -12,7 +13,7 @@
 /// Follows the configuration until the process ends.
 pub(crate) async fn follow_config(shared: Rc<SharedState>) {
     let mut observer = ConfigObserver { shared: Rc::clone(&shared) };
-    follow_table(&shared, CONFIG_TABLE, &shared.config_sync, &mut observer).await;
+    follow_table(&shared, FollowedTable::Config, CONFIG_TABLE, &mut observer).await;
 }
 
 struct ConfigObserver {
@@ -24,8 +25,8 @@
         self.apply_rows(&snapshot.rows);
     }
 
-    fn apply_changes(&mut self, batch: ChangeBatch) {
-        self.apply_rows(&batch.rows);
+    fn apply_changes(&mut self, rows: &[Row]) {
+        self.apply_rows(rows);
     }
 }
 
--- a/crates/direct/src/follow/mod.rs
+++ b/crates/direct/src/follow/mod.rs
@@ -2,6 +2,7 @@
 
 mod backends;
 mod config;
+mod passed_on;
 mod table;
 
 pub(crate) use backends::follow_backends;
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -1,22 +1,32 @@
-//! Follows one table of the store by long polling.
+//! Follows one table of the store: by long polling, or by the changes that a
+//! neighbor passes on.
 
 use std::time::Duration;
 
+use clementine_decide::ids::StoreVersion;
+use clementine_decide::peers::{FollowedTable, TableChanges};
 use clementine_platform::store::{ChangeBatch, Row, Snapshot, StoreError};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::time::{Instant, sleep};
 
+use super::passed_on::{decode_rows, encode_rows};
 use crate::shared::{SharedState, TableSync};
 
-/// Maximum time for which the store may hold a long poll. It can be long,
-/// because a poll that hangs is detected by other means: the other entries
-/// announce newer changes than the poll has returned.
-const POLL_WAIT: Duration = Duration::from_secs(10);
+/// Maximum time for which the store may hold a long poll. A poll that hangs is
+/// usually detected earlier: the other entries announce newer changes than it has
+/// returned.
+const POLL_WAIT: Duration = Duration::from_secs(4);
 /// Maximum time for which the store may hold a long poll of the holder of the
 /// planner's lease. Shorter than [`POLL_WAIT`], so that at least one entry
 /// receives changes soon when the polls of all entries hang.
 const PLANNER_POLL_WAIT: Duration = Duration::from_millis(1_500);
+/// Interval at which an entry that relies on its neighbors checks whether it still
+/// can, and whether it has missed a change.
+const NEIGHBOR_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of consecutive checks that find a missed change, after which it is read
+/// from the store. Until then, it may still arrive from a neighbor.
+const MAX_CHECKS_BEHIND: u32 = 2;
 /// Minimum and maximum delay after changes, in which further changes accumulate
 /// and are then fetched in one batch.
 const MIN_BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -30,101 +40,160 @@
 const MIN_EMPTY_POLL: Duration = Duration::from_millis(500);
 /// Delay after the first failed call, doubled after each consecutive failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-/// Maximum delay after a failed call.
+/// Maximum delay after a failed call of an entry on which its neighbors rely.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
+/// Maximum delay after a failed call of an entry that replaces one of these.
+const STANDBY_MAX_BACKOFF: Duration = Duration::from_secs(4);
 
 /// Receives the content of a table.
 pub(super) trait TableObserver {
     /// Applies the whole table. Called first, and after a gap in the changes.
     fn apply_snapshot(&mut self, snapshot: Snapshot);
     /// Applies the changes since the last call.
-    fn apply_changes(&mut self, batch: ChangeBatch);
+    fn apply_changes(&mut self, rows: &[Row]);
+    /// Called at short intervals while nothing changes.
+    fn check_time(&mut self) {}
 }
 
 /// Follows a table until the process ends.
 pub(super) async fn follow_table(
     shared: &SharedState,
-    table: &'static str,
-    sync: &TableSync,
+    table: FollowedTable,
+    name: &'static str,
     observer: &mut impl TableObserver,
 ) {
-    let mut version = None;
+    let sync = shared.table_sync(table);
+    let mut follower =
+        TableFollower { shared, table, name, sync, observer, loaded: false, checks_behind: 0 };
     let mut backoff = INITIAL_BACKOFF;
-    let mut reachable = true;
     loop {
-        match poll(shared, table, sync, &mut version, observer).await {
+        match follower.step().await {
             Ok(changed) => {
                 if let Some(bytes) = changed {
                     sleep(batch_delay(bytes, shared.settings.link_bytes_per_s)).await;
                 }
-                if !reachable {
-                    info!("store: following table `{}` again at version {:?}", table, version);
+                if !sync.set_reachable(true) {
+                    info!("store: following table `{}` again at {}", name, sync.position());
                 }
-                reachable = true;
                 backoff = INITIAL_BACKOFF;
             }
             Err(error) => {
-                shared.metrics.count_store_failure(table);
-                if reachable {
-                    warn!("store: cannot follow table `{}`: {}", table, error);
+                shared.metrics.count_store_failure(name);
+                if sync.set_reachable(false) {
+                    warn!("store: cannot follow table `{}`: {}", name, error);
                 }
-                reachable = false;
                 let jitter = shared.rng.borrow_mut().random_range(0.5..1.0);
                 sleep(backoff.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+                let limit =
+                    if shared.is_standby_follower() { STANDBY_MAX_BACKOFF } else { MAX_BACKOFF };
+                backoff = (backoff * 2).min(limit);
             }
         }
     }
 }
 
-/// Makes one call to the store. Returns the size of the received rows in bytes,
-/// or `None` if nothing has changed.
-async fn poll(
-    shared: &SharedState,
-    table: &'static str,
-    sync: &TableSync,
-    version: &mut Option<u64>,
-    observer: &mut impl TableObserver,
-) -> Result<Option<usize>, StoreError> {
-    let Some(after) = *version else {
-        let snapshot = shared.store.read(table).await?;
-        *version = Some(snapshot.version);
-        sync.advance(snapshot.version, newest_version(&snapshot.rows));
+/// Follows one table.
+struct TableFollower<'a, O> {
+    shared: &'a SharedState,
+    table: FollowedTable,
+    /// Name of the table in the store.
+    name: &'static str,
+    sync: &'a TableSync,
+    observer: &'a mut O,
+    /// Whether a snapshot has been read that the changes follow on.
+    loaded: bool,
+    /// Number of consecutive checks that have found a missed change.
+    checks_behind: u32,
+}
+
+impl<O: TableObserver> TableFollower<'_, O> {
+    /// Waits for the next changes. Returns the size of the rows that were read from
+    /// the store in bytes, or `None` if there were none.
+    async fn step(&mut self) -> Result<Option<usize>, StoreError> {
+        if !self.loaded {
+            return self.read_snapshot().await.map(Some);
+        }
+        if !self.shared.must_follow_store() {
+            return self.wait_for_neighbors().await;
+        }
+        let wait =
+            if self.shared.held_lease_version().is_some() { PLANNER_POLL_WAIT } else { POLL_WAIT };
+        self.poll(wait).await
+    }
+
+    async fn read_snapshot(&mut self) -> Result<usize, StoreError> {
+        let snapshot = self.shared.store.read(self.name).await?;
+        self.loaded = true;
+        self.sync
+            .record_snapshot(snapshot.version, newest_version(&snapshot.rows, snapshot.version));
         let bytes = total_bytes(&snapshot.rows);
-        observer.apply_snapshot(snapshot);
-        return Ok(Some(bytes));
-    };
-    let started = Instant::now();
-    let wait = if shared.held_lease_version().is_some() { PLANNER_POLL_WAIT } else { POLL_WAIT };
-    let response = tokio::select! {
-        response = shared.store.poll_changes(table, after, wait) => response,
-        () = sync.repoll_needed() => return Ok(None),
-    };
-    match response {
-        Ok(batch) => {
-            *version = Some(batch.version.max(after));
-            let changed = (!batch.rows.is_empty()).then(|| total_bytes(&batch.rows));
-            sync.advance(batch.version.max(after), newest_version(&batch.rows));
-            observer.apply_changes(batch);
-            if changed.is_none() && started.elapsed() < MIN_EMPTY_POLL {
-                sleep(MIN_EMPTY_POLL).await;
+        self.observer.apply_snapshot(snapshot);
+        Ok(bytes)
+    }
+
+    /// Makes one long poll, and passes the changes on to the neighbors.
+    async fn poll(&mut self, wait: Duration) -> Result<Option<usize>, StoreError> {
+        let started = Instant::now();
+        let after = self.sync.position();
+        let response = tokio::select! {
+            response = self.shared.store.poll_changes(self.name, after, wait) => response,
+            () = self.sync.repoll_needed() => return Ok(None),
+        };
+        let batch = match response {
+            Ok(batch) => batch,
+            Err(StoreError::HistoryGone) => {
+                info!("store: no changes of table `{}` after {}, reading all", self.name, after);
+                self.loaded = false;
+                return Ok(None);
+            }
+            Err(error) => return Err(error),
+        };
+        let changed = self.apply_batch(batch);
+        if changed.is_none() && started.elapsed() < MIN_EMPTY_POLL.min(wait) {
+            sleep(MIN_EMPTY_POLL).await;
+        }
+        Ok(changed)
+    }
+
+    fn apply_batch(&mut self, batch: ChangeBatch) -> Option<usize> {
+        let changed = !batch.rows.is_empty();
+        if changed && self.shared.must_follow_store() {
+            self.shared.outbox.push(TableChanges {
+                table: self.table,
+                after: self.sync.feed_position().unchanged_since,
+                version: batch.version,
+                rows: encode_rows(&batch.rows),
+            });
+        }
+        self.sync.advance(batch.version, newest_version(&batch.rows, batch.version));
+        self.observer.apply_changes(&batch.rows);
+        changed.then(|| total_bytes(&batch.rows))
+    }
+
+    /// Applies the changes that neighbors pass on. Reads changes from the store if
+    /// other entries have received some that do not arrive.
+    async fn wait_for_neighbors(&mut self) -> Result<Option<usize>, StoreError> {
+        tokio::select! {
+            changes = self.sync.next_changes() => {
+                let rows = decode_rows(self.name, &changes);
+                self.sync.advance(changes.version, newest_version(&rows, changes.version));
+                self.observer.apply_changes(&rows);
+                return Ok(None);
             }
-            Ok(changed)
+            () = sleep(NEIGHBOR_CHECK_INTERVAL) => self.observer.check_time(),
         }
-        Err(StoreError::HistoryGone) => {
-            info!(
-                "store: changes of table `{}` after version {} are gone, reading a snapshot",
-                table, after
-            );
-            *version = None;
-            Ok(None)
+        self.checks_behind = if self.sync.is_behind() { self.checks_behind + 1 } else { 0 };
+        if self.checks_behind <= MAX_CHECKS_BEHIND {
+            return Ok(None);
         }
-        Err(error) => Err(error),
+        self.checks_behind = 0;
+        self.poll(Duration::ZERO).await
     }
 }
 
-fn newest_version(rows: &[Row]) -> Option<u64> {
-    rows.iter().map(|row| row.version).max()
+fn newest_version(rows: &[Row], read: StoreVersion) -> Option<StoreVersion> {
+    let number = rows.iter().map(|row| row.version).max()?;
+    Some(StoreVersion { number, ..read })
 }
 
 fn total_bytes(rows: &[Row]) -> usize {
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::ids::{DomainId, EntryId};
+use clementine_decide::ids::{DomainId, EntryId, StoreEra};
 use clementine_platform::store::{RowKey, StoreError, Transaction};
 use compact_str::CompactString;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use spdlog::warn;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::receivers::Receivers;
 use crate::shared::SharedState;
@@ -29,6 +29,12 @@
 const DIRECTORY_SECOND_READ_DELAY: Duration = Duration::from_secs(5);
 /// Delay, before jitter, after the directory could not be read.
 const DIRECTORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Interval at which the store's era is checked.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum delay after a restore of the store until this entry registers again.
+/// All entries do so, and share the store's rate limit.
+const RESTORED_MAX_DELAY: Duration = Duration::from_secs(2);
+
 /// Where an entry receives messages.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct EntryRecord {
@@ -45,10 +51,14 @@
     receivers: Rc<RefCell<Receivers>>,
 ) {
     let mut reads = 0;
+    // Era of the store in which this entry is registered.
+    let mut registered = None;
     loop {
-        let delay = match register_and_read(&shared, address, reads == 0).await {
+        let era = shared.store.era();
+        let delay = match register_and_read(&shared, address, registered != Some(era)).await {
             Ok(directory) => {
                 receivers.borrow_mut().replace(directory);
+                registered = Some(era);
                 reads += 1;
                 if reads == 1 { DIRECTORY_SECOND_READ_DELAY } else { DIRECTORY_INTERVAL }
             }
@@ -58,7 +68,20 @@
             }
         };
         let jitter = shared.rng.borrow_mut().random_range(0.7..1.3);
-        sleep(delay.mul_f64(jitter)).await;
+        wait_for_next_read(&shared, era, delay.mul_f64(jitter)).await;
+    }
+}
+
+/// Waits for `delay`, or until some time after the store has been restored from an
+/// older copy, which may lack this entry's record.
+async fn wait_for_next_read(shared: &SharedState, era: StoreEra, delay: Duration) {
+    let end = Instant::now() + delay;
+    while Instant::now() < end {
+        if shared.store_era() > era {
+            let jitter = shared.rng.borrow_mut().random_range(0.0..1.0);
+            return sleep(RESTORED_MAX_DELAY.mul_f64(jitter)).await;
+        }
+        sleep(ERA_CHECK_INTERVAL.min(end.saturating_duration_since(Instant::now()))).await;
     }
 }
 
@@ -67,9 +90,9 @@
 async fn register_and_read(
     shared: &SharedState,
     address: SocketAddr,
-    first: bool,
+    unregistered: bool,
 ) -> Result<BTreeMap<EntryId, EntryRecord>, StoreError> {
-    if first {
+    if unregistered {
         register(shared, address).await?;
     }
     read_peers(shared).await
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -8,8 +8,8 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::{
-    BackendLoad, LinkLoad, LoadStatus, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement,
-    send_interval,
+    BackendLoad, LinkLoad, LoadStatus, PeerDatagram, PeerMessage, PeerReport, PeerUpdate,
+    PlannerAnnouncement, TableChanges, send_interval,
 };
 use clementine_objects::Millis;
 use spdlog::{debug, info, warn};
@@ -27,7 +27,7 @@
 /// Time after the start in which this entry sends no summaries, because it may not
 /// have heard all entries of its failure domain yet.
 const LISTEN_TIME: Millis = Millis(1_000);
-/// Maximum size of a received message in bytes.
+/// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of backend servers in one message.
 const MAX_LOADS: usize = 512;
@@ -67,12 +67,14 @@
 
 impl PeerExchange {
     async fn run(&mut self) {
+        let shared = Rc::clone(&self.shared);
         let mut buf = vec![0; MAX_MESSAGE_BYTES];
         let mut send_at = Instant::now();
         let mut apply_at = Instant::now();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => self.receive(received, &buf),
+                changes = shared.outbox.next() => self.pass_on(changes).await,
                 () = sleep_until(send_at) => send_at = Instant::now() + self.send().await,
                 () = sleep_until(apply_at), if self.loads_changed => {
                     self.loads_changed = false;
@@ -89,7 +91,10 @@
             Err(error) => return warn!("peers: receiving a message failed: {}", error),
         };
         match rmp_serde::from_slice(&buf[..size]) {
-            Ok(message) => self.apply(message, from),
+            Ok(PeerDatagram::Status(message)) => self.apply(message, from),
+            Ok(PeerDatagram::Changes(changes)) => {
+                self.shared.table_sync(changes.table).push_changes(changes);
+            }
             Err(error) => {
                 self.shared.metrics.count_malformed_message();
                 debug!("peers: malformed message from {}: {}", from, error);
@@ -107,6 +112,10 @@
         message.planner.take_if(|planner| planner.holder == *own_id);
         let record = EntryRecord { address: from, domain: message.domain.clone() };
         self.receivers.borrow_mut().insert(id.clone(), record);
+        if let PeerReport::Entry { feed: Some(feed), .. } = &message.report {
+            self.shared.config_sync.record_peer_position(feed.config);
+            self.shared.backend_list_sync.record_peer_position(feed.backends);
+        }
         self.shared.config_sync.record_peer_version(message.config_newest);
         self.shared.backend_list_sync.record_peer_version(message.list_newest);
         let now = self.shared.now();
@@ -140,7 +149,8 @@
             drop(peers);
             self.send_report(report, interval, &remote).await;
         }
-        self.send_report(PeerReport::Entry { leaving, load }, interval, &neighbors).await;
+        let feed = self.shared.feed_positions();
+        self.send_report(PeerReport::Entry { leaving, feed, load }, interval, &neighbors).await;
         interval.duration()
     }
 
@@ -151,10 +161,24 @@
         receivers: &[SocketAddr],
     ) {
         let message = self.message(report, interval);
-        let bytes = match rmp_serde::to_vec(&message) {
+        self.send_datagram(&PeerDatagram::Status(message), receivers).await;
+    }
+
+    /// Passes changes on to the neighbors. Those that are too large for a datagram
+    /// are read from the store by each of them.
+    async fn pass_on(&self, changes: TableChanges) {
+        let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
+        self.send_datagram(&PeerDatagram::Changes(changes), &neighbors).await;
+    }
+
+    async fn send_datagram(&self, datagram: &PeerDatagram, receivers: &[SocketAddr]) {
+        let bytes = match rmp_serde::to_vec(datagram) {
             Ok(bytes) => bytes,
             Err(error) => return warn!("peers: encoding a message failed: {}", error),
         };
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return debug!("peers: a message of {} bytes is too large", bytes.len());
+        }
         for address in receivers {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
                 debug!("peers: sending to {} failed: {}", address, error);
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::ids::StoreVersion;
 use clementine_decide::lease::{LeaseQuorum, LeaseRow, LeaseStep, StoreOutage};
 use clementine_platform::store::{Row, RowKey, StoreError, Transaction};
 use rand::RngExt;
@@ -30,6 +31,7 @@
     let mut task = LeaseTask { shared: &shared, held: false, renewal: LastRenewal::default() };
     let mut next_attempt = Instant::now();
     while !shared.drain.is_draining() {
+        shared.lease.borrow_mut().record_era(shared.store_era());
         let announced = shared.peers.borrow().planner(shared.now());
         if let Some(planner) = &announced {
             shared.lease.borrow_mut().record_announcement(planner.lease_version, shared.now());
@@ -115,14 +117,14 @@
     /// Handles that the lease was acquired or lost: logs it, and restarts the
     /// long polls of the store, because the holder uses a shorter wait.
     fn handle_transition(&mut self) {
-        let term = self.shared.lease.borrow().term(self.shared.now());
-        if term.is_some() == self.held {
+        let fence = self.shared.lease.borrow().fence(self.shared.now());
+        if fence.is_some() == self.held {
             return;
         }
-        self.held = term.is_some();
+        self.held = fence.is_some();
         self.shared.config_sync.request_repoll();
         self.shared.backend_list_sync.request_repoll();
-        info!("planner: lease {} term={:?}", if self.held { "held" } else { "lost" }, term);
+        info!("planner: lease {} fence={:?}", if self.held { "held" } else { "lost" }, fence);
     }
 }
 
@@ -132,9 +134,9 @@
         Some(step) => step,
         None => read_row(shared).await?,
     };
-    let LeaseStep::Write { version, row } = step else { return Ok(()) };
+    let LeaseStep::Write { expected, row } = step else { return Ok(()) };
     let sent = shared.now();
-    match write_row(shared, version, &row).await {
+    match write_row(shared, expected, &row).await {
         Ok(written) => shared.lease.borrow_mut().record_write(written, row.term, sent),
         // Another process has written the row first.
         Err(StoreError::Conflict { .. }) => shared.lease.borrow_mut().record_conflict(),
@@ -146,30 +148,33 @@
 async fn read_row(shared: &SharedState) -> Result<LeaseStep, StoreError> {
     let snapshot = shared.store.read(LEASE_TABLE).await?;
     let row = snapshot.rows.iter().find(|row| row.key.key == PLANNER_KEY);
-    let read = row.map(decode);
-    let read = read.as_ref().map(|(version, row)| (*version, row));
+    let content =
+        row.map(|row| (StoreVersion { number: row.version, ..snapshot.version }, decode(row)));
+    let read = content.as_ref().map(|(version, row)| (*version, row));
     Ok(shared.lease.borrow_mut().record_read(read, shared.now()))
 }
 
 /// Decodes the lease row. A malformed row counts as a free lease and is
 /// overwritten.
-fn decode(row: &Row) -> (u64, LeaseRow) {
-    match serde_json::from_slice(&row.value) {
-        Ok(content) => (row.version, content),
-        Err(error) => {
-            warn!("planner: the lease row is malformed and is overwritten: {}", error);
-            (row.version, LeaseRow { holder: None, term: 0 })
-        }
-    }
+fn decode(row: &Row) -> LeaseRow {
+    serde_json::from_slice(&row.value).unwrap_or_else(|error| {
+        warn!("planner: the lease row is malformed and is overwritten: {}", error);
+        LeaseRow { holder: None, term: 0 }
+    })
 }
 
-async fn write_row(shared: &SharedState, version: u64, row: &LeaseRow) -> Result<u64, StoreError> {
+/// Writes the row if the number of its version is still `expected`.
+async fn write_row(
+    shared: &SharedState,
+    expected: u64,
+    row: &LeaseRow,
+) -> Result<StoreVersion, StoreError> {
     let key = RowKey { table: LEASE_TABLE.into(), partition: "".into(), key: PLANNER_KEY.into() };
     let value = serde_json::to_vec(row).unwrap_or_default();
     shared
         .store
         .commit(
-            &Transaction::default().require_version(key.clone(), version).put(key, value.into()),
+            &Transaction::default().require_version(key.clone(), expected).put(key, value.into()),
         )
         .await
 }
--- a/crates/direct/src/planner/mod.rs
+++ b/crates/direct/src/planner/mod.rs
@@ -21,9 +21,9 @@
 pub(crate) async fn run_planner(shared: Rc<SharedState>) {
     let mut dispatcher = OrderDispatcher::new(Rc::clone(&shared));
     while !shared.drain.is_draining() {
-        let term = shared.lease.borrow().term(shared.now());
-        if let Some(term) = term {
-            dispatcher.dispatch(term);
+        let fence = shared.lease.borrow().fence(shared.now());
+        if let Some(fence) = fence {
+            dispatcher.dispatch(fence);
         }
         sleep(PLAN_INTERVAL).await;
     }
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -8,6 +8,7 @@
 
 use clementine_decide::fleet::{AcceleratorSpec, EngineSpec, Fleet, Member};
 use clementine_decide::ids::{BackendId, DomainId, PoolId};
+use clementine_decide::lease::FencingNumber;
 use clementine_decide::placement::{
     Assignment, LayerHost, ListStabilizer, context_tokens_per_engine, plan_layers,
 };
@@ -51,16 +52,16 @@
 
     /// Computes the placement of each pool and starts the orders that it
     /// requires, up to the limit of concurrent loads.
-    pub(super) fn dispatch(&mut self, term: u64) {
+    pub(super) fn dispatch(&mut self, fence: FencingNumber) {
         let Some(table) = self.shared.routing_table() else { return };
         for (pool, spec) in &table.pools {
             if let Some(engine) = spec.engine.as_ref().filter(|engine| engine.layers > 0) {
-                self.dispatch_pool(pool, engine, term);
+                self.dispatch_pool(pool, engine, fence);
             }
         }
     }
 
-    fn dispatch_pool(&mut self, pool: &PoolId, engine: &Rc<EngineSpec>, term: u64) {
+    fn dispatch_pool(&mut self, pool: &PoolId, engine: &Rc<EngineSpec>, fence: FencingNumber) {
         let hosts = self.layer_hosts(pool, engine);
         let stabilizer = self.stabilizers.entry(pool.clone()).or_default();
         if !stabilizer.is_stable(engine.layers, &hosts, self.shared.now()) {
@@ -69,7 +70,7 @@
         let max_pending = engine.max_concurrent_loads.max(1) as usize;
         let allowed = max_pending.saturating_sub(self.pending.borrow().len());
         for assignment in plan_layers(engine.layers, &hosts).into_iter().take(allowed) {
-            self.start(assignment, engine, term);
+            self.start(assignment, engine, fence);
         }
     }
 
@@ -108,7 +109,7 @@
         fleet.pool(pool).filter(usable).filter_map(host).collect()
     }
 
-    fn start(&self, assignment: Assignment, engine: &Rc<EngineSpec>, term: u64) {
+    fn start(&self, assignment: Assignment, engine: &Rc<EngineSpec>, fence: FencingNumber) {
         let fleet = self.shared.fleet.borrow();
         let Some(address) = fleet.get(&assignment.id).map(|member| member.backend.address) else {
             return;
@@ -117,7 +118,7 @@
         self.pending.borrow_mut().insert(assignment.id.clone(), assignment.layers);
         let load_timeout = load_timeout(engine, assignment.layers);
         let task =
-            OrderTask { shared: Rc::clone(&self.shared), assignment, address, term, load_timeout };
+            OrderTask { shared: Rc::clone(&self.shared), assignment, address, fence, load_timeout };
         let pending = Rc::clone(&self.pending);
         spawn_local(async move {
             task.run().await;
@@ -136,7 +137,7 @@
     shared: Rc<SharedState>,
     assignment: Assignment,
     address: SocketAddr,
-    term: u64,
+    fence: FencingNumber,
     load_timeout: Duration,
 }
 
@@ -166,16 +167,16 @@
         let order = PlaceOrder {
             layers: self.assignment.layers,
             expected_orders_started: orders_started,
-            term: self.term,
+            fence: self.fence,
             evict: self.assignment.urgent && self.assignment.replaces,
         };
         let response = place_layers(&self.shared, self.address, &order).await;
         info!(
-            "planner: order backend={} layers={} after_orders={} term={} urgent={} answer={:?}",
+            "planner: order backend={} layers={} after_orders={} fence={} urgent={} answer={:?}",
             self.assignment.id,
             order.layers,
             orders_started,
-            order.term,
+            order.fence,
             self.assignment.urgent,
             response
         );
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -2,6 +2,7 @@
 
 mod dump;
 mod metrics;
+mod outbox;
 mod request_context;
 mod reservation;
 mod retry_budgets;
@@ -10,6 +11,7 @@
 mod table_sync;
 
 pub(crate) use metrics::DirectMetrics;
+pub(crate) use outbox::ChangeOutbox;
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
 pub(crate) use retry_budgets::{RetryBudgets, RetryPriority};
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -7,11 +7,11 @@
 
 use actix_http::ServiceConfig;
 use clementine_decide::fleet::Fleet;
-use clementine_decide::ids::{BackendId, IncarnationId, Tick};
+use clementine_decide::ids::{BackendId, IncarnationId, StoreEra, StoreVersion, Tick};
 use clementine_decide::lease::{LeaseLimits, LeaseState};
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
-use clementine_decide::peers::PeerView;
+use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, must_follow};
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
@@ -24,7 +24,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{DirectMetrics, RateLimitedStore, RetryBudgets, TableSync};
+use super::{ChangeOutbox, DirectMetrics, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -50,6 +50,8 @@
     pub(crate) config_sync: TableSync,
     /// Synchronization state of the list of backend servers.
     pub(crate) backend_list_sync: TableSync,
+    /// Changes of store tables to pass on to the neighbors.
+    pub(crate) outbox: ChangeOutbox,
     /// Whether the list of backend servers has been loaded since the start.
     pub(crate) backend_list_loaded: Cell<bool>,
     /// Backend servers whose status report is being requested.
@@ -97,6 +99,7 @@
             )),
             config_sync: TableSync::default(),
             backend_list_sync: TableSync::default(),
+            outbox: ChangeOutbox::default(),
             backend_list_loaded: Cell::new(false),
             report_requests: RefCell::default(),
             connection_probes: RefCell::default(),
@@ -121,10 +124,49 @@
     }
 
     /// Version of the planner's lease row if this process holds the lease.
-    pub(crate) fn held_lease_version(&self) -> Option<u64> {
+    pub(crate) fn held_lease_version(&self) -> Option<StoreVersion> {
         self.lease.borrow().held_version(self.now())
     }
 
+    /// Latest era of the store that any entry has seen.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        let config = self.config_sync.newest_version_anywhere().era;
+        let backends = self.backend_list_sync.newest_version_anywhere().era;
+        self.store.era().max(config).max(backends)
+    }
+
+    /// Synchronization state of a followed table.
+    pub(crate) const fn table_sync(&self, table: FollowedTable) -> &TableSync {
+        match table {
+            FollowedTable::Config => &self.config_sync,
+            FollowedTable::Backends => &self.backend_list_sync,
+        }
+    }
+
+    /// Whether this process reads changes from the store, because it plans or too
+    /// few of its neighbors pass them on.
+    pub(crate) fn must_follow_store(&self) -> bool {
+        let preceding = self.peers.borrow().followers_before(&self.settings.entry, self.now());
+        must_follow(preceding) || self.held_lease_version().is_some()
+    }
+
+    /// Whether the neighbors that precede this entry would follow the store
+    /// instead of it if they could.
+    pub(crate) fn is_standby_follower(&self) -> bool {
+        let peers = self.peers.borrow();
+        !must_follow(peers.neighbors().filter(|id| **id < self.settings.entry).count())
+    }
+
+    /// The positions to announce to the neighbors, if this process follows the
+    /// store successfully.
+    pub(crate) fn feed_positions(&self) -> Option<FeedPositions> {
+        let followed = self.config_sync.is_followed() && self.backend_list_sync.is_followed();
+        (followed && self.must_follow_store()).then(|| FeedPositions {
+            config: self.config_sync.feed_position(),
+            backends: self.backend_list_sync.feed_position(),
+        })
+    }
+
     /// The current configuration, or `None` until the first one is applied.
     pub(crate) fn routing_table(&self) -> Option<Rc<RoutingTable>> {
         self.routing_table.borrow().clone()
--- a/crates/direct/src/shared/store.rs
+++ b/crates/direct/src/shared/store.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clementine_decide::circuit::TokenBucket;
+use clementine_decide::ids::{StoreEra, StoreVersion};
 use clementine_platform::store::{ChangeBatch, Snapshot, StoreClient, StoreError, Transaction};
 use clementine_process::clock::Clock;
 use spdlog::warn;
@@ -29,6 +30,11 @@
         Self { client, clock, rate_limit: RefCell::new(TokenBucket::new(CALLS_PER_S, BURST)) }
     }
 
+    /// See [`StoreClient::era`].
+    pub(crate) fn era(&self) -> StoreEra {
+        self.client.era()
+    }
+
     /// See [`StoreClient::read`].
     pub(crate) async fn read(&self, table: &str) -> Result<Snapshot, StoreError> {
         self.acquire_call(table)?;
@@ -39,7 +45,7 @@
     pub(crate) async fn poll_changes(
         &self,
         table: &str,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<ChangeBatch, StoreError> {
         self.acquire_call(table)?;
@@ -47,7 +53,10 @@
     }
 
     /// See [`StoreClient::commit`].
-    pub(crate) async fn commit(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+    pub(crate) async fn commit(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<StoreVersion, StoreError> {
         self.acquire_call("transaction")?;
         self.client.commit(transaction).await
     }
--- a/crates/direct/src/shared/table_sync.rs
+++ b/crates/direct/src/shared/table_sync.rs
@@ -1,55 +1,138 @@
 //! Synchronization state of this process's copy of a store table.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use clementine_decide::ids::StoreVersion;
+use clementine_decide::peers::{FeedPosition, TableChanges};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// Synchronization state of this process's copy of a store table.
 ///
-/// Invariant: every change up to version `position` has been received.
+/// Invariant: every change up to version `position` has been received, and there
+/// are none between `unchanged_since` and `position`.
 #[derive(Debug, Default)]
 pub(crate) struct TableSync {
-    position: Cell<u64>,
+    position: Cell<StoreVersion>,
+    /// Version of the last snapshot or of the newest change after it.
+    unchanged_since: Cell<StoreVersion>,
     /// Version of the newest change that was received.
-    newest: Cell<u64>,
+    newest: Cell<StoreVersion>,
     /// Version of the newest change that any other entry has received.
-    peer_newest: Cell<u64>,
+    peer_newest: Cell<StoreVersion>,
+    /// Changes that another entry has passed on and that have not been applied.
+    passed_on: RefCell<VecDeque<TableChanges>>,
+    /// Whether the last call to the store for this table failed.
+    unreachable: Cell<bool>,
     repoll_requested: Cell<bool>,
     wakeup: Notify,
+    changes_wakeup: Notify,
 }
 
-/// Grace period for the poll in progress to return a change that another entry
-/// has already received. Covers delivery over the slowest link.
+/// Grace period for the poll in progress, or for another entry, to deliver a
+/// change that another entry has already received. Covers delivery over the
+/// slowest link.
 const DELIVERY_GRACE: Duration = Duration::from_millis(900);
+/// Maximum number of batches from other entries that wait to be applied. More are
+/// dropped, and the changes are read from the store.
+const MAX_PASSED_ON: usize = 64;
 
 impl TableSync {
+    /// Records a snapshot and the version of the newest row in it.
+    pub(crate) fn record_snapshot(&self, position: StoreVersion, newest: Option<StoreVersion>) {
+        self.position.set(position);
+        self.unchanged_since.set(position);
+        self.record_newest(newest);
+    }
+
     /// Records that all changes up to the version `position` have been received,
     /// and the version of the newest change among them.
-    pub(crate) fn advance(&self, position: u64, newest: Option<u64>) {
+    pub(crate) fn advance(&self, position: StoreVersion, newest: Option<StoreVersion>) {
         self.position.set(self.position.get().max(position));
-        self.newest.set(self.newest.get().max(newest.unwrap_or(0)));
+        if let Some(newest) = newest {
+            self.unchanged_since.set(self.unchanged_since.get().max(newest));
+        }
+        self.record_newest(newest);
+    }
+
+    fn record_newest(&self, newest: Option<StoreVersion>) {
+        self.newest.set(self.newest.get().max(newest.unwrap_or_default()));
+    }
+
+    /// Records whether the store has responded, and returns the previous value.
+    pub(crate) fn set_reachable(&self, reachable: bool) -> bool {
+        !self.unreachable.replace(!reachable)
+    }
+
+    /// Whether a snapshot has been read and the store has responded since.
+    pub(crate) fn is_followed(&self) -> bool {
+        self.position.get() > StoreVersion::default() && !self.unreachable.get()
+    }
+
+    /// Version up to which all changes have been received.
+    pub(crate) fn position(&self) -> StoreVersion {
+        self.position.get()
+    }
+
+    /// The versions between which this process knows that nothing has changed.
+    pub(crate) fn feed_position(&self) -> FeedPosition {
+        FeedPosition { unchanged_since: self.unchanged_since.get(), position: self.position.get() }
     }
 
-    /// Version of the newest change that this process has received.
-    pub(crate) fn newest_version(&self) -> u64 {
-        self.newest.get()
+    /// Takes over the position of an entry that follows the table, if this process
+    /// has received every change that the other one has.
+    pub(crate) fn record_peer_position(&self, peer: FeedPosition) {
+        let position = self.position.get();
+        let has_all = position.era == peer.position.era && position >= peer.unchanged_since;
+        if has_all && peer.position > position {
+            self.position.set(peer.position);
+        }
     }
 
     /// Version of the newest change that any entry has received.
-    pub(crate) fn newest_version_anywhere(&self) -> u64 {
+    pub(crate) fn newest_version_anywhere(&self) -> StoreVersion {
         self.newest.get().max(self.peer_newest.get())
     }
 
     /// Records the version of the newest change that another entry has received.
-    pub(crate) fn record_peer_version(&self, newest: u64) {
+    pub(crate) fn record_peer_version(&self, newest: StoreVersion) {
         self.peer_newest.set(self.peer_newest.get().max(newest));
         if self.is_behind() {
             self.wakeup.notify_one();
         }
     }
 
+    /// Adds changes that another entry has passed on.
+    pub(crate) fn push_changes(&self, changes: TableChanges) {
+        let mut passed_on = self.passed_on.borrow_mut();
+        if passed_on.len() < MAX_PASSED_ON {
+            passed_on.push_back(changes);
+            self.changes_wakeup.notify_one();
+        }
+    }
+
+    /// Waits for changes that another entry has passed on and that follow on what
+    /// this process has received. Others are dropped.
+    pub(crate) async fn next_changes(&self) -> TableChanges {
+        loop {
+            let next = self.passed_on.borrow_mut().pop_front();
+            match next {
+                Some(changes) if self.continues(&changes) => return changes,
+                Some(_) => {}
+                None => self.changes_wakeup.notified().await,
+            }
+        }
+    }
+
+    fn continues(&self, changes: &TableChanges) -> bool {
+        let position = self.position.get();
+        position.era == changes.version.era
+            && position >= changes.after
+            && position < changes.version
+    }
+
     /// Requests that the poll in progress is abandoned and sent again.
     pub(crate) fn request_repoll(&self) {
         self.repoll_requested.set(true);
@@ -72,7 +155,8 @@
         }
     }
 
-    fn is_behind(&self) -> bool {
+    /// Whether another entry has received a change that this process has not.
+    pub(crate) fn is_behind(&self) -> bool {
         self.peer_newest.get() > self.position.get()
     }
 }
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -51,7 +51,7 @@
     pub busy: Rc<Cell<bool>>,
     /// Whether it leaves every request unanswered for a minute.
     pub unresponsive: Rc<Cell<bool>>,
-    /// Whether it received a request while unresponsive.
+    /// Whether it received a request other than a health check while unresponsive.
     pub received_while_unresponsive: Rc<Cell<bool>>,
     /// Number of events after which it closes the connection of a stream.
     pub disconnect_after: Rc<Cell<Option<u64>>>,
@@ -133,7 +133,8 @@
         json!({"from": from, "to": to, "version": 1})
     }
 
-    fn write_server_row(&self) {
+    /// Writes the row that lists this server.
+    pub fn write_server_row(&self) {
         let row = json!({"service": self.pool, "address": self.address.to_string(), "zone": "a",
             "slots": 6, "state": "ready", "kind": "card", "layers": self.layers_json(),
             "sequence": self.order_sequence.get(), "born": 1});
@@ -145,7 +146,9 @@
         while conn.wait_request(&limits).await.is_ok() {
             let Ok(request) = conn.read_request(&limits).await else { return };
             if self.unresponsive.get() {
-                self.received_while_unresponsive.set(true);
+                let is_health_check = request.head.uri.path() == "/health";
+                self.received_while_unresponsive
+                    .set(self.received_while_unresponsive.get() || !is_health_check);
                 sleep(Duration::from_mins(1)).await;
             }
             let keep_alive = match request.head.uri.path() {
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -20,7 +20,7 @@
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use caller::{CallerResponse, send_request, send_request_with_headers};
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
-pub use store::{PollMode, Store};
+pub use store::{PollMode, Store, StoreCopy};
 
 /// Timeout of a condition that needs several calls between the processes.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/direct/tests/common/store.rs
+++ b/crates/direct/tests/common/store.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -27,6 +28,15 @@
 
 #[derive(Default)]
 struct State {
+    /// Number of times that the store was restored from a copy.
+    era: u64,
+    version: u64,
+    rows: BTreeMap<TableKey, Row>,
+}
+
+/// Content of a store at one moment.
+#[derive(Clone)]
+pub struct StoreCopy {
     version: u64,
     rows: BTreeMap<TableKey, Row>,
 }
@@ -138,6 +148,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the current content.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.borrow();
+        StoreCopy { version: state.version, rows: state.rows.clone() }
+    }
+
+    /// Restores the content of a copy. Everything written since is gone, and its
+    /// versions are assigned again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.borrow_mut();
+        state.era += 1;
+        state.version = copy.version;
+        state.rows = copy.rows;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     async fn serve(self, mut conn: ServerConn) {
         let limits = ReadLimits::default();
         let opened_in_no_response = self.poll_mode.get() == PollMode::NoResponse;
@@ -151,7 +178,10 @@
             }
             let status = StatusCode::from_u16(status).expect("valid status");
             let body = Bytes::from(body.to_string());
-            if conn.send(Response::with_body(status, ()), &body).await.is_err() {
+            let mut response = Response::with_body(status, ());
+            let era = HeaderValue::from(self.state.borrow().era);
+            response.headers_mut().insert(HeaderName::from_static("store-era"), era);
+            if conn.send(response, &body).await.is_err() {
                 return;
             }
         }
@@ -171,6 +201,9 @@
             "/-/rows-feed" => {
                 let after = query["after"].parse().expect("valid version");
                 let wait = query["wait-ms"].parse().expect("valid wait time");
+                if after > self.state.borrow().version {
+                    return (410, json!({}));
+                }
                 (200, self.poll_changes(query["table"], after, Duration::from_millis(wait)).await)
             }
             "/-/rows-tx" => self.transact(&request.body),
@@ -198,6 +231,9 @@
             loop {
                 let changed = self.changed.notified();
                 let found = self.rows(table, after, true);
+                if found["ver"].as_u64().is_some_and(|version| version < after) {
+                    return found;
+                }
                 if found["rows"].as_array().is_some_and(|rows| !rows.is_empty()) {
                     return found;
                 }
--- a/crates/direct/tests/soak/entries.rs
+++ b/crates/direct/tests/soak/entries.rs
@@ -12,6 +12,7 @@
 /// Entry whose process may be stopped and restarted.
 pub struct Entry {
     name: String,
+    domain: &'static str,
     settings_path: PathBuf,
     /// Proxy of its connections to the store.
     pub store_proxy: Proxy,
@@ -27,10 +28,11 @@
 }
 
 impl Entry {
-    pub async fn start(name: &str, seed: u64, store: &Store) -> Self {
+    pub async fn start(name: &str, domain: &'static str, seed: u64, store: &Store) -> Self {
         let file = format!("clementine-soak-{}-{seed}-{name}.conf", process::id());
         let entry = Self {
             name: name.into(),
+            domain,
             settings_path: env::temp_dir().join(file),
             store_proxy: Proxy::start(store.address).await,
             process: RefCell::default(),
@@ -102,11 +104,12 @@
         self.settings_changes.set(self.settings_changes.get() + 1);
         let slack = 100 + self.settings_changes.get();
         let text = format!(
-            "node={}\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:0\nlisten.ready=127.0.0.1:0\n\
+            "node={}\nip=127.0.0.1\nzone={}\nlisten.front=127.0.0.1:0\nlisten.ready=127.0.0.1:0\n\
              internal-ports=0,0\nlimits.link-mbps=1000\nbounds.grace-s=8\n\
              bounds.retry-budget-ratio=0.2\nbounds.retry-budget-slack={slack}\n\
              bounds.budget-window-s=10\nplatform.address={}\n",
             self.name,
+            self.domain,
             self.store_proxy.address()
         );
         fs::write(&self.settings_path, text).expect("write settings file");
--- a/crates/direct/tests/soak/faults.rs
+++ b/crates/direct/tests/soak/faults.rs
@@ -25,7 +25,7 @@
     let entry = Rc::clone(soak.entries.choose(rng).expect("nonempty list"));
     let engine = soak.engines.choose(rng).expect("nonempty list").clone();
     let plain = soak.plain_servers.choose(rng).expect("nonempty list").clone();
-    match rng.random_range(0..12) {
+    match rng.random_range(0..13) {
         0 => spawn_local(pause_process(entry, duration)),
         1 => spawn_local(restart_gracefully(soak, entry)),
         2 => spawn_local(kill_and_restart(entry, duration)),
@@ -37,6 +37,7 @@
         8 => spawn_local(async move { change_config(&soak) }),
         9 => spawn_local(change_behaviour(plain, rng.random(), duration)),
         10 => spawn_local(disconnect_streams(engine, duration)),
+        11 => spawn_local(restore_store(soak, duration)),
         _ => spawn_local(drain(engine, duration)),
     }
 }
@@ -83,6 +84,33 @@
     entry.store_proxy.set_mode(ProxyMode::Forward);
 }
 
+/// Time for which the store is away while it is restored.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
+/// Time after the restore in which the operator and the backend servers write
+/// their rows again.
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
+
+/// Restores the store from a copy of some time before. What the operator and the
+/// backend servers wrote since is written again, what the entries wrote is not.
+async fn restore_store(soak: Rc<Soak>, age: Duration) {
+    let copy = soak.store.copy();
+    sleep(age).await;
+    for entry in &soak.entries {
+        entry.store_proxy.set_mode(ProxyMode::Close);
+        entry.store_proxy.close_open_connections();
+    }
+    sleep(RESTORE_TIME).await;
+    soak.store.restore(copy);
+    for entry in &soak.entries {
+        entry.store_proxy.set_mode(ProxyMode::Forward);
+    }
+    sleep(REWRITE_DELAY).await;
+    soak.store.put("op", "config", &config(soak.config_version.get(), crate::harness::LAYERS));
+    for backend in soak.engines.iter().chain(&soak.plain_servers) {
+        backend.write_server_row();
+    }
+}
+
 fn change_settings(entry: &Entry) {
     entry.change_settings();
     entry.with_process(Process::send_sighup);
--- a/crates/direct/tests/soak/harness.rs
+++ b/crates/direct/tests/soak/harness.rs
@@ -50,8 +50,8 @@
             plain_servers.push(Backend::start(&format!("plain-{n}"), "plain", &store).await);
         }
         let mut entries = Vec::new();
-        for name in ["one", "two", "three"] {
-            entries.push(Rc::new(Entry::start(name, seed, &store).await));
+        for (name, domain) in [("one", "a"), ("two", "a"), ("three", "b")] {
+            entries.push(Rc::new(Entry::start(name, domain, seed, &store).await));
         }
         wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers))
             .await;
