--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerDatagram {
     /// Periodic status message.
-    Status(PeerMessage),
+    Status(Box<PeerMessage>),
     /// Changes of a store table, passed on to the neighbors.
     Changes(TableChanges),
 }
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    fn is_superseded_by(&self, message: &PeerMessage) -> bool {
-        self.incarnation != message.incarnation || self.sequence < message.sequence
+    fn supersedes(&self, earlier: &Self) -> bool {
+        self.incarnation != earlier.incarnation || self.sequence > earlier.sequence
     }
 }
 
@@ -69,13 +69,14 @@
 }
 
 impl RemoteDomain {
-    /// Whether another summary may replace this one. A sender that has just
-    /// started knows few entries of its domain.
-    fn is_replaced_by(&self, from: &EntryId, message: &PeerMessage, live: u32, now: Tick) -> bool {
-        if self.from == *from && !self.received.is_superseded_by(message) {
+    /// Whether this summary replaces another one of the domain. A sender that has
+    /// just started knows few entries of its domain.
+    fn replaces(&self, known: &Self, now: Tick) -> bool {
+        if self.from == known.from && !self.received.supersedes(&known.received) {
             return false;
         }
-        now >= self.received.expires_at || live.saturating_mul(2) > self.summary.live
+        let expired = now >= known.received.expires_at;
+        expired || self.summary.live.saturating_mul(2) > known.summary.live
     }
 }
 
@@ -105,57 +106,39 @@
 impl PeerView {
     /// Records a received message.
     pub fn record(&mut self, message: PeerMessage, now: Tick) -> PeerUpdate {
+        let received = Received::new(&message, now);
         if let Some(planner) = &message.planner {
             self.record_planner(planner, now);
         }
-        let received = Received::new(&message, now);
-        match &message.report {
+        match message.report {
             PeerReport::Entry { leaving, feed, load } => {
-                let neighbor = Neighbor {
-                    received,
-                    leaving: *leaving,
-                    follows_store: feed.is_some(),
-                    load: load.clone(),
-                };
-                self.record_neighbor(&message, neighbor, now)
+                let follows_store = feed.is_some();
+                let neighbor = Neighbor { received, leaving, follows_store, load };
+                self.record_neighbor(message.from, neighbor, now)
             }
             PeerReport::Domain(summary) => {
-                let from = message.from.clone();
-                let domain = RemoteDomain { from, received, summary: summary.clone() };
-                self.record_domain(&message, domain, now)
+                let domain = RemoteDomain { from: message.from, received, summary };
+                self.record_domain(message.domain, domain, now)
             }
         }
     }
 
-    fn record_neighbor(
-        &mut self,
-        message: &PeerMessage,
-        neighbor: Neighbor,
-        now: Tick,
-    ) -> PeerUpdate {
-        let known = self.neighbors.get(&message.from);
-        if known.is_some_and(|known| !known.received.is_superseded_by(message)) {
+    fn record_neighbor(&mut self, id: EntryId, neighbor: Neighbor, now: Tick) -> PeerUpdate {
+        let known = self.neighbors.get(&id);
+        if known.is_some_and(|known| !neighbor.received.supersedes(&known.received)) {
             return PeerUpdate::Ignored;
         }
         let live = known.is_some_and(|known| now < known.received.expires_at);
-        self.neighbors.insert(message.from.clone(), neighbor);
+        self.neighbors.insert(id, neighbor);
         if live { PeerUpdate::Known } else { PeerUpdate::Joined }
     }
 
-    fn record_domain(
-        &mut self,
-        message: &PeerMessage,
-        domain: RemoteDomain,
-        now: Tick,
-    ) -> PeerUpdate {
-        let live = domain.summary.live;
-        let known = self.domains.get(&message.domain);
-        let replaces =
-            known.is_none_or(|known| known.is_replaced_by(&message.from, message, live, now));
-        if !replaces {
+    fn record_domain(&mut self, id: DomainId, domain: RemoteDomain, now: Tick) -> PeerUpdate {
+        let known = self.domains.get(&id);
+        if known.is_some_and(|known| !domain.replaces(known, now)) {
             return PeerUpdate::Ignored;
         }
-        self.domains.insert(message.domain.clone(), domain);
+        self.domains.insert(id, domain);
         PeerUpdate::Known
     }
 
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -148,14 +148,14 @@
             }
             Err(error) => return Err(error),
         };
-        let changed = self.apply_batch(batch);
+        let changed = self.apply_batch(&batch);
         if changed.is_none() && started.elapsed() < MIN_EMPTY_POLL.min(wait) {
             sleep(MIN_EMPTY_POLL).await;
         }
         Ok(changed)
     }
 
-    fn apply_batch(&mut self, batch: ChangeBatch) -> Option<usize> {
+    fn apply_batch(&mut self, batch: &ChangeBatch) -> Option<usize> {
         let changed = !batch.rows.is_empty();
         if changed && self.shared.must_follow_store() {
             self.shared.outbox.push(TableChanges {
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -23,7 +23,7 @@
 
 /// Interval, before jitter, at which the directory is read. Entries also learn
 /// the addresses of others from their messages.
-const DIRECTORY_INTERVAL: Duration = Duration::from_secs(60);
+const DIRECTORY_INTERVAL: Duration = Duration::from_mins(1);
 /// Delay before the directory is read for the second time. Of entries that start
 /// at the same time, the first one to read finds none of the others.
 const DIRECTORY_SECOND_READ_DELAY: Duration = Duration::from_secs(5);
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -91,7 +91,7 @@
             Err(error) => return warn!("peers: receiving a message failed: {}", error),
         };
         match rmp_serde::from_slice(&buf[..size]) {
-            Ok(PeerDatagram::Status(message)) => self.apply(message, from),
+            Ok(PeerDatagram::Status(message)) => self.apply(*message, from),
             Ok(PeerDatagram::Changes(changes)) => {
                 self.shared.table_sync(changes.table).push_changes(changes);
             }
@@ -144,10 +144,8 @@
         let load = self.load();
         let leaving = self.shared.drain.is_draining();
         if !remote.is_empty() {
-            let peers = self.shared.peers.borrow();
-            let report = PeerReport::Domain(peers.summarize(&load, leaving, MAX_LOADS));
-            drop(peers);
-            self.send_report(report, interval, &remote).await;
+            let summary = self.shared.peers.borrow().summarize(&load, leaving, MAX_LOADS);
+            self.send_report(PeerReport::Domain(summary), interval, &remote).await;
         }
         let feed = self.shared.feed_positions();
         self.send_report(PeerReport::Entry { leaving, feed, load }, interval, &neighbors).await;
@@ -161,7 +159,7 @@
         receivers: &[SocketAddr],
     ) {
         let message = self.message(report, interval);
-        self.send_datagram(&PeerDatagram::Status(message), receivers).await;
+        self.send_datagram(&PeerDatagram::Status(Box::new(message)), receivers).await;
     }
 
     /// Passes changes on to the neighbors. Those that are too large for a datagram
