Count calls to the store by purpose; only followers of the store compete for the lease

Cause: at the start all entries read the lease row and the directory twice. Change: the first attempt waits up to 0.9 s, the second read of the directory is gone: entries learn addresses from messages. Not measured by itself.

--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -24,9 +24,6 @@
 /// Interval, before jitter, at which the directory is read. Entries also learn
 /// the addresses of others from their messages.
 const DIRECTORY_INTERVAL: Duration = Duration::from_mins(1);
-/// Delay before the directory is read for the second time. Of entries that start
-/// at the same time, the first one to read finds none of the others.
-const DIRECTORY_SECOND_READ_DELAY: Duration = Duration::from_secs(5);
 /// Delay, before jitter, after the directory could not be read.
 const DIRECTORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Interval at which the store's era is checked.
@@ -50,7 +47,6 @@
     address: SocketAddr,
     receivers: Rc<RefCell<Receivers>>,
 ) {
-    let mut reads = 0;
     // Era of the store in which this entry is registered.
     let mut registered = None;
     loop {
@@ -59,8 +55,7 @@
             Ok(directory) => {
                 receivers.borrow_mut().replace(directory);
                 registered = Some(era);
-                reads += 1;
-                if reads == 1 { DIRECTORY_SECOND_READ_DELAY } else { DIRECTORY_INTERVAL }
+                DIRECTORY_INTERVAL
             }
             Err(error) => {
                 warn!("peers: cannot access the directory of entries: {}", error);
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -21,23 +21,28 @@
 /// Interval, before jitter, at which the row is read while no entry is known to
 /// hold the lease.
 const ACQUIRE_INTERVAL: Duration = Duration::from_millis(600);
+/// Maximum delay before the first attempt. Entries that start together would all
+/// read the row before they hear of each other.
+const MAX_FIRST_ATTEMPT_DELAY: Duration = Duration::from_millis(900);
 /// Interval at which the messages of the other entries are evaluated.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Renews the planner's lease, or acquires it when it is free, until the process
 /// shuts down. The row is not read while another entry announces that it holds
-/// the lease.
+/// the lease, and only by entries that follow the store.
 pub(crate) async fn maintain_lease(shared: Rc<SharedState>) {
     let mut task = LeaseTask { shared: &shared, held: false, renewal: LastRenewal::default() };
-    let mut next_attempt = Instant::now();
+    let delay = shared.rng.borrow_mut().random_range(0.3..1.0);
+    let mut next_attempt = Instant::now() + MAX_FIRST_ATTEMPT_DELAY.mul_f64(delay);
     while !shared.drain.is_draining() {
         shared.lease.borrow_mut().record_era(shared.store_era());
         let announced = shared.peers.borrow().planner(shared.now());
         if let Some(planner) = &announced {
             shared.lease.borrow_mut().record_announcement(planner.lease_version, shared.now());
         }
-        let held_elsewhere = announced.is_some() && shared.held_lease_version().is_none();
-        if Instant::now() >= next_attempt && !held_elsewhere {
+        let held = shared.held_lease_version().is_some();
+        let may_acquire = announced.is_none() && shared.must_follow_store();
+        if Instant::now() >= next_attempt && (held || may_acquire) {
             task.renew_or_acquire().await;
             let jitter = shared.rng.borrow_mut().random_range(0.8..1.2);
             let interval = if shared.held_lease_version().is_some() {
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -18,6 +18,7 @@
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
+    store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
 }
@@ -43,6 +44,7 @@
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
+            store_calls: counter("direct_store_calls", "Calls to the store, by purpose"),
             store_failures: counter(
                 "direct_store_failures",
                 "Calls to the store that failed, by table",
@@ -87,6 +89,11 @@
         self.backends_down.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counter of calls to the store.
+    pub(crate) fn store_calls(&self) -> Counter<u64> {
+        self.store_calls.clone()
+    }
+
     /// Counts a failed call to the store.
     pub(crate) fn count_store_failure(&self, table: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("table", table)]);
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -86,6 +86,7 @@
             store: RateLimitedStore::new(
                 StoreClient::new(settings.store_address, codec.clone()),
                 clock,
+                metrics.store_calls(),
             ),
             clock,
             codec,
--- a/crates/direct/src/shared/store.rs
+++ b/crates/direct/src/shared/store.rs
@@ -7,6 +7,8 @@
 use clementine_decide::ids::{StoreEra, StoreVersion};
 use clementine_platform::store::{ChangeBatch, Snapshot, StoreClient, StoreError, Transaction};
 use clementine_process::clock::Clock;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use spdlog::warn;
 
 /// Sustained rate of calls to the store, per second. An entry in steady state
@@ -23,11 +25,13 @@
     client: StoreClient,
     clock: Clock,
     rate_limit: RefCell<TokenBucket>,
+    calls: Counter<u64>,
 }
 
 impl RateLimitedStore {
-    pub(crate) fn new(client: StoreClient, clock: Clock) -> Self {
-        Self { client, clock, rate_limit: RefCell::new(TokenBucket::new(CALLS_PER_S, BURST)) }
+    pub(crate) fn new(client: StoreClient, clock: Clock, calls: Counter<u64>) -> Self {
+        let rate_limit = RefCell::new(TokenBucket::new(CALLS_PER_S, BURST));
+        Self { client, clock, rate_limit, calls }
     }
 
     /// See [`StoreClient::era`].
@@ -37,7 +41,7 @@
 
     /// See [`StoreClient::read`].
     pub(crate) async fn read(&self, table: &str) -> Result<Snapshot, StoreError> {
-        self.acquire_call(table)?;
+        self.acquire_call("read", table)?;
         self.client.read(table, "").await
     }
 
@@ -48,7 +52,7 @@
         after: StoreVersion,
         wait: Duration,
     ) -> Result<ChangeBatch, StoreError> {
-        self.acquire_call(table)?;
+        self.acquire_call("poll", table)?;
         self.client.poll_changes(table, after, wait).await
     }
 
@@ -57,14 +61,17 @@
         &self,
         transaction: &Transaction,
     ) -> Result<StoreVersion, StoreError> {
-        self.acquire_call("transaction")?;
+        self.acquire_call("commit", "transaction")?;
         self.client.commit(transaction).await
     }
 
-    /// Takes one call from the rate limit; `target` names the table or operation
-    /// in the log.
-    fn acquire_call(&self, target: &str) -> Result<(), StoreError> {
+    /// Takes one call from the rate limit; `operation` and `target` name it in
+    /// metrics and logs.
+    fn acquire_call(&self, operation: &'static str, target: &str) -> Result<(), StoreError> {
         if self.rate_limit.borrow_mut().try_take(self.clock.now()) {
+            let labels =
+                [KeyValue::new("operation", operation), KeyValue::new("table", target.to_owned())];
+            self.calls.add(1, &labels);
             return Ok(());
         }
         warn!("store: call held back, calls_per_s={} what={}", CALLS_PER_S, target);
--- a/crates/direct/tests/common/store.rs
+++ b/crates/direct/tests/common/store.rs
@@ -22,7 +22,7 @@
 use super::loopback_any_port;
 
 /// Table and key of a row.
-type TableKey = (String, String);
+pub type TableKey = (String, String);
 /// Value and version of a row; removed rows are kept without a value.
 type Row = (Option<Vec<u8>>, u64);
 
@@ -51,6 +51,10 @@
     pub poll_mode: Rc<Cell<PollMode>>,
     /// Number of calls received.
     pub calls: Rc<Cell<u32>>,
+    /// Maximum number of rows in a page.
+    pub page_rows: Rc<Cell<usize>>,
+    /// Row to remove after the next page that is not the last one.
+    pub remove_after_page: Rc<RefCell<Option<TableKey>>>,
 }
 
 /// How a store answers polls for changes.
@@ -92,6 +96,8 @@
             changed: Rc::default(),
             poll_mode: Rc::default(),
             calls: Rc::default(),
+            page_rows: Rc::new(Cell::new(usize::MAX)),
+            remove_after_page: Rc::default(),
         };
         spawn_local(store.clone().accept(listener));
         store
@@ -197,7 +203,10 @@
             .filter_map(|pair| pair.split_once('='))
             .collect();
         match request.head.uri.path() {
-            "/-/rows-get" => (200, self.rows(query["table"], 0, false)),
+            "/-/rows-get" => {
+                let from = query["from"].replace("%00", "\0");
+                (200, self.page(query["table"], &from))
+            }
             "/-/rows-feed" => {
                 let after = query["after"].parse().expect("valid version");
                 let wait = query["wait-ms"].parse().expect("valid wait time");
@@ -211,6 +220,21 @@
         }
     }
 
+    /// A page of the rows of a table from a key.
+    fn page(&self, table: &str, from: &str) -> Value {
+        let mut page = self.rows(table, 0, false);
+        let rows = page["rows"].as_array_mut().expect("rows");
+        rows.retain(|row| row["key"].as_str().is_some_and(|key| key >= from));
+        let truncated = rows.len() > self.page_rows.get();
+        rows.truncate(self.page_rows.get());
+        page["truncated"] = truncated.into();
+        let removed = truncated.then(|| self.remove_after_page.take()).flatten();
+        if let Some((table, key)) = removed {
+            self.remove(&table, &key);
+        }
+        page
+    }
+
     fn rows(&self, table: &str, after: u64, removed: bool) -> Value {
         let state = self.state.borrow();
         let table_rows = state.rows.iter().filter(|((row_table, _), (value, version))| {
--- a/crates/direct/tests/store_calls.rs
+++ b/crates/direct/tests/store_calls.rs
@@ -1,10 +1,13 @@
-//! Entries with a store that answers polls for changes immediately or not at all.
+//! Entries with a store that answers polls for changes immediately or not at all,
+//! and tables that change while they are read.
 
 mod common;
 
 use std::time::Duration;
 
 use actix_rt::test;
+use clementine_http1::ServerConn;
+use clementine_platform::store::StoreClient;
 use common::{PollMode, Store, config, send_request, start_entry};
 use tokio::time::{sleep, timeout};
 
@@ -52,3 +55,21 @@
         .await
         .expect("both entries apply the configuration in time");
 }
+
+#[test]
+async fn row_removed_between_two_pages_of_a_table_is_among_the_changes_after_it() {
+    let store = Store::start().await;
+    for n in 0..600 {
+        store.put("servers", &format!("server-{n:03}"), "{}");
+    }
+    store.page_rows.set(500);
+    store.remove_after_page.replace(Some(("servers".into(), "server-007".into())));
+    let client = StoreClient::new(store.address, ServerConn::codec_config());
+    let snapshot = client.read("servers", "").await.expect("table is read");
+    assert_eq!(snapshot.rows.len(), 600, "the row was still there when its page was read");
+    let changes = client.poll_changes("servers", snapshot.version, Duration::ZERO).await;
+    let changes = changes.expect("changes are read").rows;
+    let removed: Vec<&str> =
+        changes.iter().filter(|row| row.removed).map(|row| row.key.key.as_str()).collect();
+    assert_eq!(removed, ["server-007"]);
+}
