Entries tell each other which engines are down and up again

Change: a mark of one's own is sent at once to the domain and to some entries of the others, which pass it on. It is believed when two entries report it, and checked by a connection when one does. A recovery is believed from one. An entry checks a lost engine less often the more entries there are.

--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FeedPositions, TableChanges};
+use super::{FeedPositions, Sighting, TableChanges};
 use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
 
 /// Hash of a backend server's id, used in messages to save space.
@@ -55,6 +55,8 @@
     Status(Box<PeerMessage>),
     /// Changes of a store table, passed on to the neighbors.
     Changes(TableChanges),
+    /// Condition of a backend server.
+    Sighting(Sighting),
 }
 
 /// Periodic status message of an entry.
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod message;
 mod schedule;
+mod sighting;
 mod totals;
 mod view;
 
@@ -17,5 +18,6 @@
     PeerReport, PlannerAnnouncement,
 };
 pub use schedule::{send_interval, summary_targets};
+pub use sighting::{Condition, Sighting, SightingStep, Sightings, recovery_check_interval};
 pub use totals::LoadTotals;
 pub use view::{PeerUpdate, PeerView};
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -4,9 +4,9 @@
 
 use clementine_decide::ids::{DomainId, EntryId, IncarnationId, StoreEra, StoreVersion, Tick};
 use clementine_decide::peers::{
-    BackendHash, BackendLoad, DomainSummary, FeedPosition, FeedPositions, LoadStatus, PeerMessage,
-    PeerReport, PeerUpdate, PeerView, PlannerAnnouncement, must_follow, send_interval,
-    summary_targets,
+    BackendHash, BackendLoad, Condition, DomainSummary, FeedPosition, FeedPositions, LoadStatus,
+    PeerMessage, PeerReport, PeerUpdate, PeerView, PlannerAnnouncement, Sighting, SightingStep,
+    Sightings, must_follow, recovery_check_interval, send_interval, summary_targets,
 };
 use clementine_objects::Millis;
 
@@ -243,3 +243,32 @@
     assert!(!must(&view, Tick(20)));
     assert!(must(&view, Tick(1_510)), "the first one is gone");
 }
+
+fn sighting(observer: &str, condition: Condition) -> Sighting {
+    Sighting { backend: BACKEND, condition, observer: observer.into(), within_domain: true }
+}
+
+#[test]
+fn a_loss_is_believed_when_two_entries_report_it_and_a_recovery_when_one_does() {
+    let mut sightings = Sightings::default();
+    let mut record = |observer: &str, condition, now| {
+        sightings.record(&sighting(observer, condition), Tick(now))
+    };
+    assert_eq!(record("one", Condition::Down, 0), SightingStep::Verify);
+    assert_eq!(record("one", Condition::Down, 5), SightingStep::Ignore, "the same observer");
+    assert_eq!(record("two", Condition::Down, 10), SightingStep::Accept);
+    assert_eq!(record("three", Condition::Down, 20), SightingStep::Ignore, "not passed on");
+    assert_eq!(record("one", Condition::Up, 500), SightingStep::Accept);
+    assert_eq!(record("two", Condition::Up, 510), SightingStep::Ignore);
+    assert_eq!(record("two", Condition::Down, 900), SightingStep::Verify, "down again");
+    assert_eq!(record("three", Condition::Down, 3_000), SightingStep::Verify, "long after");
+}
+
+#[test]
+fn entries_of_a_large_fleet_check_a_lost_engine_less_often_each() {
+    let interval = |live| recovery_check_interval(Millis(400), live);
+    assert_eq!(
+        (interval(1), interval(15), interval(103)),
+        (Millis(400), Millis(400), Millis(4_800))
+    );
+}
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -4,22 +4,28 @@
 use std::time::Duration;
 
 use clementine_decide::ids::BackendId;
+use clementine_decide::peers::{
+    BackendHash, Condition, Sighting, SightingStep, recovery_check_interval,
+};
+use clementine_objects::Millis;
 use clementine_platform::engines::EngineReport;
+use rand::RngExt;
 use spdlog::info;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::fetch_report;
 use super::health::check_leaving;
-use crate::shared::SharedState;
+use crate::shared::{SharedState, UrgentMessage};
 
 /// Timeout of the report of an engine that may be down.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of the report that tells whether an engine on which others wait is
 /// carrying out an order.
 const BUSY_CHECK_TIMEOUT: Duration = Duration::from_millis(120);
-/// Interval at which an engine that is down is checked for recovery.
-const RECOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval, before jitter, at which an entry on its own checks an engine that is
+/// down for recovery.
+const RECOVERY_CHECK_INTERVAL: Millis = Millis(400);
 
 /// Asks the first engine of a stalled run which engine the run is waiting on,
 /// and checks that engine.
@@ -84,16 +90,49 @@
     }
 }
 
-/// Marks an engine as down until it sends a report again.
+/// Marks an engine as down until it sends a report again, and tells the other
+/// entries.
 pub(super) fn mark_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) {
-    if shared.set_down(id, reason) {
+    if set_down_until_recovery(shared, id, reason) {
+        publish(shared, id, Condition::Down);
+    }
+}
+
+/// Marks an engine as down until it sends a report again, or another entry reports
+/// that it is up. Returns whether it was up before.
+pub(super) fn set_down_until_recovery(
+    shared: &Rc<SharedState>,
+    id: &BackendId,
+    reason: &'static str,
+) -> bool {
+    let changed = shared.set_down(id, reason);
+    if changed {
         spawn_local(wait_for_recovery(Rc::clone(shared), id.clone()));
     }
+    changed
+}
+
+/// Tells the other entries in which condition a backend server was found, unless
+/// enough have reported the same.
+fn publish(shared: &SharedState, id: &BackendId, condition: Condition) {
+    let sighting = Sighting {
+        backend: BackendHash::from(id),
+        condition,
+        observer: shared.settings.entry.clone(),
+        within_domain: true,
+    };
+    let step = shared.sightings.borrow_mut().record(&sighting, shared.now());
+    if step != SightingStep::Ignore {
+        shared.outbox.push(UrgentMessage::Sighting(sighting));
+    }
 }
 
 async fn wait_for_recovery(shared: Rc<SharedState>, id: BackendId) {
     loop {
-        sleep(RECOVERY_CHECK_INTERVAL).await;
+        let live = shared.peers.borrow().live_count();
+        let interval = recovery_check_interval(RECOVERY_CHECK_INTERVAL, live).duration();
+        let jitter = shared.rng.borrow_mut().random_range(0.5..1.5);
+        sleep(interval.mul_f64(jitter)).await;
         let address = match shared.fleet.borrow().get(&id) {
             Some(member) if member.is_down() => member.backend.address,
             _ => return,
@@ -102,6 +141,7 @@
             record_report(&shared, &id, &report);
             if shared.set_up(&id) {
                 info!("engines: backend={} gives its report again, layers={:?}", id, report.layers);
+                publish(&shared, &id, Condition::Up);
             }
             return;
         }
--- a/crates/direct/src/engines/mod.rs
+++ b/crates/direct/src/engines/mod.rs
@@ -4,8 +4,10 @@
 mod diagnose;
 mod health;
 mod probe;
+mod reported;
 
 pub(crate) use calls::{CALL_TIMEOUT, CallError, change_path, fetch_report, place_layers};
 pub(crate) use diagnose::{check_backend, diagnose_stall};
 pub(crate) use health::confirm_identity;
 pub(crate) use probe::probe_engines;
+pub(crate) use reported::apply_sighting;
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -18,7 +18,7 @@
 
 /// Timeout of a connection attempt. Within one region connecting takes a few
 /// ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(90);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(90);
 
 /// Connects to the engines of a stalled run that have not been active recently,
 /// and marks those as down that [`unreachable_engines`] selects. This detects a
--- /dev/null
+++ b/crates/direct/src/engines/reported.rs
@@ -0,0 +1,57 @@
+//! Reports of other entries on backend servers.
+
+use std::rc::Rc;
+
+use clementine_decide::ids::BackendId;
+use clementine_decide::peers::{BackendHash, Condition, Sighting, SightingStep};
+use clementine_http1::ClientConn;
+use spdlog::info;
+use tokio::task::spawn_local;
+
+use super::diagnose::{mark_down, set_down_until_recovery};
+use super::probe::CONNECT_TIMEOUT;
+use crate::shared::SharedState;
+
+/// Acts on the report of another entry.
+pub(crate) fn apply_sighting(shared: &Rc<SharedState>, sighting: &Sighting, step: SightingStep) {
+    let Some(id) = find_backend(shared, sighting.backend) else { return };
+    match (sighting.condition, step) {
+        (_, SightingStep::Ignore) => {}
+        (Condition::Down, SightingStep::Verify) => {
+            spawn_local(verify_down(Rc::clone(shared), id));
+        }
+        (Condition::Down, SightingStep::Accept) => {
+            set_down_until_recovery(shared, &id, "reported");
+        }
+        (Condition::Up, SightingStep::Verify | SightingStep::Accept) => {
+            if shared.set_up(&id) {
+                info!("engines: backend={} up reported_by={}", id, sighting.observer);
+            }
+        }
+    }
+}
+
+fn find_backend(shared: &SharedState, hash: BackendHash) -> Option<BackendId> {
+    let fleet = shared.fleet.borrow();
+    let found = fleet.iter().find(|member| member.id_hash == hash);
+    found.map(|member| member.backend.id.clone())
+}
+
+/// Marks a server that one other entry has reported as down, unless it accepts a
+/// connection.
+async fn verify_down(shared: Rc<SharedState>, id: BackendId) {
+    let address = match shared.fleet.borrow().get(&id) {
+        Some(member) if !member.is_down() && !member.is_recently_alive(shared.now()) => {
+            member.backend.address
+        }
+        _ => return,
+    };
+    match ClientConn::connect(address, CONNECT_TIMEOUT, &shared.codec).await {
+        Ok(_) => {
+            if let Some(member) = shared.fleet.borrow_mut().get_mut(&id) {
+                member.record_connection(shared.now());
+            }
+        }
+        Err(_) => mark_down(&shared, &id, "reported-no-connection"),
+    }
+}
--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::passed_on::{decode_rows, encode_rows};
-use crate::shared::{SharedState, TableSync};
+use crate::shared::{SharedState, TableSync, UrgentMessage};
 
 /// Maximum time for which the store may hold a long poll. A poll that hangs is
 /// usually detected earlier: the other entries announce newer changes than it has
@@ -158,12 +158,12 @@
     fn apply_batch(&mut self, batch: &ChangeBatch) -> Option<usize> {
         let changed = !batch.rows.is_empty();
         if changed && self.shared.must_follow_store() {
-            self.shared.outbox.push(TableChanges {
+            self.shared.outbox.push(UrgentMessage::Changes(TableChanges {
                 table: self.table,
                 after: self.sync.feed_position().unchanged_since,
                 version: batch.version,
                 rows: encode_rows(&batch.rows),
-            });
+            }));
         }
         self.sync.advance(batch.version, newest_version(&batch.rows, batch.version));
         self.observer.apply_changes(&batch.rows);
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -9,7 +9,7 @@
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::{
     BackendLoad, LinkLoad, LoadStatus, PeerDatagram, PeerMessage, PeerReport, PeerUpdate,
-    PlannerAnnouncement, TableChanges, send_interval,
+    PlannerAnnouncement, Sighting, SightingStep, send_interval,
 };
 use clementine_objects::Millis;
 use spdlog::{debug, info, warn};
@@ -19,7 +19,8 @@
 
 use super::directory::{EntryRecord, follow_directory};
 use super::receivers::Receivers;
-use crate::shared::SharedState;
+use crate::engines::apply_sighting;
+use crate::shared::{SharedState, UrgentMessage};
 
 /// Interval at which received loads are applied. Summing them up costs more than
 /// receiving a message.
@@ -73,8 +74,8 @@
         let mut apply_at = Instant::now();
         loop {
             tokio::select! {
-                received = self.socket.recv_from(&mut buf) => self.receive(received, &buf),
-                changes = shared.outbox.next() => self.pass_on(changes).await,
+                received = self.socket.recv_from(&mut buf) => self.receive(received, &buf).await,
+                message = shared.outbox.next() => self.send_urgent(message).await,
                 () = sleep_until(send_at) => send_at = Instant::now() + self.send().await,
                 () = sleep_until(apply_at), if self.loads_changed => {
                     self.loads_changed = false;
@@ -85,7 +86,7 @@
         }
     }
 
-    fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, buf: &[u8]) {
+    async fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, buf: &[u8]) {
         let (size, from) = match received {
             Ok(received) => received,
             Err(error) => return warn!("peers: receiving a message failed: {}", error),
@@ -95,6 +96,7 @@
             Ok(PeerDatagram::Changes(changes)) => {
                 self.shared.table_sync(changes.table).push_changes(changes);
             }
+            Ok(PeerDatagram::Sighting(sighting)) => self.receive_sighting(sighting).await,
             Err(error) => {
                 self.shared.metrics.count_malformed_message();
                 debug!("peers: malformed message from {}: {}", from, error);
@@ -162,11 +164,42 @@
         self.send_datagram(&PeerDatagram::Status(Box::new(message)), receivers).await;
     }
 
-    /// Passes changes on to the neighbors. Those that are too large for a datagram
-    /// are read from the store by each of them.
-    async fn pass_on(&self, changes: TableChanges) {
+    /// Sends a message without waiting for the next status message.
+    ///
+    /// Changes that are too large for a datagram are read from the store by each of
+    /// the neighbors.
+    async fn send_urgent(&self, message: UrgentMessage) {
         let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
-        self.send_datagram(&PeerDatagram::Changes(changes), &neighbors).await;
+        match message {
+            UrgentMessage::Changes(changes) => {
+                self.send_datagram(&PeerDatagram::Changes(changes), &neighbors).await;
+            }
+            UrgentMessage::Sighting(sighting) => {
+                let remote = self
+                    .receivers
+                    .borrow()
+                    .summary_receivers(&self.shared.peers.borrow(), self.round);
+                let across = Sighting { within_domain: false, ..sighting.clone() };
+                let within = Sighting { within_domain: true, ..sighting };
+                self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
+                self.send_datagram(&PeerDatagram::Sighting(across), &remote).await;
+            }
+        }
+    }
+
+    /// Handles a report on a backend server, and passes one that came from another
+    /// failure domain on to the neighbors.
+    async fn receive_sighting(&self, sighting: Sighting) {
+        let step = self.shared.sightings.borrow_mut().record(&sighting, self.shared.now());
+        if step == SightingStep::Ignore {
+            return;
+        }
+        apply_sighting(&self.shared, &sighting, step);
+        if !sighting.within_domain {
+            let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
+            let within = Sighting { within_domain: true, ..sighting };
+            self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
+        }
     }
 
     async fn send_datagram(&self, datagram: &PeerDatagram, receivers: &[SocketAddr]) {
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -11,7 +11,7 @@
 mod table_sync;
 
 pub(crate) use metrics::DirectMetrics;
-pub(crate) use outbox::ChangeOutbox;
+pub(crate) use outbox::{Outbox, UrgentMessage};
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
 pub(crate) use retry_budgets::{RetryBudgets, RetryPriority};
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -11,7 +11,7 @@
 use clementine_decide::lease::{LeaseLimits, LeaseState};
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
-use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, must_follow};
+use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
@@ -24,7 +24,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{ChangeOutbox, DirectMetrics, RateLimitedStore, RetryBudgets, TableSync};
+use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -50,8 +50,10 @@
     pub(crate) config_sync: TableSync,
     /// Synchronization state of the list of backend servers.
     pub(crate) backend_list_sync: TableSync,
-    /// Changes of store tables to pass on to the neighbors.
-    pub(crate) outbox: ChangeOutbox,
+    /// Messages to send to other entries at once.
+    pub(crate) outbox: Outbox,
+    /// Recent reports on backend servers.
+    pub(crate) sightings: RefCell<Sightings>,
     /// Whether the list of backend servers has been loaded since the start.
     pub(crate) backend_list_loaded: Cell<bool>,
     /// Backend servers whose status report is being requested.
@@ -100,7 +102,8 @@
             )),
             config_sync: TableSync::default(),
             backend_list_sync: TableSync::default(),
-            outbox: ChangeOutbox::default(),
+            outbox: Outbox::default(),
+            sightings: RefCell::default(),
             backend_list_loaded: Cell::new(false),
             report_requests: RefCell::default(),
             connection_probes: RefCell::default(),
