Paths count the wait behind prompts on links between failure domains

A link carries one transfer after another, and each token of a stream that crosses waits behind the prompts of others; the search counted the transfer and the delay only. Change: a hop costs that wait for each token, twice: others wait for it too.

--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -25,6 +25,10 @@
 /// [`MAX_LINK_UTILIZATION`].
 const FALLBACK_LINK_UTILIZATION: f64 = 0.6;
 
+/// Weight of the wait on a link between failure domains: a request waits for
+/// others, and others wait for it as long.
+const SHARED_WAIT_WEIGHT: f64 = 2.0;
+
 /// Transfer time between failure domains above which a request stays within one
 /// domain if any has capacity, in ms. A long transfer delays the tokens of all
 /// other requests on the link.
@@ -246,7 +250,17 @@
         }
         let transfer = transfer_bytes(self.spec, self.demand) / bandwidth / (1.0 - utilization);
         let delay = self.spec.delay_ms(&a.domain, &b.domain).max(INTRA_DOMAIN_DELAY_MS);
-        Some(transfer + output_tokens * delay)
+        let wait = self.link_wait_ms(utilization) * SHARED_WAIT_WEIGHT;
+        Some(transfer + output_tokens * (delay + wait))
+    }
+
+    /// Expected time in ms for which a token waits on a link between failure
+    /// domains, behind the prompts of other requests. A link carries one transfer
+    /// after another.
+    fn link_wait_ms(&self, utilization: f64) -> f64 {
+        let prompt_bytes = f64::from(self.spec.typical_prompt_tokens) * self.spec.activation_bytes;
+        let prompt_ms = prompt_bytes / self.spec.domain_link_bytes_per_ms.max(1.0);
+        prompt_ms * utilization / (2.0 * (1.0 - utilization))
     }
 }
 
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -199,3 +199,21 @@
     let new_path = search(&candidates, &LinkUsage::default(), &[], &path).expect("a path");
     assert_eq!(new_path[0], path[0]);
 }
+
+/// Prompts of other requests keep a link busy for a fifth of the time. Each token
+/// of a request that crosses it waits behind them.
+#[test]
+fn faster_engines_behind_a_busy_link_are_not_used() {
+    let mut candidates =
+        vec![candidate(0, "a", range(0, 40)), candidate(1, "a", range(40, LAYERS))];
+    candidates.push(candidate(2, "b", range(40, LAYERS)));
+    candidates[1].step_ms = 12.0;
+    let spec = spec();
+    let mut links = LinkUsage::default();
+    let path = search(&candidates, &links, &[], &[]).expect("a path");
+    assert_eq!(ids(&path), ["engine-0", "engine-2"], "the link is idle");
+    let link = Link::between(&"a".into(), &"b".into());
+    links.set_remote([(link, 0.2 * spec.domain_link_bytes_per_ms)].into());
+    let path = search(&candidates, &links, &[], &[]).expect("a path");
+    assert_eq!(ids(&path), ["engine-0", "engine-1"]);
+}
