Report a lost engine only on evidence that a fault of one's own network does not explain

Cause (from reading): an entry that is cut off one way takes engines for lost because their reports do not arrive; two such entries would have had all others believe it. And an engine reported as up kept the layers it had before. Change: a missing report is no evidence for others; a reported recovery is checked by the engine's report.

--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
 use clementine_decide::peers::{
     BackendHash, Condition, Sighting, SightingStep, recovery_check_interval,
@@ -58,7 +59,7 @@
             return info!("engines: backend={} is carrying out an order, not down", id);
         }
     }
-    mark_down(&shared, &id, "stalled-run");
+    report_down(&shared, &id, "stalled-run");
 }
 
 /// Checks an engine that failed a request: whether it is down, or is draining.
@@ -91,20 +92,17 @@
 }
 
 /// Marks an engine as down until it sends a report again, and tells the other
-/// entries.
-pub(super) fn mark_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) {
-    if set_down_until_recovery(shared, id, reason) {
+/// entries. The evidence must not be explained by a failure of this entry's own
+/// network.
+pub(super) fn report_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) {
+    if mark_down(shared, id, reason) {
         publish(shared, id, Condition::Down);
     }
 }
 
-/// Marks an engine as down until it sends a report again, or another entry reports
-/// that it is up. Returns whether it was up before.
-pub(super) fn set_down_until_recovery(
-    shared: &Rc<SharedState>,
-    id: &BackendId,
-    reason: &'static str,
-) -> bool {
+/// Marks an engine as down until it sends a report again. Returns whether it was up
+/// before.
+pub(super) fn mark_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) -> bool {
     let changed = shared.set_down(id, reason);
     if changed {
         spawn_local(wait_for_recovery(Rc::clone(shared), id.clone()));
@@ -133,21 +131,31 @@
         let interval = recovery_check_interval(RECOVERY_CHECK_INTERVAL, live).duration();
         let jitter = shared.rng.borrow_mut().random_range(0.5..1.5);
         sleep(interval.mul_f64(jitter)).await;
-        let address = match shared.fleet.borrow().get(&id) {
-            Some(member) if member.is_down() => member.backend.address,
-            _ => return,
-        };
-        if let Ok(report) = fetch_report(&shared, address, REPORT_TIMEOUT).await {
-            record_report(&shared, &id, &report);
-            if shared.set_up(&id) {
-                info!("engines: backend={} gives its report again, layers={:?}", id, report.layers);
-                publish(&shared, &id, Condition::Up);
-            }
+        if !shared.fleet.borrow().get(&id).is_some_and(Member::is_down) {
             return;
         }
+        if check_recovery(&shared, &id).await {
+            publish(&shared, &id, Condition::Up);
+        }
     }
 }
 
+/// Fetches the report of an engine that is marked as down, and marks it as up if
+/// that succeeds. Returns whether it does.
+pub(super) async fn check_recovery(shared: &SharedState, id: &BackendId) -> bool {
+    let address = match shared.fleet.borrow().get(id) {
+        Some(member) if member.is_down() => member.backend.address,
+        _ => return false,
+    };
+    let Ok(report) = fetch_report(shared, address, REPORT_TIMEOUT).await else { return false };
+    record_report(shared, id, &report);
+    let changed = shared.set_up(id);
+    if changed {
+        info!("engines: backend={} gives its report again, layers={:?}", id, report.layers);
+    }
+    changed
+}
+
 pub(super) fn record_report(shared: &SharedState, id: &BackendId, report: &EngineReport) {
     if let Some(member) = shared.fleet.borrow_mut().get_mut(id) {
         member.apply_report(report.layers, report.orders_started);
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::calls::{CALL_TIMEOUT, fetch_report_on};
-use super::diagnose::{mark_down, record_report};
+use super::diagnose::{record_report, report_down};
 use crate::shared::SharedState;
 
 /// Timeout of a connection attempt. Within one region connecting takes a few
@@ -36,7 +36,7 @@
             _ => "no-connection",
         };
         info!("engines: request={} silent backend={} found={}", request, id, reason);
-        mark_down(&shared, &id, reason);
+        report_down(&shared, &id, reason);
     }
 }
 
--- a/crates/direct/src/engines/reported.rs
+++ b/crates/direct/src/engines/reported.rs
@@ -5,10 +5,9 @@
 use clementine_decide::ids::BackendId;
 use clementine_decide::peers::{BackendHash, Condition, Sighting, SightingStep};
 use clementine_http1::ClientConn;
-use spdlog::info;
 use tokio::task::spawn_local;
 
-use super::diagnose::{mark_down, set_down_until_recovery};
+use super::diagnose::{check_recovery, mark_down};
 use super::probe::CONNECT_TIMEOUT;
 use crate::shared::SharedState;
 
@@ -21,12 +20,12 @@
             spawn_local(verify_down(Rc::clone(shared), id));
         }
         (Condition::Down, SightingStep::Accept) => {
-            set_down_until_recovery(shared, &id, "reported");
+            mark_down(shared, &id, "reported");
         }
+        // The engine may have lost its layers, so its report is needed as well.
         (Condition::Up, SightingStep::Verify | SightingStep::Accept) => {
-            if shared.set_up(&id) {
-                info!("engines: backend={} up reported_by={}", id, sighting.observer);
-            }
+            let shared = Rc::clone(shared);
+            spawn_local(async move { check_recovery(&shared, &id).await });
         }
     }
 }
@@ -52,6 +51,8 @@
                 member.record_connection(shared.now());
             }
         }
-        Err(_) => mark_down(&shared, &id, "reported-no-connection"),
+        Err(_) => {
+            mark_down(&shared, &id, "reported-no-connection");
+        }
     }
 }
