--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -8,8 +8,8 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::{
-    BackendLoad, LinkLoad, LoadStatus, PeerDatagram, PeerMessage, PeerReport, PeerUpdate,
-    PlannerAnnouncement, Sighting, SightingStep, send_interval,
+    PeerDatagram, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement, Sighting, SightingStep,
+    send_interval,
 };
 use clementine_objects::Millis;
 use spdlog::{debug, info, warn};
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::directory::{EntryRecord, follow_directory};
+use super::load::{MAX_REPORTED_BACKENDS, local_load};
 use super::receivers::Receivers;
 use crate::engines::apply_sighting;
 use crate::shared::{SharedState, UrgentMessage};
@@ -30,10 +31,6 @@
 const LISTEN_TIME: Millis = Millis(1_000);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
-/// Maximum number of backend servers in one message.
-const MAX_LOADS: usize = 512;
-/// Minimum traffic on a link that is reported, in bytes per ms.
-const MIN_LINK_BYTES_PER_MS: f64 = 1.0;
 
 /// Exchanges messages with the other entries until the process ends.
 pub(crate) async fn exchange_messages(shared: Rc<SharedState>) {
@@ -92,7 +89,7 @@
             Err(error) => return warn!("peers: receiving a message failed: {}", error),
         };
         match rmp_serde::from_slice(&buf[..size]) {
-            Ok(PeerDatagram::Status(message)) => self.apply(*message, from),
+            Ok(PeerDatagram::Status(message)) => self.record_status(*message, from),
             Ok(PeerDatagram::Changes(changes)) => {
                 self.shared.table_sync(changes.table).push_changes(changes);
             }
@@ -104,7 +101,7 @@
         }
     }
 
-    fn apply(&mut self, mut message: PeerMessage, from: SocketAddr) {
+    fn record_status(&mut self, mut message: PeerMessage, from: SocketAddr) {
         let id = message.from.clone();
         let own_id = &self.shared.settings.entry;
         if id == *own_id {
@@ -143,10 +140,11 @@
             self.receivers.borrow().summary_receivers(&self.shared.peers.borrow(), self.round)
         };
         let interval = send_interval(neighbors.len() + remote.len());
-        let load = self.load();
+        let load = local_load(&self.shared);
         let leaving = self.shared.drain.is_draining();
         if !remote.is_empty() {
-            let summary = self.shared.peers.borrow().summarize(&load, leaving, MAX_LOADS);
+            let summary =
+                self.shared.peers.borrow().summarize(&load, leaving, MAX_REPORTED_BACKENDS);
             self.send_report(PeerReport::Domain(summary), interval, &remote).await;
         }
         let feed = self.shared.feed_positions();
@@ -241,27 +239,4 @@
         let holder = self.shared.settings.entry.clone();
         Some(PlannerAnnouncement { holder, lease_version, age: Millis(0) })
     }
-
-    /// Load that this entry causes.
-    fn load(&self) -> LoadStatus {
-        let fleet = self.shared.fleet.borrow();
-        let busy = fleet.iter().filter(|member| member.in_flight > 0);
-        let backends = busy.take(MAX_LOADS).map(|member| BackendLoad {
-            backend: member.id_hash,
-            in_flight: member.in_flight,
-            tokens: member.used_tokens as u32,
-        });
-        LoadStatus { backends: backends.collect(), links: self.links() }
-    }
-
-    fn links(&self) -> Vec<LinkLoad> {
-        let links = self.shared.links.borrow();
-        let used = links.local(self.shared.now());
-        let used = used.filter(|(_, bytes_per_ms)| *bytes_per_ms >= MIN_LINK_BYTES_PER_MS);
-        let loads = used.map(|(link, bytes_per_ms)| {
-            let (a, b) = link.domains();
-            LinkLoad { a: a.clone(), b: b.clone(), bytes_per_ms }
-        });
-        loads.collect()
-    }
 }
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -1,11 +1,13 @@
 //! Messages between the entries about their load on backend servers.
 //!
 //! Messages are UDP datagrams, so that an unresponsive entry does not delay
-//! those to the others. Each message replaces the one before it, so a lost one
-//! needs no retransmission. The addresses of the entries are kept in the store.
+//! those to the others. Each status message replaces the one before it, so a lost
+//! one needs no retransmission; what other datagrams tell is also found out
+//! without them. The addresses of the entries are kept in the store.
 
 mod directory;
 mod exchange;
+mod load;
 mod receivers;
 
 pub(crate) use exchange::exchange_messages;
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -3,6 +3,7 @@
 mod dump;
 mod metrics;
 mod outbox;
+mod queue;
 mod request_context;
 mod reservation;
 mod retry_budgets;
@@ -12,6 +13,7 @@
 
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::{Outbox, UrgentMessage};
+pub(crate) use queue::BoundedQueue;
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
 pub(crate) use retry_budgets::{RetryBudgets, RetryPriority};
--- a/crates/direct/src/shared/table_sync.rs
+++ b/crates/direct/src/shared/table_sync.rs
@@ -1,7 +1,6 @@
 //! Synchronization state of this process's copy of a store table.
 
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::cell::Cell;
 use std::time::Duration;
 
 use clementine_decide::ids::StoreVersion;
@@ -9,6 +8,8 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::BoundedQueue;
+
 /// Synchronization state of this process's copy of a store table.
 ///
 /// Invariant: every change up to version `position` has been received, and there
@@ -23,22 +24,17 @@
     /// Version of the newest change that any other entry has received.
     peer_newest: Cell<StoreVersion>,
     /// Changes that another entry has passed on and that have not been applied.
-    passed_on: RefCell<VecDeque<TableChanges>>,
+    passed_on: BoundedQueue<TableChanges>,
     /// Whether the last call to the store for this table failed.
     unreachable: Cell<bool>,
     repoll_requested: Cell<bool>,
     wakeup: Notify,
-    changes_wakeup: Notify,
 }
 
 /// Grace period for the poll in progress, or for another entry, to deliver a
 /// change that another entry has already received. Covers delivery over the
 /// slowest link.
 const DELIVERY_GRACE: Duration = Duration::from_millis(900);
-/// Maximum number of batches from other entries that wait to be applied. More are
-/// dropped, and the changes are read from the store.
-const MAX_PASSED_ON: usize = 64;
-
 impl TableSync {
     /// Records a snapshot and the version of the newest row in it.
     pub(crate) fn record_snapshot(&self, position: StoreVersion, newest: Option<StoreVersion>) {
@@ -106,22 +102,16 @@
 
     /// Adds changes that another entry has passed on.
     pub(crate) fn push_changes(&self, changes: TableChanges) {
-        let mut passed_on = self.passed_on.borrow_mut();
-        if passed_on.len() < MAX_PASSED_ON {
-            passed_on.push_back(changes);
-            self.changes_wakeup.notify_one();
-        }
+        self.passed_on.push(changes);
     }
 
     /// Waits for changes that another entry has passed on and that follow on what
     /// this process has received. Others are dropped.
     pub(crate) async fn next_changes(&self) -> TableChanges {
         loop {
-            let next = self.passed_on.borrow_mut().pop_front();
-            match next {
-                Some(changes) if self.continues(&changes) => return changes,
-                Some(_) => {}
-                None => self.changes_wakeup.notified().await,
+            let changes = self.passed_on.next().await;
+            if self.continues(&changes) {
+                return changes;
             }
         }
     }
