--- a/crates/direct/tests/store_calls.rs
+++ b/crates/direct/tests/store_calls.rs
@@ -73,3 +73,48 @@
         changes.iter().filter(|row| row.removed).map(|row| row.key.key.as_str()).collect();
     assert_eq!(removed, ["server-007"]);
 }
+
+/// The first two entries of a failure domain follow the store for the third one.
+#[test]
+async fn third_entry_of_a_domain_learns_of_changes_without_calls_to_the_store() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _first = start_entry("a-one", &store).await;
+    let _second = start_entry("b-two", &store).await;
+    let third_address = store.serve_on_another_address().await;
+    let third = start_entry("c-three", &third_address).await;
+    // Polls that began before the entry heard of the others end by themselves.
+    sleep(Duration::from_secs(6)).await;
+    let before = third_address.calls.get();
+    for version in 2..6 {
+        let renamed = config(version, 12).replace("/safe/", &format!("/v{version}/"));
+        store.put("op", "config", &renamed);
+        let path = format!("/v{version}/x");
+        let applied = async {
+            while !has_route(&third, &path).await {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(CONFIG_SPREAD_TIMEOUT, applied).await.expect("the configuration takes effect");
+    }
+    assert_eq!(third_address.calls.get() - before, 0, "calls of the third entry");
+}
+
+#[test]
+async fn entry_follows_the_store_itself_when_its_followers_stop() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let first = start_entry("a-one", &store).await;
+    let second = start_entry("b-two", &store).await;
+    let third = start_entry("c-three", &store).await;
+    sleep(Duration::from_secs(2)).await;
+    first.stop();
+    second.stop();
+    store.put("op", "config", &config(2, 12).replace("/safe/", "/renamed/"));
+    let applied = async {
+        while !has_route(&third, "/renamed/x").await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(CONFIG_SPREAD_TIMEOUT, applied).await.expect("the configuration takes effect");
+}
