An entry takes a newer configuration from a neighbor

Cause (from reading): an entry that started on a restored copy of the store, or while the store turned it away, had an older configuration or none, although its neighbors had a newer one in force. Change: entries offer their configuration to their neighbors; one that lacks it for 1.5 s, or has none, fetches it. Test: an_entry_that_starts_on_an_older_copy_takes_the_newer_configuration_of_a_neighbor.

--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -1,5 +1,7 @@
 //! Messages that entries send to each other.
 
+use std::net::SocketAddr;
+
 use clementine_objects::Millis;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -96,6 +98,15 @@
     pub age: Millis,
 }
 
+/// A configuration that an entry has in force and gives to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigOffer {
+    /// The operator's version of the configuration.
+    pub version: u64,
+    /// Address from which to fetch it by HTTP.
+    pub address: SocketAddr,
+}
+
 /// What a message reports on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerReport {
@@ -106,6 +117,8 @@
         /// Positions in the store's tables, if the sender follows them and the
         /// store has responded recently.
         feed: Option<FeedPositions>,
+        /// The sender's configuration, if it has one.
+        config: Option<ConfigOffer>,
         /// Load that the sender causes.
         load: LoadStatus,
     },
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -14,8 +14,8 @@
 
 pub use feed::{ChangedRow, FeedPosition, FeedPositions, FollowedTable, TableChanges, must_follow};
 pub use message::{
-    BackendHash, BackendLoad, DomainSummary, LinkLoad, LoadStatus, PeerDatagram, PeerMessage,
-    PeerReport, PlannerAnnouncement,
+    BackendHash, BackendLoad, ConfigOffer, DomainSummary, LinkLoad, LoadStatus, PeerDatagram,
+    PeerMessage, PeerReport, PlannerAnnouncement,
 };
 pub use schedule::{send_interval, summary_targets};
 pub use sighting::{Condition, Sighting, SightingStep, Sightings, recovery_check_interval};
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -4,7 +4,10 @@
 
 use clementine_objects::Millis;
 
-use super::{DomainSummary, LoadStatus, LoadTotals, PeerMessage, PeerReport, PlannerAnnouncement};
+use super::{
+    ConfigOffer, DomainSummary, LoadStatus, LoadTotals, PeerMessage, PeerReport,
+    PlannerAnnouncement,
+};
 use crate::ids::{DomainId, EntryId, IncarnationId, StoreVersion, Tick};
 
 /// Minimum time after its last message for which an entry is considered live.
@@ -57,6 +60,7 @@
     received: Received,
     leaving: bool,
     follows_store: bool,
+    config: Option<ConfigOffer>,
     load: LoadStatus,
 }
 
@@ -111,9 +115,9 @@
             self.record_planner(planner, now);
         }
         match message.report {
-            PeerReport::Entry { leaving, feed, load } => {
+            PeerReport::Entry { leaving, feed, config, load } => {
                 let follows_store = feed.is_some();
-                let neighbor = Neighbor { received, leaving, follows_store, load };
+                let neighbor = Neighbor { received, leaving, follows_store, config, load };
                 self.record_neighbor(message.from, neighbor, now)
             }
             PeerReport::Domain(summary) => {
@@ -179,6 +183,14 @@
         live.filter(|peer| peer.follows_store).count()
     }
 
+    /// The neighbor with the newest configuration.
+    pub fn newest_config(&self, now: Tick) -> Option<(EntryId, ConfigOffer)> {
+        let live = self.neighbors.iter().filter(|(_, peer)| now < peer.received.expires_at);
+        let offers = live.filter_map(|(id, peer)| Some((id, peer.config?)));
+        let newest = offers.max_by_key(|(_, offer)| offer.version);
+        newest.map(|(id, offer)| (id.clone(), offer))
+    }
+
     /// Number of known entries, including this one.
     pub fn live_count(&self) -> usize {
         1 + self.neighbors.len() + self.remote_count(|summary| summary.live)
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -42,7 +42,7 @@
         from,
         "a",
         sequence,
-        PeerReport::Entry { leaving: false, feed: None, load: load(tokens) },
+        PeerReport::Entry { leaving: false, feed: None, config: None, load: load(tokens) },
     )
 }
 
@@ -164,7 +164,8 @@
         let mut sent = Vec::new();
         for (id, domain, view) in &self.entries {
             let own = load(1);
-            let entry = PeerReport::Entry { leaving: false, feed: None, load: own.clone() };
+            let entry =
+                PeerReport::Entry { leaving: false, feed: None, config: None, load: own.clone() };
             let summary = PeerReport::Domain(view.summarize(&own, false, 512));
             let rank = view.neighbors().filter(|other| *other < id).count();
             let senders = view.neighbors().count() + 1;
@@ -225,7 +226,8 @@
     let position = FeedPosition { unchanged_since: version(3), position: version(9) };
     let feed = FeedPositions { config: position, backends: position };
     let follows = |from: &str, sequence, feed| {
-        let report = PeerReport::Entry { leaving: false, feed, load: LoadStatus::default() };
+        let report =
+            PeerReport::Entry { leaving: false, feed, config: None, load: LoadStatus::default() };
         message(from, "a", sequence, report)
     };
     let mut view = PeerView::default();
--- a/crates/direct/src/follow/config.rs
+++ b/crates/direct/src/follow/config.rs
@@ -37,7 +37,7 @@
         let configs = rows.iter().filter(|row| row.key.key == CONFIG_KEY && !row.removed);
         let Some(newest) = configs.max_by_key(|row| row.version) else { return };
         match decode_config(&newest.value) {
-            Ok(table) => self.shared.apply_config(table),
+            Ok(table) => self.shared.apply_config(table, newest.value.clone().into()),
             Err(error) => {
                 error!(
                     "config: row version {} is invalid and not applied: {}",
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -8,18 +8,21 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::{
-    PeerDatagram, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement, Sighting, SightingStep,
-    send_interval,
+    ConfigOffer, PeerDatagram, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement, Sighting,
+    SightingStep, send_interval,
 };
 use clementine_objects::Millis;
+use clementine_process::http::bind_reusable;
 use spdlog::{debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
+use super::config_offer::{serve_config, take_newer_configs};
 use super::directory::{EntryRecord, follow_directory};
 use super::load::{MAX_REPORTED_BACKENDS, local_load};
 use super::receivers::Receivers;
+use crate::accept::accept_connections;
 use crate::engines::apply_sighting;
 use crate::shared::{SharedState, UrgentMessage};
 
@@ -43,18 +46,48 @@
         Err(error) => return warn!("peers: cannot bind {}: {}", address, error),
     };
     let address = socket.local_addr().unwrap_or(address);
+    let config_address = offer_config(&shared, address);
     let receivers = Receivers::new(shared.settings.entry.clone(), shared.settings.domain.clone());
     let receivers = Rc::new(RefCell::new(receivers));
     spawn_local(follow_directory(Rc::clone(&shared), address, Rc::clone(&receivers)));
-    let mut exchange =
-        PeerExchange { shared, socket, receivers, sequence: 0, round: 0, loads_changed: false };
+    let mut exchange = PeerExchange {
+        shared,
+        socket,
+        receivers,
+        config_address,
+        sequence: 0,
+        round: 0,
+        loads_changed: false,
+    };
     exchange.run().await;
 }
 
+/// Serves the configuration to the neighbors on the port of the messages, and takes
+/// theirs. Returns the address of the server, or `None` if it cannot be bound.
+fn offer_config(shared: &Rc<SharedState>, address: SocketAddr) -> Option<SocketAddr> {
+    spawn_local(take_newer_configs(Rc::clone(shared)));
+    let bound = bind_reusable(address).and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    });
+    match bound {
+        Ok((listener, address)) => {
+            spawn_local(accept_connections(listener, Rc::clone(shared), "peers", serve_config));
+            Some(address)
+        }
+        Err(error) => {
+            warn!("peers: cannot offer the configuration at {}: {}", address, error);
+            None
+        }
+    }
+}
+
 struct PeerExchange {
     shared: Rc<SharedState>,
     socket: UdpSocket,
     receivers: Rc<RefCell<Receivers>>,
+    /// Address at which the neighbors fetch this entry's configuration.
+    config_address: Option<SocketAddr>,
     /// Sequence number of the last message.
     sequence: u64,
     /// Number of times that messages were sent.
@@ -148,10 +181,17 @@
             self.send_report(PeerReport::Domain(summary), interval, &remote).await;
         }
         let feed = self.shared.feed_positions();
-        self.send_report(PeerReport::Entry { leaving, feed, load }, interval, &neighbors).await;
+        let config = self.config_offer();
+        let report = PeerReport::Entry { leaving, feed, config, load };
+        self.send_report(report, interval, &neighbors).await;
         interval.duration()
     }
 
+    fn config_offer(&self) -> Option<ConfigOffer> {
+        let version = self.shared.routing_table()?.version;
+        Some(ConfigOffer { version, address: self.config_address? })
+    }
+
     async fn send_report(
         &mut self,
         report: PeerReport,
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! one needs no retransmission; what other datagrams tell is also found out
 //! without them. The addresses of the entries are kept in the store.
 
+mod config_offer;
 mod directory;
 mod exchange;
 mod load;
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
+use bytes::Bytes;
 use clementine_decide::fleet::Fleet;
 use clementine_decide::ids::{BackendId, IncarnationId, StoreEra, StoreVersion, Tick};
 use clementine_decide::lease::{LeaseLimits, LeaseState};
@@ -73,6 +74,8 @@
     pub(crate) no_path_logged_at: Cell<Option<Tick>>,
     pub(crate) no_path_lines_suppressed: Cell<u64>,
     routing_table: RefCell<Option<Rc<RoutingTable>>>,
+    /// The document from which `routing_table` was decoded.
+    config_document: RefCell<Option<Bytes>>,
     shutdown_started_at: Cell<Option<Instant>>,
 }
 
@@ -115,6 +118,7 @@
             no_path_logged_at: Cell::default(),
             no_path_lines_suppressed: Cell::default(),
             routing_table: RefCell::default(),
+            config_document: RefCell::default(),
             shutdown_started_at: Cell::new(None),
             bounds: Cell::new(settings.bounds),
             metrics,
@@ -178,7 +182,7 @@
 
     /// Applies a configuration. One that is not newer than the current one is
     /// ignored.
-    pub(crate) fn apply_config(&self, table: RoutingTable) {
+    pub(crate) fn apply_config(&self, table: RoutingTable, document: Bytes) {
         let previous = self.routing_table().map(|current| current.version);
         if previous.is_some_and(|previous| previous >= table.version) {
             return;
@@ -186,6 +190,12 @@
         let (version, routes) = (table.version, table.route_count());
         info!("config: version {} in force, {} routes, was {:?}", version, routes, previous);
         self.routing_table.replace(Some(Rc::new(table)));
+        self.config_document.replace(Some(document));
+    }
+
+    /// The document of the current configuration.
+    pub(crate) fn config_document(&self) -> Option<Bytes> {
+        self.config_document.borrow().clone()
     }
 
     /// Records that the process has been asked to shut down.
--- a/crates/direct/tests/store_restored.rs
+++ b/crates/direct/tests/store_restored.rs
@@ -87,3 +87,23 @@
         sleep(Duration::from_millis(100)).await;
     }
 }
+
+#[test]
+async fn an_entry_that_starts_on_an_older_copy_takes_the_newer_configuration_of_a_neighbor() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _backend = Backend::start("plain-1", "plain", &store).await;
+    let copy = store.copy();
+    store.put("op", "config", &config(2, 12).replace("/safe/", "/renamed/"));
+    let _one = start_entry("one", &store).await;
+    wait_until("the entry is registered", async || store.keys("entries").len() == 1).await;
+    store.restore(copy);
+    wait_until("the entry is registered again", async || store.keys("entries").len() == 1).await;
+    let two = start_entry("two", &store).await;
+    wait_until("the newer configuration takes effect", async || {
+        send_request(two.callers, "POST", "/renamed/x", "x").await.status == 200
+    })
+    .await;
+    let dropped = send_request(two.callers, "POST", "/safe/x", "x").await;
+    assert_eq!(dropped.status, 404, "the older configuration does not come back");
+}
