--- /dev/null
+++ b/crates/direct/tests/messages.rs
@@ -0,0 +1,86 @@
+//! Datagrams that are no messages of another entry, or damaged ones.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::test;
+use clementine_decide::ids::{IncarnationId, StoreVersion};
+use clementine_decide::peers::{LoadStatus, PeerDatagram, PeerMessage, PeerReport};
+use clementine_objects::Millis;
+use common::{Backend, Store, config, send_request, start_entry, wait_until};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+const SEED: u64 = 11;
+const DATAGRAMS: usize = 3_000;
+/// Datagrams after which the entry gets time to read them.
+const BURST: usize = 50;
+
+/// Address at which an entry receives messages, from its row in the store.
+fn message_address(store: &Store, entry: &str) -> Option<SocketAddr> {
+    let row: Value = serde_json::from_slice(&store.value("entries", entry)?).ok()?;
+    row["address"].as_str()?.parse().ok()
+}
+
+fn valid_message() -> Vec<u8> {
+    let load = LoadStatus::default();
+    let message = PeerMessage {
+        from: "other".into(),
+        domain: "a".into(),
+        incarnation: IncarnationId(7),
+        sequence: 1,
+        interval: Millis(150),
+        config_newest: StoreVersion::default(),
+        list_newest: StoreVersion::default(),
+        planner: None,
+        report: PeerReport::Entry { leaving: false, feed: None, config: None, load },
+    };
+    rmp_serde::to_vec(&PeerDatagram::Status(Box::new(message))).expect("message is encoded")
+}
+
+/// Random bytes, a part of a valid message, or one with a few bytes changed.
+fn damaged(rng: &mut SmallRng, valid: &[u8]) -> Vec<u8> {
+    match rng.random_range(0..3) {
+        0 => (0..rng.random_range(0..200)).map(|_| rng.random()).collect(),
+        1 => valid[..rng.random_range(0..valid.len())].to_vec(),
+        _ => {
+            let mut bytes = valid.to_vec();
+            for _ in 0..rng.random_range(1..4) {
+                let at = rng.random_range(0..bytes.len());
+                bytes[at] = rng.random();
+            }
+            bytes
+        }
+    }
+}
+
+#[test]
+async fn damaged_datagrams_do_not_disturb_an_entry() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _backend = Backend::start("plain-1", "plain", &store).await;
+    let entry = start_entry("one", &store).await;
+    wait_until("the entry is registered", async || message_address(&store, "one").is_some()).await;
+    let address = message_address(&store, "one").expect("registered");
+    let socket = UdpSocket::bind(common::loopback_any_port()).await.expect("bind");
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let valid = valid_message();
+    for n in 0..DATAGRAMS {
+        socket.send_to(&damaged(&mut rng, &valid), address).await.expect("sent");
+        if n % BURST == 0 {
+            sleep(Duration::from_millis(5)).await;
+            let response = send_request(entry.callers, "POST", "/safe/x", "x").await;
+            assert_eq!(response.status, 200, "after {n} datagrams");
+        }
+    }
+    store.put("op", "config", &config(2, 12).replace("/safe/", "/renamed/"));
+    wait_until("the next configuration takes effect", async || {
+        send_request(entry.callers, "POST", "/renamed/x", "x").await.status == 200
+    })
+    .await;
+}
