--- a/crates/direct/src/shared/table_sync.rs
+++ b/crates/direct/src/shared/table_sync.rs
@@ -35,6 +35,7 @@
 /// change that another entry has already received. Covers delivery over the
 /// slowest link.
 const DELIVERY_GRACE: Duration = Duration::from_millis(900);
+
 impl TableSync {
     /// Records a snapshot and the version of the newest row in it.
     pub(crate) fn record_snapshot(&self, position: StoreVersion, newest: Option<StoreVersion>) {
--- a/crates/direct/tests/store_restored.rs
+++ b/crates/direct/tests/store_restored.rs
@@ -107,3 +107,30 @@
     let dropped = send_request(two.callers, "POST", "/safe/x", "x").await;
     assert_eq!(dropped.status, 404, "the older configuration does not come back");
 }
+
+#[test]
+async fn two_restores_during_a_configuration_change_and_the_loss_of_the_planner() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _backend = Backend::start("plain-1", "plain", &store).await;
+    let copy = store.copy();
+    let one = start_entry("one", &store).await;
+    wait_until("an entry holds the planner lease", async || planner(&store).is_some()).await;
+    let two = start_entry("two", &store).await;
+    let renamed = config(2, 12).replace("/safe/", "/renamed/");
+    store.put("op", "config", &renamed);
+    store.restore(copy.clone());
+    one.stop();
+    sleep(Duration::from_millis(300)).await;
+    store.restore(copy);
+    // The operator writes the configuration again.
+    store.put("op", "config", &renamed);
+    wait_until("the configuration takes effect", async || {
+        send_request(two.callers, "POST", "/renamed/x", "x").await.status == 200
+    })
+    .await;
+    wait_until("the other entry holds the planner lease", async || {
+        planner(&store).is_some_and(|row| row["holder"]["entry"] == "two")
+    })
+    .await;
+}
