--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -45,7 +45,7 @@
     let shared =
         SharedState::new(settings.clone(), advertised, dialer, drain.clone(), &metrics.meter());
     serve_admin(&settings.process.admin, metrics, Rc::clone(&shared), None)?;
-    shared.probe_backend();
+    shared.probe_started_backend();
     spawn_local(Rc::clone(&shared).evict_periodically());
     info!("agent: listening on {} as {}", address, shared.agent_ref());
     spawn_local(accept(listener, acceptor, shared));
--- a/crates/agent/src/shared/health.rs
+++ b/crates/agent/src/shared/health.rs
@@ -21,15 +21,21 @@
             return;
         }
         warn!("backend: accepts no connections");
-        self.probe_backend();
+        self.probe_backend(LIVENESS_CHECK_TIME);
     }
 
-    /// Spawns a task that probes the backend server and marks it as up once it
-    /// accepts a connection.
-    pub(crate) fn probe_backend(self: &Rc<Self>) {
+    /// Probes the backend server at the start. It has not failed yet, so a
+    /// connection that it accepts is enough.
+    pub(crate) fn probe_started_backend(self: &Rc<Self>) {
+        self.probe_backend(Duration::ZERO);
+    }
+
+    /// Spawns a task that probes the backend server and marks it as up once a
+    /// connection has stayed open for `check_time`.
+    fn probe_backend(self: &Rc<Self>, check_time: Duration) {
         let shared = Rc::clone(self);
         spawn_local(async move {
-            while !shared.settings.backend.stays_connected(LIVENESS_CHECK_TIME).await {
+            while !shared.settings.backend.stays_connected(check_time).await {
                 sleep(PROBE_INTERVAL).await;
             }
             shared.backend_up.set(true);
