--- /dev/null
+++ b/crates/decide/examples/path_search.rs
@@ -0,0 +1,55 @@
+//! Time of one path search at different numbers of engines.
+//!
+//! Usage: `cargo run --release -p clementine-decide --example path_search`
+
+#[path = "../tests/engine_fixtures/mod.rs"]
+mod engine_fixtures;
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use clementine_decide::ids::Tick;
+use clementine_decide::paths::{Demand, LinkUsage, PathCandidate, PathSearch};
+use engine_fixtures::{LAYERS, candidate, range, spec};
+
+const SEARCHES: u32 = 2_000;
+const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
+const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Engines that each hold a range of 8 or 12 layers, as many in each domain.
+fn engines(count: usize) -> Vec<PathCandidate> {
+    let engine = |n: usize| {
+        let size = if n.is_multiple_of(2) { 8 } else { 12 };
+        let from = (n as u32 * 7) % (LAYERS - size + 1);
+        candidate(n, DOMAINS[n % DOMAINS.len()], range(from, from + size))
+    };
+    (0..count).map(engine).collect()
+}
+
+fn median(mut times: Vec<Duration>) -> Duration {
+    times.sort_unstable();
+    times[times.len() / 2]
+}
+
+fn main() {
+    let spec = spec();
+    let links = LinkUsage::default();
+    for count in [40, 130, 1_300] {
+        let candidates = engines(count);
+        let search = PathSearch {
+            spec: &spec,
+            candidates: &candidates,
+            links: &links,
+            demand: DEMAND,
+            allowed_first: &[],
+            current_path: &[],
+            now: Tick(0),
+        };
+        let time = |_| {
+            let started = Instant::now();
+            black_box(search.cheapest_path());
+            started.elapsed()
+        };
+        println!("{count} engines: median {:?}", median((0..SEARCHES).map(time).collect()));
+    }
+}
