--- a/crates/e2e/tests/config.rs
+++ b/crates/e2e/tests/config.rs
@@ -130,3 +130,45 @@
     let response = cluster.client(0).chat("key-advisor", "Which?", 2).await.expect("no response");
     assert_eq!(response.outcome, "ran");
 }
+
+#[actix_rt::test]
+async fn restored_table_service_does_not_revert_the_configuration_in_force() {
+    let cluster = Cluster::start(ClusterSpec::new(2).engines(1, "0ms")).await;
+    cluster.set_platform_faults(&json!({ "table_copy": "save" })).await;
+    cluster.apply(BATCH).await;
+    for entry in 0..2 {
+        eventually("the entry uses the new revision", || async {
+            cluster.revision(entry).await == "2"
+        })
+        .await;
+    }
+    cluster.set_platform_faults(&json!({ "table_copy": "restore" })).await;
+    // Longer than the interval at which entries read the head row.
+    tokio::time::sleep(std::time::Duration::from_secs(6)).await;
+    for entry in 0..2 {
+        assert_eq!(cluster.revision(entry).await, "2", "entry {entry}");
+        let response = cluster.client(entry).chat("key-advisor", "Which?", 2).await;
+        assert_eq!(response.expect("no response").outcome, "ran");
+    }
+}
+
+#[actix_rt::test]
+async fn change_after_a_restore_of_the_table_service_takes_effect() {
+    let cluster = Cluster::start(ClusterSpec::new(2).engines(1, "0ms")).await;
+    cluster.set_platform_faults(&json!({ "table_copy": "save" })).await;
+    cluster.apply(BATCH).await;
+    for entry in 0..2 {
+        eventually("the entry uses the new revision", || async {
+            cluster.revision(entry).await == "2"
+        })
+        .await;
+    }
+    cluster.set_platform_faults(&json!({ "table_copy": "restore" })).await;
+    cluster.apply("{kind: priority, name: later, level: 3}").await;
+    for entry in 0..2 {
+        eventually("the later change is in force", || async {
+            cluster.revision(entry).await == "3"
+        })
+        .await;
+    }
+}
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -33,4 +33,17 @@
     pub(crate) table: Option<ServiceMode>,
     pub(crate) objects: Option<ServiceMode>,
     pub(crate) instances: Option<ServiceMode>,
+    /// Copy of the table to make, or to come back from.
+    #[serde(default)]
+    pub(super) table_copy: Option<CopyRequest>,
+}
+
+/// What to do with the copy of the table.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum CopyRequest {
+    /// Copy the current rows.
+    Save,
+    /// Restore the rows of the copy and raise the era.
+    Restore,
 }
--- a/crates/standin/src/platform/router.rs
+++ b/crates/standin/src/platform/router.rs
@@ -3,11 +3,12 @@
 use std::cell::{Cell, RefCell};
 
 use actix_http::body::BoxBody;
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use clementine_process::http::json_response;
 use serde_json::{Value, json};
 
-use super::faults::{FaultRequest, SLOW_DELAY, ServiceMode};
+use super::faults::{CopyRequest, FaultRequest, SLOW_DELAY, ServiceMode};
 use super::objects::ObjectStore;
 use super::table::Table;
 use crate::web::{error_response, json_body, raw_body};
@@ -16,6 +17,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Platform {
     table: RefCell<Table>,
+    table_copy: RefCell<Table>,
+    /// Number of times that the table was restored from its copy.
+    era: Cell<u64>,
     objects: RefCell<ObjectStore>,
     instances: RefCell<Value>,
     table_mode: Cell<ServiceMode>,
@@ -25,8 +29,15 @@
 }
 
 impl Platform {
-    /// Handles a request.
-    pub(crate) async fn handle(&self, mut req: Request) -> Response<BoxBody> {
+    /// Handles a request. Each response names the era of the table.
+    pub(crate) async fn handle(&self, req: Request) -> Response<BoxBody> {
+        let mut response = self.respond(req).await;
+        let era = HeaderValue::from(self.era.get());
+        response.headers_mut().insert(HeaderName::from_static("store-era"), era);
+        response
+    }
+
+    async fn respond(&self, mut req: Request) -> Response<BoxBody> {
         let path = req.path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::POST, "/") => self.table_call(req).await,
@@ -72,6 +83,16 @@
         self.table_mode.set(request.table.unwrap_or(self.table_mode.get()));
         self.objects_mode.set(request.objects.unwrap_or(self.objects_mode.get()));
         self.instances_mode.set(request.instances.unwrap_or(self.instances_mode.get()));
+        match request.table_copy {
+            Some(CopyRequest::Save) => {
+                self.table_copy.replace(self.table.borrow().clone());
+            }
+            Some(CopyRequest::Restore) => {
+                self.table.replace(self.table_copy.borrow().clone());
+                self.era.set(self.era.get() + 1);
+            }
+            None => {}
+        }
         json_response(StatusCode::OK, &json!({}))
     }
 
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 /// Rows by partition key and sort key.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Table {
     rows: BTreeMap<(String, String), Value>,
 }
