--- a/crates/e2e/tests/config.rs
+++ b/crates/e2e/tests/config.rs
@@ -6,6 +6,16 @@
 
 const BATCH: &str = "{kind: priority, name: batch, level: 8}";
 
+/// Waits until all entries use a revision.
+async fn wait_for_revision(cluster: &Cluster, revision: &str) {
+    for entry in 0..cluster.entries.len() {
+        eventually("the entry uses the new revision", || async {
+            cluster.revision(entry).await == revision
+        })
+        .await;
+    }
+}
+
 #[actix_rt::test]
 async fn change_takes_effect_at_all_instances() {
     let cluster = Cluster::start(ClusterSpec::new(3).engines(2, "0ms")).await;
@@ -136,12 +146,7 @@
     let cluster = Cluster::start(ClusterSpec::new(2).engines(1, "0ms")).await;
     cluster.set_platform_faults(&json!({ "table_copy": "save" })).await;
     cluster.apply(BATCH).await;
-    for entry in 0..2 {
-        eventually("the entry uses the new revision", || async {
-            cluster.revision(entry).await == "2"
-        })
-        .await;
-    }
+    wait_for_revision(&cluster, "2").await;
     cluster.set_platform_faults(&json!({ "table_copy": "restore" })).await;
     // Longer than the interval at which entries read the head row.
     tokio::time::sleep(std::time::Duration::from_secs(6)).await;
@@ -157,18 +162,8 @@
     let cluster = Cluster::start(ClusterSpec::new(2).engines(1, "0ms")).await;
     cluster.set_platform_faults(&json!({ "table_copy": "save" })).await;
     cluster.apply(BATCH).await;
-    for entry in 0..2 {
-        eventually("the entry uses the new revision", || async {
-            cluster.revision(entry).await == "2"
-        })
-        .await;
-    }
+    wait_for_revision(&cluster, "2").await;
     cluster.set_platform_faults(&json!({ "table_copy": "restore" })).await;
     cluster.apply("{kind: priority, name: later, level: 3}").await;
-    for entry in 0..2 {
-        eventually("the later change is in force", || async {
-            cluster.revision(entry).await == "3"
-        })
-        .await;
-    }
+    wait_for_revision(&cluster, "3").await;
 }
