--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -12,6 +12,7 @@
 use clementine_http1::{BufferedRequest, ReadLimits, ServerConn};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -45,6 +46,11 @@
     store: Store,
     pool: &'static str,
     pub behaviour: Rc<Cell<Behaviour>>,
+    /// Body of the requests that crash it when it begins to run them.
+    pub crashes_on: Rc<Cell<Option<&'static str>>>,
+    /// Whether it has crashed: it closes all connections and accepts no others.
+    pub crashed: Rc<Cell<bool>>,
+    crash: Rc<Notify>,
     /// Address of the engine that streams wait for after half of their events.
     pub waiting_on: Rc<Cell<Option<SocketAddr>>>,
     /// Whether its report says that it is executing an order.
@@ -93,6 +99,9 @@
             store: store.clone(),
             pool,
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
+            crashes_on: Rc::default(),
+            crashed: Rc::default(),
+            crash: Rc::default(),
             waiting_on: Rc::default(),
             busy: Rc::default(),
             unresponsive: Rc::default(),
@@ -114,15 +123,34 @@
         backend.write_server_row();
         let server = backend.clone();
         spawn_local(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                let conn =
-                    ServerConn::new(io, &ServerConn::codec_config()).expect("connection setup");
-                spawn_local(server.clone().serve(conn));
+            tokio::select! {
+                () = server.clone().accept(listener) => {}
+                () = server.crash.notified() => {}
             }
         });
         backend
     }
 
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((io, _)) = listener.accept().await {
+            let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("connection setup");
+            let server = self.clone();
+            spawn_local(async move {
+                let crashed = Rc::clone(&server.crash);
+                tokio::select! {
+                    () = server.serve(conn) => {}
+                    () = crashed.notified() => {}
+                }
+            });
+        }
+    }
+
+    /// Closes the listener and all connections.
+    fn crash(&self) {
+        self.crashed.set(true);
+        self.crash.notify_waiters();
+    }
+
     pub fn holds_layers(&self) -> bool {
         let (from, to) = self.layer_range.get();
         from < to
@@ -151,6 +179,10 @@
                     .set(self.received_while_unresponsive.get() || !is_health_check);
                 sleep(Duration::from_mins(1)).await;
             }
+            if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
+                self.record_run(&request);
+                return self.crash();
+            }
             let keep_alive = match request.head.uri.path() {
                 "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
                 "/health" => self.handle_health(&mut conn).await,
--- /dev/null
+++ b/crates/direct/tests/crashing_requests.rs
@@ -0,0 +1,95 @@
+//! Requests that crash the backend servers that run them.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_rt::test;
+use clementine_direct::Running;
+use common::{Backend, Store, config, send_request, start_entry, wait_until};
+use tokio::time::sleep;
+
+const LAYERS: u32 = 12;
+/// Number of backend servers, more than the requests of a test could crash.
+const SERVERS: usize = 12;
+/// Body of the request that crashes servers.
+const CRASHING: &str = "crash";
+/// Number of servers after whose crash a request is not sent again.
+const MAX_CRASHES: usize = 2;
+/// Number of times that the caller sends the request.
+const REPEATS: usize = 8;
+/// Time between two of the caller's requests, longer than entries need to tell
+/// each other of a crash.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
+
+async fn start_servers(store: &Store, pool: &'static str) -> Vec<Backend> {
+    let mut servers = Vec::new();
+    for n in 0..SERVERS {
+        let server = Backend::start(&format!("{pool}-{n}"), pool, store).await;
+        server.crashes_on.set(Some(CRASHING));
+        servers.push(server);
+    }
+    servers
+}
+
+/// Starts two entries and waits until they exchange messages.
+async fn start_entries(store: &Store) -> [Running; 2] {
+    let entries = [start_entry("one", store).await, start_entry("two", store).await];
+    sleep(Duration::from_secs(1)).await;
+    entries
+}
+
+fn crashed(servers: &[Backend]) -> usize {
+    servers.iter().filter(|server| server.crashed.get()).count()
+}
+
+/// Sends the crashing request again and again, to one entry after the other.
+/// Returns the statuses of the responses.
+async fn send_repeatedly(entries: &[Running; 2], path: &str) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for n in 0..REPEATS {
+        let entry = &entries[n % entries.len()];
+        statuses.push(send_request(entry.callers, "POST", path, CRASHING).await.status);
+        sleep(REPEAT_INTERVAL).await;
+    }
+    statuses
+}
+
+#[test]
+async fn repeatable_request_crashes_at_most_two_servers() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let servers = start_servers(&store, "plain").await;
+    let entries = start_entries(&store).await;
+    let statuses = send_repeatedly(&entries, "/safe/x").await;
+    assert_eq!(crashed(&servers), MAX_CRASHES, "{statuses:?}");
+    assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
+    let other = send_request(entries[0].callers, "POST", "/safe/x", "harmless").await;
+    assert_eq!(other.status, 200);
+}
+
+#[test]
+async fn unrepeatable_request_that_the_caller_sends_again_crashes_at_most_two_servers() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let servers = start_servers(&store, "plain").await;
+    let entries = start_entries(&store).await;
+    let statuses = send_repeatedly(&entries, "/once/x").await;
+    assert_eq!(crashed(&servers), MAX_CRASHES, "{statuses:?}");
+    assert_eq!(statuses[..2], [502, 502], "a request that may have run is not reported as refused");
+    assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
+}
+
+#[test]
+async fn stream_crashes_at_most_two_engines() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let engines = start_servers(&store, "model").await;
+    let entries = start_entries(&store).await;
+    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
+    sleep(Duration::from_millis(600)).await;
+    let statuses = send_repeatedly(&entries, "/stream/x").await;
+    assert_eq!(crashed(&engines), MAX_CRASHES, "{statuses:?}");
+    let other = send_request(entries[1].callers, "POST", "/stream/x", "harmless").await;
+    assert!(other.complete, "{other:?}");
+}
