Log and count backend servers that crash while they run a request

A run that is broken off is followed by an attempt to connect: a refused connection says that the server has crashed. The line names the content, which is the same for all copies.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -2,7 +2,7 @@
 
 use clementine_objects::{LayerRange, Millis};
 
-use super::{Backend, BackendState, EngineSpec};
+use super::{Backend, BackendIncarnation, BackendState, EngineSpec};
 use crate::ids::Tick;
 use crate::paths::PathCandidate;
 use crate::peers::BackendHash;
@@ -36,6 +36,8 @@
     pub backend: Backend,
     /// Hash of the server's id, which replaces it in messages between entries.
     pub id_hash: BackendHash,
+    /// Identity of this start of the server.
+    pub incarnation: BackendIncarnation,
     /// Requests of this process that are running on the server.
     pub in_flight: u32,
     /// Context tokens reserved on the server by requests of this process.
@@ -51,6 +53,8 @@
     slowdown: Option<(f64, Tick)>,
     /// Last time that the server accepted a liveness probe.
     connected_at: Option<Tick>,
+    /// Last time that a connection to the server was refused.
+    refused_at: Option<Tick>,
     latency_ms: f64,
     /// Number of consecutive failures.
     failures: u32,
@@ -70,6 +74,7 @@
     pub fn new(backend: Backend, now: Tick) -> Self {
         Self {
             id_hash: BackendHash::from(&backend.id),
+            incarnation: BackendIncarnation::from(&backend),
             backend,
             in_flight: 0,
             used_tokens: 0.0,
@@ -78,6 +83,7 @@
             last_seen: now,
             slowdown: None,
             connected_at: None,
+            refused_at: None,
             latency_ms: INITIAL_LATENCY_MS,
             failures: 0,
             backoff_until: Tick(0),
@@ -192,6 +198,26 @@
         self.connected_at = Some(now);
     }
 
+    /// Whether the server has accepted a liveness probe since a time.
+    pub fn connected_since(&self, since: Tick) -> bool {
+        self.connected_at.is_some_and(|at| at >= since)
+    }
+
+    /// Records that no process listens on the server's address.
+    pub const fn record_refused_connection(&mut self, now: Tick) {
+        self.refused_at = Some(now);
+    }
+
+    /// Whether a connection to the server has been refused since a time.
+    pub fn refused_connection_since(&self, since: Tick) -> bool {
+        self.refused_at.is_some_and(|at| at >= since)
+    }
+
+    /// Whether the server is known to be draining.
+    pub fn is_draining(&self) -> bool {
+        self.leaving || self.backend.state == BackendState::Leaving
+    }
+
     /// Whether the server was active so recently that a stalled run is no
     /// reason to probe it.
     pub fn is_recently_alive(&self, now: Tick) -> bool {
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 
 mod backend;
 mod engine;
+mod incarnation;
 mod member;
 mod members;
 mod probe;
 
 pub use backend::{Backend, BackendState};
 pub use engine::{AcceleratorSpec, EngineSpec};
+pub use incarnation::BackendIncarnation;
 pub use member::Member;
 pub use members::{Fleet, ListUpdate};
 pub use probe::{ProbeResult, unreachable_engines};
--- /dev/null
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -0,0 +1,209 @@
+//! Crashes of backend servers by request, merged over all entries.
+
+use std::collections::BTreeMap;
+
+use clementine_objects::Millis;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use super::{Fingerprint, QuarantineLimits};
+use crate::fleet::BackendIncarnation;
+use crate::ids::Tick;
+
+/// Number of times that a request below the limit is reported to other entries.
+const MIN_REPORTS: u32 = 10;
+
+/// What an entry knows of one request that was running when backend servers
+/// crashed.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    #[serde_as(as = "serde_with::Bytes")]
+    request: [u8; 16],
+    /// Servers that crashed while they ran it.
+    servers: Vec<BackendIncarnation>,
+    /// Whether it has also completed since the first crash.
+    completed: bool,
+    /// Time since the last crash.
+    age: Millis,
+}
+
+impl CrashReport {
+    /// The request that the report is about.
+    pub const fn request(&self) -> Fingerprint {
+        Fingerprint(u128::from_le_bytes(self.request))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Crashes {
+    /// At most [`QuarantineLimits::crashes`] servers, without duplicates.
+    servers: Vec<BackendIncarnation>,
+    completed: bool,
+    last_crash: Tick,
+    /// Number of reports that included this request in its present state.
+    reported: u32,
+}
+
+/// Requests that were running when a backend server crashed, as any entry has
+/// observed it.
+///
+/// Servers are kept instead of a count, so that the observations of several
+/// entries can be merged in any order and more than once.
+///
+/// Invariant: at most `limits.capacity` requests are recorded.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    limits: QuarantineLimits,
+    requests: BTreeMap<Fingerprint, Crashes>,
+}
+
+impl CrashLog {
+    /// Creates an empty log.
+    pub const fn new(limits: QuarantineLimits) -> Self {
+        Self { limits, requests: BTreeMap::new() }
+    }
+
+    /// Records that a server crashed while it ran a request. Returns whether this
+    /// was not known.
+    pub fn record_crash(
+        &mut self,
+        request: Fingerprint,
+        server: BackendIncarnation,
+        now: Tick,
+    ) -> bool {
+        self.add_servers(request, &[server], now, now)
+    }
+
+    /// Records that a request completed. One that has crashed no server is not
+    /// recorded.
+    pub fn record_completion(&mut self, request: Fingerprint) {
+        if let Some(crashes) = self.requests.get_mut(&request)
+            && !crashes.completed
+        {
+            crashes.completed = true;
+            crashes.reported = 0;
+        }
+    }
+
+    /// Merges the report of another entry. Returns whether it has put the request
+    /// in quarantine.
+    pub fn merge(&mut self, report: &CrashReport, now: Tick) -> bool {
+        if report.age >= self.limits.retention {
+            return false;
+        }
+        let request = report.request();
+        let was_quarantined = self.is_quarantined(request, now);
+        let last_crash = Tick(now.0.saturating_sub(report.age.0));
+        self.add_servers(request, &report.servers, last_crash, now);
+        if report.completed {
+            self.record_completion(request);
+        }
+        !was_quarantined && self.is_quarantined(request, now)
+    }
+
+    fn add_servers(
+        &mut self,
+        request: Fingerprint,
+        servers: &[BackendIncarnation],
+        last_crash: Tick,
+        now: Tick,
+    ) -> bool {
+        self.evict(request, now);
+        let capacity = self.limits.crashes as usize;
+        let empty = || Crashes { servers: Vec::new(), completed: false, last_crash, reported: 0 };
+        let crashes = self.requests.entry(request).or_insert_with(empty);
+        let known = crashes.servers.len();
+        for server in servers {
+            if crashes.servers.len() < capacity && !crashes.servers.contains(server) {
+                crashes.servers.push(*server);
+            }
+        }
+        let changed = crashes.servers.len() > known;
+        if changed {
+            crashes.last_crash = crashes.last_crash.max(last_crash);
+            crashes.reported = 0;
+        }
+        changed
+    }
+
+    /// Drops expired requests, and the one with the oldest crash if another one
+    /// does not fit.
+    fn evict(&mut self, request: Fingerprint, now: Tick) {
+        let retention = self.limits.retention;
+        self.requests.retain(|_, crashes| now.since(crashes.last_crash) < retention);
+        if self.requests.len() < self.limits.capacity || self.requests.contains_key(&request) {
+            return;
+        }
+        let oldest = self.requests.iter().min_by_key(|(_, crashes)| crashes.last_crash);
+        if let Some(oldest) = oldest.map(|(request, _)| *request) {
+            self.requests.remove(&oldest);
+        }
+    }
+
+    /// Whether a request is refused. One that has completed since its first crash
+    /// is not the cause of the crashes.
+    pub fn is_quarantined(&self, request: Fingerprint, now: Tick) -> bool {
+        self.current(request, now).is_some_and(|crashes| self.is_at_limit(crashes))
+    }
+
+    /// Number of servers that are known to have crashed while they ran a request,
+    /// up to the limit.
+    pub fn crashes(&self, request: Fingerprint, now: Tick) -> usize {
+        self.current(request, now).map_or(0, |crashes| crashes.servers.len())
+    }
+
+    /// Number of requests in quarantine.
+    pub fn quarantined_count(&self) -> usize {
+        self.requests.values().filter(|crashes| self.is_at_limit(crashes)).count()
+    }
+
+    /// What to report to other entries in the next message: at most `max`
+    /// requests, those first that were reported least often. Requests in
+    /// quarantine are reported for as long as they are recorded, so that an entry
+    /// that has just started learns of them.
+    pub fn next_reports(&mut self, max: usize, now: Tick) -> Vec<CrashReport> {
+        let limit = self.limits.crashes as usize;
+        let retention = self.limits.retention;
+        let mut due: Vec<(&Fingerprint, &mut Crashes)> = self
+            .requests
+            .iter_mut()
+            .filter(|(_, crashes)| {
+                let persistent = crashes.servers.len() >= limit;
+                now.since(crashes.last_crash) < retention
+                    && (persistent || crashes.reported < MIN_REPORTS)
+            })
+            .collect();
+        due.sort_by_key(|(_, crashes)| crashes.reported);
+        due.truncate(max);
+        let reports = due.into_iter().map(|(request, crashes)| {
+            crashes.reported = crashes.reported.saturating_add(1);
+            report(*request, crashes, now)
+        });
+        reports.collect()
+    }
+
+    /// What is known of one request.
+    pub fn report_on(&self, request: Fingerprint, now: Tick) -> Option<CrashReport> {
+        Some(report(request, self.current(request, now)?, now))
+    }
+
+    fn current(&self, request: Fingerprint, now: Tick) -> Option<&Crashes> {
+        let crashes = self.requests.get(&request)?;
+        (now.since(crashes.last_crash) < self.limits.retention).then_some(crashes)
+    }
+
+    fn is_at_limit(&self, crashes: &Crashes) -> bool {
+        crashes.servers.len() >= self.limits.crashes as usize && !crashes.completed
+    }
+}
+
+fn report(request: Fingerprint, crashes: &Crashes, now: Tick) -> CrashReport {
+    CrashReport {
+        request: request.0.to_le_bytes(),
+        servers: crashes.servers.clone(),
+        completed: crashes.completed,
+        age: now.since(crashes.last_crash),
+    }
+}
--- a/crates/decide/src/quarantine/fingerprint.rs
+++ b/crates/decide/src/quarantine/fingerprint.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use clementine_objects::WorkspaceName;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -13,9 +12,9 @@
 
 impl Fingerprint {
     /// Computes the fingerprint of a request.
-    pub fn of_request(workspace: &WorkspaceName, path: &str, body: &[u8]) -> Self {
+    pub fn of_request(workspace: &str, path: &str, body: &[u8]) -> Self {
         let mut hasher = Xxh3::new();
-        hasher.update(workspace.as_str().as_bytes());
+        hasher.update(workspace.as_bytes());
         hasher.update(&[0]);
         hasher.update(path.as_bytes());
         hasher.update(&[0]);
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -1,9 +1,11 @@
 //! Quarantine of requests that crash backend servers.
 
 mod crash_counts;
+mod crash_log;
 mod fingerprint;
 mod suspect_gate;
 
 pub use crash_counts::{Quarantine, QuarantineLimits};
+pub use crash_log::{CrashLog, CrashReport};
 pub use fingerprint::Fingerprint;
 pub use suspect_gate::SuspectGate;
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -12,10 +12,12 @@
 use clementine_objects::Millis;
 use clementine_platform::requests::relayed_response;
 use spdlog::info;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use super::attempt::{AttemptOutcome, BufferedResponse, send_request};
 use crate::callers::{RequestError, send_error};
+use crate::crashes::LostRun;
 use crate::shared::{RequestContext, Reservation, RetryPriority, SharedState};
 
 /// `Retry-After` of the error if no backend server accepted the request.
@@ -200,6 +202,7 @@
             AttemptOutcome::ResponseLost(reason) => {
                 self.executed += 1;
                 self.shared.record_failure(id, reason, request_id);
+                spawn_local(LostRun::new(self.shared, self.ctx, id).check(Rc::clone(self.shared)));
             }
             AttemptOutcome::TimedOut => {
                 self.executed += 1;
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
+use clementine_decide::quarantine::Fingerprint;
 use clementine_decide::routing::{RequestKind, RoutingTable, WorkspaceRule};
 use clementine_http1::{BufferedRequest, ServerConn};
 use clementine_objects::Millis;
@@ -57,12 +58,19 @@
     let rule = table.route(&req.host, path).ok_or(RequestError::new(ErrorKind::NotFound))?;
     let rule = Rc::clone(rule);
     let workspace = if rule.public { None } else { authenticate(&table, &req)? };
+    let fingerprint = fingerprint(&req, workspace.as_deref());
     let pool = rule.pool_for(xxh3_64(req.id.as_bytes()));
     let pool = pool.ok_or(RequestError::new(ErrorKind::NoBackend))?.clone();
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = arrived + Millis::duration(timeout);
     shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
-    Ok(RequestContext { req, rule, workspace, pool, arrived, deadline })
+    Ok(RequestContext { req, rule, workspace, pool, fingerprint, arrived, deadline })
+}
+
+/// Fingerprint of a request. A public route has no workspace.
+fn fingerprint(req: &CallerRequest, workspace: Option<&WorkspaceRule>) -> Fingerprint {
+    let workspace = workspace.map_or("", |workspace| workspace.id.as_str());
+    Fingerprint::of_request(workspace, req.head.uri.path(), &req.body)
 }
 
 /// Returns the workspace of the request's API key, or `None` if the
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -60,7 +60,12 @@
             record_connection(shared, &id, conn, address);
             ProbeResult::Connected
         }
-        Err(ConnectError::Refused { .. }) => ProbeResult::Refused,
+        Err(ConnectError::Refused { .. }) => {
+            if let Some(member) = shared.fleet.borrow_mut().get_mut(&id) {
+                member.record_refused_connection(shared.now());
+            }
+            ProbeResult::Refused
+        }
         Err(ConnectError::TimedOut) => ProbeResult::TimedOut,
     };
     Some((id, result))
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 mod accept;
 mod buffered;
 mod callers;
+mod crashes;
 mod engines;
 mod follow;
 mod peers;
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -18,6 +18,7 @@
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
+    crashes: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
@@ -44,6 +45,10 @@
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
+            crashes: counter(
+                "direct_crashes",
+                "Backend servers that crashed while they ran a request",
+            ),
             store_calls: counter("direct_store_calls", "Calls to the store, by purpose"),
             store_failures: counter(
                 "direct_store_failures",
@@ -89,6 +94,11 @@
         self.backends_down.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a backend server that crashed while it ran a request.
+    pub(crate) fn count_crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     /// Counter of calls to the store.
     pub(crate) fn store_calls(&self) -> Counter<u64> {
         self.store_calls.clone()
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -22,6 +22,7 @@
 use super::watchdog::{Problem, wait_for_problem};
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
+use crate::crashes::LostRun;
 use crate::engines::check_backend;
 use crate::shared::{RequestContext, RetryPriority, SharedState};
 
@@ -284,6 +285,8 @@
             AttemptOutcome::Interrupted(reason) => {
                 self.stats.executed += 1;
                 self.record_backend_failure(&route.first, reason);
+                let lost = LostRun::new(self.shared, self.ctx, &route.first);
+                spawn_local(lost.check(Rc::clone(self.shared)));
                 NextStep::Retry(reason, None)
             }
         }
--- a/crates/entry/src/operation/pool_agents.rs
+++ b/crates/entry/src/operation/pool_agents.rs
@@ -92,7 +92,7 @@
 
     fn fingerprint(&self) -> Fingerprint {
         let caller = self.caller;
-        Fingerprint::of_request(&caller.workspace.name, &caller.path, &caller.body)
+        Fingerprint::of_request(caller.workspace.name.as_str(), &caller.path, &caller.body)
     }
 
     /// Reports that the backend server failed while it executed the operation.
--- a/crates/entry/src/retryable/run.rs
+++ b/crates/entry/src/retryable/run.rs
@@ -81,7 +81,7 @@
         streamed: Option<Endpoint>,
     ) -> Self {
         let fingerprint =
-            Fingerprint::of_request(&caller.workspace.name, &caller.path, &caller.body);
+            Fingerprint::of_request(caller.workspace.name.as_str(), &caller.path, &caller.body);
         entry.retry_budget.borrow_mut().record_request();
         Self {
             chain_cleanup: ChainCleanup::new(Rc::clone(&entry)),
