A request that has crashed two servers is refused by all entries

Callers saw engines go down one after the other: an entry without agents had no memory of requests under which servers ended, so that each copy of one (a retry of the entry, or the caller's next request) was forwarded to the next server.

Each entry keeps the servers that crashed under a request and merges what the others know (CrashLog). 103 entries learn of a request within a second while 500 others are reported (crates/decide/tests/crash_log.rs).

--- a/crates/decide/src/outcome/error_kind.rs
+++ b/crates/decide/src/outcome/error_kind.rs
@@ -41,6 +41,9 @@
     ShuttingDown,
     /// The request is rejected because it has crashed backend servers before.
     Quarantined,
+    /// Backend servers have crashed repeatedly while they ran the request, which
+    /// is refused for some time.
+    SuspectedCrash,
     /// The request crashed backend servers and is not retried.
     CrashedBackends,
     /// The backend server failed while executing the request.
@@ -83,7 +86,7 @@
 
 impl ErrorKind {
     /// All kinds.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::InvalidRequest,
         Self::InvalidToken,
         Self::NotPermitted,
@@ -99,6 +102,7 @@
         Self::DeadlineBeforeRun,
         Self::ShuttingDown,
         Self::Quarantined,
+        Self::SuspectedCrash,
         Self::CrashedBackends,
         Self::BackendFailed,
         Self::BackendLost,
@@ -126,6 +130,7 @@
             Self::DeadlineBeforeRun => response(504, "timeout_error", NotRun, RETRY_AFTER_1S),
             Self::ShuttingDown => response(503, "unavailable_error", NotRun, RETRY_AFTER_1S),
             Self::Quarantined => response(422, "quarantine_error", NotRun, None),
+            Self::SuspectedCrash => response(503, "quarantine_error", NotRun, RETRY_AFTER_5S),
             Self::CrashedBackends => response(422, "quarantine_error", Unknown, None),
             Self::BackendFailed => response(502, "backend_error", Ran, None),
             Self::BackendLost => response(502, "backend_error", Unknown, None),
@@ -153,6 +158,7 @@
             Self::DeadlineBeforeRun => "deadline_before_run",
             Self::ShuttingDown => "shutting_down",
             Self::Quarantined => "quarantined",
+            Self::SuspectedCrash => "suspected_crash",
             Self::CrashedBackends => "crashed_backends",
             Self::BackendFailed => "backend_failed",
             Self::BackendLost => "backend_lost",
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -8,6 +8,7 @@
 
 use super::{FeedPositions, Sighting, TableChanges};
 use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
+use crate::quarantine::CrashReport;
 
 /// Hash of a backend server's id, used in messages to save space.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     Changes(TableChanges),
     /// Condition of a backend server.
     Sighting(Sighting),
+    /// A request that has been put in quarantine.
+    Quarantined(CrashReport),
 }
 
 /// Periodic status message of an entry.
@@ -82,6 +85,8 @@
     pub list_newest: StoreVersion,
     /// The holder of the planner's lease, as the sender knows it.
     pub planner: Option<PlannerAnnouncement>,
+    /// Requests that were running when backend servers crashed.
+    pub crashes: Vec<CrashReport>,
     /// What the message reports on.
     pub report: PeerReport,
 }
--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -148,10 +148,18 @@
         self.current(request, now).is_some_and(|crashes| self.is_at_limit(crashes))
     }
 
-    /// Number of servers that are known to have crashed while they ran a request,
-    /// up to the limit.
-    pub fn crashes(&self, request: Fingerprint, now: Tick) -> usize {
-        self.current(request, now).map_or(0, |crashes| crashes.servers.len())
+    /// Whether one more crash would put a request in quarantine.
+    pub fn is_near_quarantine(&self, request: Fingerprint, now: Tick) -> bool {
+        let known = self.current(request, now);
+        let completed = known.is_some_and(|crashes| crashes.completed);
+        let crashes = known.map_or(0, |crashes| crashes.servers.len());
+        !completed && crashes + 1 >= self.limits.crashes as usize
+    }
+
+    /// Time for which a request is still refused, if it is.
+    pub fn refused_for(&self, request: Fingerprint, now: Tick) -> Option<Millis> {
+        let crashes = self.current(request, now).filter(|crashes| self.is_at_limit(crashes))?;
+        Some(crashes.last_crash.after(self.limits.retention).since(now))
     }
 
     /// Number of requests in quarantine.
--- /dev/null
+++ b/crates/decide/tests/crash_log.rs
@@ -0,0 +1,161 @@
+//! Crashes of backend servers by request, as entries tell them to each other.
+
+use clementine_decide::fleet::BackendIncarnation;
+use clementine_decide::ids::Tick;
+use clementine_decide::peers::{send_interval, summary_targets};
+use clementine_decide::quarantine::{CrashLog, Fingerprint, QuarantineLimits};
+use clementine_objects::Millis;
+use quickcheck::quickcheck;
+
+const LIMITS: QuarantineLimits =
+    QuarantineLimits { crashes: 2, retention: Millis(600_000), capacity: 4_096 };
+const REQUEST: Fingerprint = Fingerprint(7);
+/// Maximum number of reports in one message.
+const REPORTS_PER_MESSAGE: usize = 8;
+
+fn server(n: u64) -> BackendIncarnation {
+    BackendIncarnation(n)
+}
+
+fn log_with(crashes: &[(u128, u64)]) -> CrashLog {
+    let mut log = CrashLog::new(LIMITS);
+    for (request, crashed) in crashes {
+        log.record_crash(Fingerprint(*request), server(*crashed), Tick(0));
+    }
+    log
+}
+
+#[test]
+fn two_copies_on_one_server_count_as_one_crash() {
+    let mut log = CrashLog::new(LIMITS);
+    assert!(log.record_crash(REQUEST, server(1), Tick(0)));
+    assert!(!log.record_crash(REQUEST, server(1), Tick(5)));
+    assert!(!log.is_quarantined(REQUEST, Tick(5)) && log.is_near_quarantine(REQUEST, Tick(5)));
+    assert!(log.record_crash(REQUEST, server(2), Tick(10)));
+    assert!(log.is_quarantined(REQUEST, Tick(10)));
+}
+
+#[test]
+fn crashes_that_two_entries_saw_add_up() {
+    let [mut a, mut b] = [log_with(&[(7, 1)]), log_with(&[(7, 2)])];
+    let reports = a.next_reports(REPORTS_PER_MESSAGE, Tick(20));
+    assert!(b.merge(&reports[0], Tick(20)), "the second crash puts the request in quarantine");
+    assert!(!b.merge(&reports[0], Tick(20)), "a repeated report changes nothing");
+    assert!(b.is_quarantined(REQUEST, Tick(20)) && !a.is_quarantined(REQUEST, Tick(20)));
+}
+
+#[test]
+fn completed_request_is_not_quarantined() {
+    let [mut a, mut b] = [log_with(&[(7, 1)]), log_with(&[(7, 1), (7, 2)])];
+    a.record_completion(REQUEST);
+    b.merge(&a.next_reports(REPORTS_PER_MESSAGE, Tick(0))[0], Tick(0));
+    assert!(!b.is_quarantined(REQUEST, Tick(0)));
+    a.record_completion(Fingerprint(8));
+    assert_eq!(a.next_reports(REPORTS_PER_MESSAGE, Tick(0)).len(), 1, "unsuspected requests");
+}
+
+#[test]
+fn quarantine_ends_although_entries_keep_telling_each_other() {
+    let mut logs = [log_with(&[(7, 1), (7, 2)]), CrashLog::new(LIMITS)];
+    for now in (0..=LIMITS.retention.0 + 1_000).step_by(100).map(Tick) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for report in logs[from].next_reports(REPORTS_PER_MESSAGE, now) {
+                logs[to].merge(&report, now.after(Millis(20)));
+            }
+        }
+    }
+    let end = LIMITS.retention.0 + 1_000;
+    assert!(logs.iter().all(|log| !log.is_quarantined(REQUEST, Tick(end))));
+}
+
+#[test]
+fn log_is_bounded_and_drops_the_oldest_request() {
+    let mut log = CrashLog::new(QuarantineLimits { capacity: 2, ..LIMITS });
+    for n in 0..3 {
+        for crashed in [1, 2] {
+            log.record_crash(Fingerprint(n), server(crashed), Tick(n as u64));
+        }
+    }
+    assert_eq!(log.quarantined_count(), 2);
+    assert!(!log.is_quarantined(Fingerprint(0), Tick(3)));
+}
+
+/// Sends the messages of one round: each entry to all entries of its domain, and to
+/// some of each other domain.
+fn exchange(domains: &mut [Vec<CrashLog>], round: u64, now: Tick) {
+    let count = domains.len();
+    for from in 0..count {
+        for rank in 0..domains[from].len() {
+            let reports = domains[from][rank].next_reports(REPORTS_PER_MESSAGE, now);
+            let senders = domains[from].len();
+            for (to, domain) in domains.iter_mut().enumerate() {
+                let receivers: Vec<usize> = if to == from {
+                    (0..senders).collect()
+                } else {
+                    summary_targets(rank, senders, domain.len(), round).collect()
+                };
+                for receiver in receivers {
+                    for report in &reports {
+                        domain[receiver].merge(report, now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A request is in quarantine everywhere within one second, also while many others
+/// lost their server at the same time.
+#[test]
+fn all_of_103_entries_learn_of_a_crashing_request_within_a_second() {
+    const BYSTANDERS: u128 = 500;
+    let sizes = [21, 21, 21, 20, 20];
+    let mut domains: Vec<Vec<CrashLog>> =
+        sizes.iter().map(|size| (0..*size).map(|_| CrashLog::new(LIMITS)).collect()).collect();
+    for n in 0..BYSTANDERS {
+        let domain = (n % 5) as usize;
+        let entry = (n / 5) as usize % sizes[domain];
+        domains[domain][entry].record_crash(Fingerprint(100 + n), server(1), Tick(0));
+    }
+    domains[0][0].record_crash(REQUEST, server(1), Tick(0));
+    domains[4][19].record_crash(REQUEST, server(2), Tick(0));
+    let interval = send_interval(20 + 4);
+    let mut now = Tick(0);
+    let mut round = 0;
+    while now < Tick(1_000) {
+        exchange(&mut domains, round, now);
+        now = now.after(interval);
+        round += 1;
+    }
+    let knowing = domains.iter().flatten().filter(|log| log.is_quarantined(REQUEST, now)).count();
+    assert_eq!(knowing, 103, "after {round} rounds");
+}
+
+quickcheck! {
+    fn order_and_repetition_of_reports_do_not_matter(
+        crashes: Vec<(u8, u8, u8)>, order: Vec<(u8, u8)>
+    ) -> bool {
+        // Each crash is seen by one of three entries.
+        let mut logs = [0, 1, 2].map(|_| CrashLog::new(LIMITS));
+        let mut all = CrashLog::new(LIMITS);
+        for (entry, request, crashed) in crashes {
+            let request = Fingerprint((request % 4).into());
+            logs[usize::from(entry % 3)].record_crash(request, server(crashed.into()), Tick(0));
+            all.record_crash(request, server(crashed.into()), Tick(0));
+        }
+        let pairs = order.into_iter().map(|(from, to)| (usize::from(from % 3), usize::from(to % 3)));
+        let full_round = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
+        for (from, to) in pairs.chain(full_round).chain(full_round) {
+            let reports: Vec<_> = (0..4)
+                .filter_map(|request| logs[from].report_on(Fingerprint(request), Tick(0)))
+                .collect();
+            for report in reports {
+                logs[to].merge(&report, Tick(0));
+            }
+        }
+        let quarantined = |log: &CrashLog| {
+            (0..4).map(|n| log.is_quarantined(Fingerprint(n), Tick(0))).collect::<Vec<_>>()
+        };
+        logs.iter().all(|log| quarantined(log) == quarantined(&all))
+    }
+}
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -33,6 +33,7 @@
         config_newest: version(0),
         list_newest: version(0),
         planner: None,
+        crashes: Vec::new(),
         report,
     }
 }
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -12,12 +12,11 @@
 use clementine_objects::Millis;
 use clementine_platform::requests::relayed_response;
 use spdlog::info;
-use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use super::attempt::{AttemptOutcome, BufferedResponse, send_request};
 use crate::callers::{RequestError, send_error};
-use crate::crashes::LostRun;
+use crate::crashes::{LostRun, is_quarantined, quarantine_error};
 use crate::shared::{RequestContext, Reservation, RetryPriority, SharedState};
 
 /// `Retry-After` of the error if no backend server accepted the request.
@@ -185,6 +184,10 @@
                 self.executed += 1;
                 self.record_response(id, started);
                 let failed = buffered.response.head.status.is_server_error();
+                if !failed {
+                    let mut crash_log = self.shared.crash_log.borrow_mut();
+                    crash_log.record_completion(self.ctx.fingerprint);
+                }
                 if failed && self.ctx.rule.kind.is_repeatable() {
                     self.last_error = Some(buffered);
                     return None;
@@ -202,7 +205,7 @@
             AttemptOutcome::ResponseLost(reason) => {
                 self.executed += 1;
                 self.shared.record_failure(id, reason, request_id);
-                spawn_local(LostRun::new(self.shared, self.ctx, id).check(Rc::clone(self.shared)));
+                LostRun::new(self.shared, self.ctx, id).record(self.shared).await;
             }
             AttemptOutcome::TimedOut => {
                 self.executed += 1;
@@ -236,7 +239,7 @@
         let may_repeat = self.executed == 0 || rule.kind.is_repeatable();
         let allowed =
             self.executed < rule.max_attempts && self.not_executed <= MAX_UNEXECUTED_ATTEMPTS;
-        if !may_repeat || !allowed {
+        if !may_repeat || !allowed || is_quarantined(self.shared, self.ctx.fingerprint) {
             return false;
         }
         self.shared.retry_budgets.borrow_mut().try_retry(
@@ -253,6 +256,9 @@
             return FinalResponse::Relayed(buffered);
         }
         if self.executed == 0 {
+            if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
+                return FinalResponse::Error(error);
+            }
             return FinalResponse::Error(RequestError::with_retry_after(
                 ErrorKind::Overloaded,
                 OVERLOADED_RETRY_AFTER,
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{RequestError, send_error};
+use crate::crashes::quarantine_error;
 use crate::shared::{RequestContext, SharedState};
 use crate::{buffered, streams};
 
@@ -59,6 +60,9 @@
     let rule = Rc::clone(rule);
     let workspace = if rule.public { None } else { authenticate(&table, &req)? };
     let fingerprint = fingerprint(&req, workspace.as_deref());
+    if let Some(error) = quarantine_error(shared, fingerprint) {
+        return Err(error);
+    }
     let pool = rule.pool_for(xxh3_64(req.id.as_bytes()));
     let pool = pool.ok_or(RequestError::new(ErrorKind::NoBackend))?.clone();
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
--- a/crates/direct/src/crashes/lost_run.rs
+++ b/crates/direct/src/crashes/lost_run.rs
@@ -6,8 +6,10 @@
 use clementine_decide::quarantine::Fingerprint;
 use compact_str::CompactString;
 use spdlog::info;
+use tokio::task::spawn_local;
 
 use super::evidence::has_crashed;
+use super::quarantine::{announce, is_quarantined};
 use crate::shared::{RequestContext, SharedState};
 
 /// A run that its backend server broke off.
@@ -30,15 +32,34 @@
         }
     }
 
-    /// Finds out whether the server has crashed.
-    pub(crate) async fn check(self, shared: Rc<SharedState>) {
+    /// Records the crash of the server if it has crashed. Waits for the check only
+    /// if the outcome decides whether the request may be sent again.
+    pub(crate) async fn record(self, shared: &Rc<SharedState>) {
+        let decisive = shared.crash_log.borrow().is_near_quarantine(self.content, self.lost_at);
+        let check = self.check(Rc::clone(shared));
+        if decisive {
+            check.await;
+        } else {
+            spawn_local(check);
+        }
+    }
+
+    async fn check(self, shared: Rc<SharedState>) {
         if !has_crashed(&shared, &self.backend, self.lost_at).await {
             return;
         }
+        let incarnation = shared.fleet.borrow().get(&self.backend).map(|member| member.incarnation);
+        let Some(incarnation) = incarnation else { return };
+        let was_quarantined = is_quarantined(&shared, self.content);
+        let now = shared.now();
+        let is_new = shared.crash_log.borrow_mut().record_crash(self.content, incarnation, now);
         shared.metrics.count_crash();
         info!(
             "crashes: request={} content={} backend={} crashed",
             self.request, self.content, self.backend
         );
+        if is_new && !was_quarantined && is_quarantined(&shared, self.content) {
+            announce(&shared, self.content, "observed");
+        }
     }
 }
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -1,6 +1,11 @@
 //! Requests that crash the backend servers that run them.
+//!
+//! An entry that sees two servers crash under a request refuses further copies of
+//! it and tells the other entries.
 
 mod evidence;
 mod lost_run;
+mod quarantine;
 
 pub(crate) use lost_run::LostRun;
+pub(crate) use quarantine::{is_quarantined, merge_crashes, quarantine_error};
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -11,6 +11,7 @@
     ConfigOffer, PeerDatagram, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement, Sighting,
     SightingStep, send_interval,
 };
+use clementine_decide::quarantine::CrashReport;
 use clementine_objects::Millis;
 use clementine_process::http::bind_reusable;
 use spdlog::{debug, info, warn};
@@ -23,6 +24,7 @@
 use super::load::{MAX_REPORTED_BACKENDS, local_load};
 use super::receivers::Receivers;
 use crate::accept::accept_connections;
+use crate::crashes::merge_crashes;
 use crate::engines::apply_sighting;
 use crate::shared::{SharedState, UrgentMessage};
 
@@ -34,6 +36,8 @@
 const LISTEN_TIME: Millis = Millis(1_000);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+/// Maximum number of requests that crash servers in one message.
+const MAX_CRASH_REPORTS: usize = 8;
 
 /// Exchanges messages with the other entries until the process ends.
 pub(crate) async fn exchange_messages(shared: Rc<SharedState>) {
@@ -127,6 +131,7 @@
                 self.shared.table_sync(changes.table).push_changes(changes);
             }
             Ok(PeerDatagram::Sighting(sighting)) => self.receive_sighting(sighting).await,
+            Ok(PeerDatagram::Quarantined(report)) => merge_crashes(&self.shared, &[report]),
             Err(error) => {
                 self.shared.metrics.count_malformed_message();
                 debug!("peers: malformed message from {}: {}", from, error);
@@ -150,6 +155,7 @@
         }
         self.shared.config_sync.record_peer_version(message.config_newest);
         self.shared.backend_list_sync.record_peer_version(message.list_newest);
+        merge_crashes(&self.shared, &message.crashes);
         let now = self.shared.now();
         let update = self.shared.peers.borrow_mut().record(message, now);
         if update == PeerUpdate::Joined {
@@ -175,15 +181,17 @@
         let interval = send_interval(neighbors.len() + remote.len());
         let load = local_load(&self.shared);
         let leaving = self.shared.drain.is_draining();
+        let crashes = self.shared.crash_log.borrow_mut().next_reports(MAX_CRASH_REPORTS, now);
         if !remote.is_empty() {
             let summary =
                 self.shared.peers.borrow().summarize(&load, leaving, MAX_REPORTED_BACKENDS);
-            self.send_report(PeerReport::Domain(summary), interval, &remote).await;
+            let report = PeerReport::Domain(summary);
+            self.send_report(report, interval, crashes.clone(), &remote).await;
         }
         let feed = self.shared.feed_positions();
         let config = self.config_offer();
         let report = PeerReport::Entry { leaving, feed, config, load };
-        self.send_report(report, interval, &neighbors).await;
+        self.send_report(report, interval, crashes, &neighbors).await;
         interval.duration()
     }
 
@@ -196,9 +204,10 @@
         &mut self,
         report: PeerReport,
         interval: Millis,
+        crashes: Vec<CrashReport>,
         receivers: &[SocketAddr],
     ) {
-        let message = self.message(report, interval);
+        let message = self.message(report, interval, crashes);
         self.send_datagram(&PeerDatagram::Status(Box::new(message)), receivers).await;
     }
 
@@ -222,6 +231,14 @@
                 self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
                 self.send_datagram(&PeerDatagram::Sighting(across), &remote).await;
             }
+            UrgentMessage::Quarantined(report) => {
+                let remote = self
+                    .receivers
+                    .borrow()
+                    .summary_receivers(&self.shared.peers.borrow(), self.round);
+                let datagram = PeerDatagram::Quarantined(report);
+                self.send_datagram(&datagram, &[neighbors, remote].concat()).await;
+            }
         }
     }
 
@@ -255,7 +272,12 @@
         }
     }
 
-    fn message(&mut self, report: PeerReport, interval: Millis) -> PeerMessage {
+    fn message(
+        &mut self,
+        report: PeerReport,
+        interval: Millis,
+        crashes: Vec<CrashReport>,
+    ) -> PeerMessage {
         self.sequence += 1;
         PeerMessage {
             from: self.shared.settings.entry.clone(),
@@ -266,6 +288,7 @@
             config_newest: self.shared.config_sync.newest_version_anywhere(),
             list_newest: self.shared.backend_list_sync.newest_version_anywhere(),
             planner: self.planner(),
+            crashes,
             report,
         }
     }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -19,6 +19,7 @@
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
     crashes: Counter<u64>,
+    quarantined: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
@@ -49,6 +50,10 @@
                 "direct_crashes",
                 "Backend servers that crashed while they ran a request",
             ),
+            quarantined: counter(
+                "direct_requests_quarantined",
+                "Requests that are refused because backend servers crashed under them",
+            ),
             store_calls: counter("direct_store_calls", "Calls to the store, by purpose"),
             store_failures: counter(
                 "direct_store_failures",
@@ -99,6 +104,11 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts a request that has been put in quarantine.
+    pub(crate) fn count_quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     /// Counter of calls to the store.
     pub(crate) fn store_calls(&self) -> Counter<u64> {
         self.store_calls.clone()
--- a/crates/direct/src/shared/outbox.rs
+++ b/crates/direct/src/shared/outbox.rs
@@ -1,6 +1,7 @@
 //! Messages that wait to be sent to other entries at once.
 
 use clementine_decide::peers::{Sighting, TableChanges};
+use clementine_decide::quarantine::CrashReport;
 
 use super::BoundedQueue;
 
@@ -11,6 +12,8 @@
     Changes(TableChanges),
     /// Condition of a backend server, for all entries.
     Sighting(Sighting),
+    /// A request that has been put in quarantine, for all entries.
+    Quarantined(CrashReport),
 }
 
 /// Messages that wait to be sent.
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -13,6 +13,7 @@
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
 use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
+use clementine_decide::quarantine::CrashLog;
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
@@ -55,6 +56,8 @@
     pub(crate) outbox: Outbox,
     /// Recent reports on backend servers.
     pub(crate) sightings: RefCell<Sightings>,
+    /// Requests that were running when backend servers crashed.
+    pub(crate) crash_log: RefCell<CrashLog>,
     /// Whether the list of backend servers has been loaded since the start.
     pub(crate) backend_list_loaded: Cell<bool>,
     /// Backend servers whose status report is being requested.
@@ -107,6 +110,7 @@
             backend_list_sync: TableSync::default(),
             outbox: Outbox::default(),
             sightings: RefCell::default(),
+            crash_log: RefCell::default(),
             backend_list_loaded: Cell::new(false),
             report_requests: RefCell::default(),
             connection_probes: RefCell::default(),
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -22,7 +22,7 @@
 use super::watchdog::{Problem, wait_for_problem};
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
-use crate::crashes::LostRun;
+use crate::crashes::{LostRun, is_quarantined, quarantine_error};
 use crate::engines::check_backend;
 use crate::shared::{RequestContext, RetryPriority, SharedState};
 
@@ -81,6 +81,21 @@
     Finish(StreamOutcome),
 }
 
+/// What becomes of an attempt that has a problem.
+enum Recovery {
+    /// It goes on, possibly by another path.
+    Continue,
+    /// An attempt with this route takes its place.
+    Replace(StreamRoute),
+    /// It is ended, and no other attempt is made.
+    GiveUp,
+}
+
+/// Whether two routes differ in the backend servers that they use.
+fn differs(a: &StreamRoute, b: &StreamRoute) -> bool {
+    a.first != b.first || a.path != b.path
+}
+
 /// Makes attempts at a stream until it is complete or has to be given up.
 pub(super) struct Supervisor<'a> {
     shared: &'a Rc<SharedState>,
@@ -165,8 +180,10 @@
         reason: &'static str,
     ) -> Option<StreamOutcome> {
         let silence = self.progress.last_activity().elapsed();
-        let can_resume =
-            self.progress.headers_sent() && silence < MAX_RESUMABLE_SILENCE && self.is_resumable();
+        let can_resume = self.progress.headers_sent()
+            && silence < MAX_RESUMABLE_SILENCE
+            && self.is_resumable()
+            && !self.is_quarantined();
         if !can_resume || self.ctx.time_left().is_zero() {
             return Some(self.give_up(reason));
         }
@@ -200,54 +217,73 @@
                     recovery = self.recover(&route, &progress, &problem) => recovery,
                 };
                 match recovery {
-                    Some(next) => break Err((problem, next)),
-                    None => not_before = Instant::now() + RECOVERY_INTERVAL,
+                    Recovery::Continue => not_before = Instant::now() + RECOVERY_INTERVAL,
+                    ended => break Err((problem, ended)),
                 }
             }
         };
         self.progress = progress;
+        let route = route.into_inner();
         let next = match result {
-            Ok(outcome) => self.next_step(&route.borrow(), outcome),
-            Err((problem, next)) => {
-                self.record_executed_on(&route.borrow().first);
+            Ok(outcome) => self.next_step(&route, outcome).await,
+            Err((problem, recovery)) => {
+                self.record_executed_on(&route.first);
                 self.stats.lost_to_down_backend +=
                     u32::from(matches!(problem, Problem::BackendDown(_)));
                 self.stats.executed += 1;
-                NextStep::Retry(problem.reason(), Some(next))
+                match recovery {
+                    Recovery::Replace(next) => NextStep::Retry(problem.reason(), Some(next)),
+                    Recovery::Continue | Recovery::GiveUp => {
+                        NextStep::Finish(self.give_up("quarantined"))
+                    }
+                }
             }
         };
-        self.log_retry(&route.borrow(), &next);
+        self.log_retry(&route, &next);
         Ok(next)
     }
 
     /// Recovers an attempt from a problem. Moves the run to another path if
     /// possible; otherwise returns the route for another attempt, which replaces
-    /// the current one. Returns `None` if the current attempt continues. That
-    /// includes a silent one without an alternative, because silence alone is no
-    /// reason to end it.
+    /// the current one. A silent attempt without an alternative continues, because
+    /// silence alone is no reason to end it.
     async fn recover(
         &mut self,
         route: &RefCell<StreamRoute>,
         progress: &Progress,
         problem: &Problem,
-    ) -> Option<StreamRoute> {
+    ) -> Recovery {
         if let Problem::BackendDown(down) = problem {
+            // A run that made progress is not what brought the server down.
+            if !progress.attempt_has_events() {
+                LostRun::new(self.shared, self.ctx, down).record(self.shared).await;
+            }
+            if self.is_quarantined() {
+                return Recovery::GiveUp;
+            }
             if repath(self.shared, self.ctx, route, progress, down).await {
                 self.stats.repaths += 1;
                 self.shared.metrics.count_repath();
-                return None;
+                return Recovery::Continue;
             }
             self.avoid.push(down.clone());
         } else {
             self.avoid.extend(route.borrow().backends().cloned());
         }
         if !self.is_retry_allowed() {
-            return None;
+            return Recovery::Continue;
         }
         self.record_executed_on(&route.borrow().first);
-        let next = self.choose_route_for(progress)?;
-        let differs = next.first != route.borrow().first || next.path != route.borrow().path;
-        (differs && self.take_from_budget(progress)).then_some(next)
+        match self.choose_route_for(progress) {
+            Some(next) if differs(&next, &route.borrow()) && self.take_from_budget(progress) => {
+                Recovery::Replace(next)
+            }
+            _ => Recovery::Continue,
+        }
+    }
+
+    fn is_quarantined(&self) -> bool {
+        is_quarantined(self.shared, self.ctx.fingerprint)
     }
 
     fn record_executed_on(&mut self, id: &BackendId) {
@@ -256,13 +292,14 @@
         }
     }
 
-    fn next_step(&mut self, route: &StreamRoute, outcome: AttemptOutcome) -> NextStep {
+    async fn next_step(&mut self, route: &StreamRoute, outcome: AttemptOutcome) -> NextStep {
         if !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotExecuted(_)) {
             self.record_executed_on(&route.first);
         }
         match outcome {
             AttemptOutcome::Complete => {
                 self.stats.executed += 1;
+                self.shared.crash_log.borrow_mut().record_completion(self.ctx.fingerprint);
                 NextStep::Finish(StreamOutcome::Complete)
             }
             AttemptOutcome::CallerLeft => NextStep::Finish(StreamOutcome::CallerLeft),
@@ -285,8 +322,7 @@
             AttemptOutcome::Interrupted(reason) => {
                 self.stats.executed += 1;
                 self.record_backend_failure(&route.first, reason);
-                let lost = LostRun::new(self.shared, self.ctx, &route.first);
-                spawn_local(lost.check(Rc::clone(self.shared)));
+                LostRun::new(self.shared, self.ctx, &route.first).record(self.shared).await;
                 NextStep::Retry(reason, None)
             }
         }
@@ -347,6 +383,7 @@
         };
         let may_repeat = self.stats.executed == 0 || self.is_resumable();
         may_repeat
+            && !self.is_quarantined()
             && self.stats.executed < max_executed
             && self.stats.not_executed <= max_unexecuted
     }
@@ -380,6 +417,9 @@
             return StreamOutcome::ErrorResponse(error);
         }
         if self.stats.executed == 0 {
+            if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
+                return StreamOutcome::Refused(error);
+            }
             return StreamOutcome::Refused(RequestError::with_retry_after(
                 ErrorKind::Overloaded,
                 self.retry_after(),
