--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{Store, loopback_any_port};
 
@@ -46,6 +46,10 @@
     store: Store,
     pool: &'static str,
     pub behaviour: Rc<Cell<Behaviour>>,
+    /// Headers that it adds to all responses.
+    pub extra_headers: Rc<RefCell<Vec<(&'static str, &'static str)>>>,
+    /// When it received requests of callers and health checks.
+    pub arrivals: Rc<RefCell<Vec<Instant>>>,
     /// Body of the requests that crash it when it begins to run them.
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
     /// Whether it has crashed: it closes all connections and accepts no others.
@@ -99,6 +103,8 @@
             store: store.clone(),
             pool,
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
+            extra_headers: Rc::default(),
+            arrivals: Rc::default(),
             crashes_on: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
@@ -179,6 +185,9 @@
                     .set(self.received_while_unresponsive.get() || !is_health_check);
                 sleep(Duration::from_mins(1)).await;
             }
+            if !request.head.uri.path().starts_with("/-/") {
+                self.arrivals.borrow_mut().push(Instant::now());
+            }
             if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
                 self.record_run(&request);
                 return self.crash();
@@ -203,6 +212,7 @@
         let mut res = Response::with_body(StatusCode::from_u16(status).expect("valid status"), ());
         let id = HeaderValue::from_str(&self.id).expect("valid header value");
         res.headers_mut().insert(HeaderName::from_static("instance-id"), id);
+        self.add_extra_headers(&mut res);
         conn.send(res, &Bytes::new()).await.is_ok()
     }
 
@@ -249,8 +259,15 @@
         conn.send(Response::with_body(status, ()), &body).await.is_ok()
     }
 
+    fn add_extra_headers(&self, res: &mut Response<()>) {
+        for (name, value) in self.extra_headers.borrow().iter() {
+            res.headers_mut()
+                .insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+    }
+
     /// Response head with the server's signature and the request ID.
-    fn signed_response(status: u16, request: &BufferedRequest) -> Response<()> {
+    fn signed_response(&self, status: u16, request: &BufferedRequest) -> Response<()> {
         let mut res = Response::with_body(StatusCode::from_u16(status).expect("valid status"), ());
         let signature = HeaderValue::from_static("seal");
         res.headers_mut().insert(HeaderName::from_static("server-seal"), signature);
@@ -258,6 +275,7 @@
         if let Some(id) = request.head.headers().get(&name) {
             res.headers_mut().insert(name, id.clone());
         }
+        self.add_extra_headers(&mut res);
         res
     }
 
@@ -277,21 +295,21 @@
     async fn handle_buffered(&self, conn: &mut ServerConn, request: &BufferedRequest) -> bool {
         let body = Bytes::from(format!("response from {}", self.id));
         match self.behaviour.get() {
-            Behaviour::Refuse => Self::refuse(conn).await,
+            Behaviour::Refuse => self.refuse(conn).await,
             Behaviour::Serve => {
                 self.record_run(request);
-                conn.send(Self::signed_response(200, request), &body).await.is_ok()
+                conn.send(self.signed_response(200, request), &body).await.is_ok()
             }
             Behaviour::ServeCloseDelimited => {
                 self.record_run(request);
                 let sent =
-                    conn.send_close_delimited(Self::signed_response(200, request), &body).await;
+                    conn.send_close_delimited(self.signed_response(200, request), &body).await;
                 assert!(sent.is_ok());
                 false
             }
             Behaviour::Fail => {
                 self.record_run(request);
-                conn.send(Self::signed_response(500, request), &body).await.is_ok()
+                conn.send(self.signed_response(500, request), &body).await.is_ok()
             }
             Behaviour::RunAndClose => {
                 self.record_run(request);
@@ -301,24 +319,25 @@
     }
 
     /// Responds that the request did not run.
-    async fn refuse(conn: &mut ServerConn) -> bool {
+    async fn refuse(&self, conn: &mut ServerConn) -> bool {
         let mut res = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, ());
         let yes = HeaderValue::from_static("1");
         res.headers_mut().insert(HeaderName::from_static("not-executed"), yes);
+        self.add_extra_headers(&mut res);
         conn.send(res, &Bytes::new()).await.is_ok()
     }
 
     async fn handle_stream(&self, conn: &mut ServerConn, request: &BufferedRequest) -> bool {
         if self.refuses_streams.get() || self.draining.get() {
             self.refused_streams.set(self.refused_streams.get() + 1);
-            return Self::refuse(conn).await;
+            return self.refuse(conn).await;
         }
         self.record_run(request);
         let id = request.head.headers().get("request-id").and_then(|id| id.to_str().ok());
         self.last_stream_id.replace(id.unwrap_or_default().into());
         let last = request.head.headers().get("last-event-id");
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-        conn.start_stream(Self::signed_response(200, request)).expect("stream starts");
+        conn.start_stream(self.signed_response(200, request)).expect("stream starts");
         for id in last + 1..=STREAM_EVENTS {
             if self.disconnect_after.get().is_some_and(|events| id > last + events) {
                 return false;
