Entries together keep the limit that a backend server names

Each entry now works out its share of the limit alone, by rendezvous hashing of slices, and counts requests of callers, repeats and health checks against it.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -6,6 +6,7 @@
 use crate::ids::Tick;
 use crate::paths::PathCandidate;
 use crate::peers::BackendHash;
+use crate::signals::ServerSignals;
 
 /// Backoff after the first failure, doubled after each consecutive failure.
 const INITIAL_BACKOFF: Millis = Millis(250);
@@ -38,6 +39,8 @@
     pub id_hash: BackendHash,
     /// Identity of this start of the server.
     pub incarnation: BackendIncarnation,
+    /// What the server says about the requests that it accepts.
+    pub signals: ServerSignals,
     /// Requests of this process that are running on the server.
     pub in_flight: u32,
     /// Context tokens reserved on the server by requests of this process.
@@ -76,6 +79,7 @@
             id_hash: BackendHash::from(&backend.id),
             incarnation: BackendIncarnation::from(&backend),
             backend,
+            signals: ServerSignals::default(),
             in_flight: 0,
             used_tokens: 0.0,
             remote_in_flight: 0,
@@ -231,7 +235,10 @@
     }
 
     /// Number of further requests that may be sent to the server.
-    fn free_slots(&self) -> u32 {
+    fn free_slots(&self, now: Tick) -> u32 {
+        if !self.signals.may_send(now) {
+            return 0;
+        }
         let limit = (f64::from(self.backend.slots) * MAX_SLOT_UTILIZATION) as u32;
         limit.saturating_sub(self.in_flight + self.remote_in_flight)
     }
@@ -256,7 +263,7 @@
             prefill_ms_per_token: accelerator.prefill_factor * prefill_ms,
             capacity_tokens: spec.context_capacity(accelerator, layers.count()),
             used_tokens: self.used_tokens + self.remote_tokens,
-            free_slots: self.free_slots(),
+            free_slots: self.free_slots(now),
         })
     }
 }
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -5,10 +5,11 @@
 use clementine_objects::Millis;
 use rand::{Rng, RngExt};
 
-use super::{Backend, BackendState, EngineSpec, Member};
+use super::{Backend, BackendIncarnation, BackendState, EngineSpec, Member};
 use crate::ids::{BackendId, PoolId, Tick};
 use crate::paths::PathCandidate;
 use crate::peers::{BackendHash, BackendLoad};
+use crate::signals::{LimitSharing, ResponseSignals, ResponseSource, ServerSignals, SignalReport};
 
 /// All backend servers known to this process.
 #[derive(Debug, Default)]
@@ -17,12 +18,18 @@
     /// Backend servers that were removed from the list while alive, with the time
     /// of removal.
     removed: BTreeMap<BackendId, Tick>,
+    /// Signals of servers that are not listed now, with the time of removal. A
+    /// server can be listed again, for example after an outage of the store.
+    unlisted_signals: BTreeMap<BackendIncarnation, (ServerSignals, Tick)>,
 }
 
 /// Time for which a backend server that was removed from the list is assumed to
 /// be still running its requests. Longer than any caller waits.
 const REMOVED_RETENTION: Millis = Millis(60_000);
 
+/// Time for which the signals of a server that is not listed are kept.
+const UNLISTED_SIGNALS_RETENTION: Millis = Millis(600_000);
+
 /// Effect of a row of the backend server list on the known state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListUpdate {
@@ -47,7 +54,14 @@
                 ListUpdate::Changed
             }
             _ => {
-                self.members.insert(backend.id.clone(), Member::new(backend, now));
+                let mut member = Member::new(backend, now);
+                if let Some((signals, _)) = self.unlisted_signals.remove(&member.incarnation) {
+                    member.signals = signals;
+                }
+                let replaced = self.members.insert(member.backend.id.clone(), member);
+                if let Some(replaced) = replaced {
+                    self.keep_signals(replaced, now);
+                }
                 ListUpdate::Started
             }
         }
@@ -81,9 +95,61 @@
         if !member.is_down() {
             self.removed.insert(id.clone(), now);
         }
+        self.keep_signals(member, now);
         true
     }
 
+    fn keep_signals(&mut self, member: Member, now: Tick) {
+        let retention = UNLISTED_SIGNALS_RETENTION;
+        self.unlisted_signals.retain(|_, (_, since)| now.since(*since) < retention);
+        if !member.signals.is_empty() {
+            self.unlisted_signals.insert(member.incarnation, (member.signals, now));
+        }
+    }
+
+    /// Applies the signals in a response of a server. Returns whether they differ
+    /// from what was known.
+    pub fn apply_signals(
+        &mut self,
+        id: &BackendId,
+        signals: ResponseSignals,
+        source: ResponseSource,
+        now: Tick,
+    ) -> bool {
+        let member = self.members.get_mut(id);
+        member.is_some_and(|member| member.signals.apply(signals, source, now))
+    }
+
+    /// Merges the report of another entry on a server's signals. Returns the server
+    /// if the report differs from what was known.
+    pub fn merge_signals(&mut self, report: &SignalReport, now: Tick) -> Option<&Member> {
+        let mut members = self.members.values_mut();
+        let member = members.find(|member| member.incarnation == report.server)?;
+        member.signals.merge(report, now).then_some(member)
+    }
+
+    /// Reports on the servers' signals for the next message to other entries: at
+    /// most `max`, those first that were reported least often.
+    pub fn next_signal_reports(&mut self, max: usize, now: Tick) -> Vec<SignalReport> {
+        let members = self.members.values_mut();
+        let mut due: Vec<(u32, &mut Member)> =
+            members.filter_map(|member| Some((member.signals.reported()?, member))).collect();
+        due.sort_by_key(|(reported, _)| *reported);
+        due.truncate(max);
+        due.into_iter()
+            .map(|(_, member)| member.signals.next_report(member.incarnation, now))
+            .collect()
+    }
+
+    /// Sets this entry's share of each limit that a server names.
+    pub fn set_limit_shares(&mut self, sharing: &LimitSharing<'_>, now: Tick) {
+        for member in self.members.values_mut() {
+            if let Some(limit) = member.signals.limit() {
+                member.signals.set_share(sharing.share(member.incarnation, limit), now);
+            }
+        }
+    }
+
     /// Whether a backend server may still be running requests that were sent to
     /// it. A server can finish its requests after its removal from the list; one
     /// that was found down and then removed has terminated.
@@ -160,8 +226,9 @@
         avoid: &'a [BackendId],
         rng: &mut impl Rng,
     ) -> Option<&'a Member> {
-        let ranked =
-            self.candidates(pool, now, avoid).map(|member| (member, expected_ms(member, rng)));
+        let candidates =
+            self.candidates(pool, now, avoid).filter(|member| member.signals.may_send(now));
+        let ranked = candidates.map(|member| (member, expected_ms(member, rng)));
         let compare = |a: &(&Member, f64), b: &(&Member, f64)| {
             let failures = a.0.has_recent_failure().cmp(&b.0.has_recent_failure());
             failures.then(a.1.total_cmp(&b.1))
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod signals;
 pub mod stage;
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -9,6 +9,7 @@
 use super::{FeedPositions, Sighting, TableChanges};
 use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
 use crate::quarantine::CrashReport;
+use crate::signals::SignalReport;
 
 /// Hash of a backend server's id, used in messages to save space.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -87,6 +88,8 @@
     pub planner: Option<PlannerAnnouncement>,
     /// Requests that were running when backend servers crashed.
     pub crashes: Vec<CrashReport>,
+    /// What backend servers say about the requests that they accept.
+    pub signals: Vec<SignalReport>,
     /// What the message reports on.
     pub report: PeerReport,
 }
--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -9,6 +9,7 @@
     PlannerAnnouncement,
 };
 use crate::ids::{DomainId, EntryId, IncarnationId, StoreVersion, Tick};
+use crate::signals::LimitSharing;
 
 /// Minimum time after its last message for which an entry is considered live.
 const MIN_LIVENESS_TIMEOUT: Millis = Millis(1_500);
@@ -202,6 +203,22 @@
         1 + serving + self.remote_count(|summary| summary.serving)
     }
 
+    /// The entries that share the limits of backend servers, as seen by `entry`.
+    pub fn limit_sharing<'a>(
+        &'a self,
+        entry: &'a EntryId,
+        domain: &'a DomainId,
+    ) -> LimitSharing<'a> {
+        let serving = self.neighbors.iter().filter(|(_, peer)| !peer.leaving);
+        let domains = self.domains.iter().map(|(id, domain)| (id, domain.summary.serving));
+        LimitSharing {
+            entry,
+            domain,
+            neighbors: serving.map(|(id, _)| id).collect(),
+            domains: domains.collect(),
+        }
+    }
+
     fn remote_count(&self, count: impl Fn(&DomainSummary) -> u32) -> usize {
         self.domains.values().map(|domain| count(&domain.summary) as usize).sum()
     }
--- /dev/null
+++ b/crates/decide/src/signals/server.rs
@@ -0,0 +1,127 @@
+//! Signals of one backend server, from its responses and from other entries.
+
+use super::{LimitReport, LimitShare, RequestRate, ResponseSignals, Signal, SignalReport};
+use crate::circuit::TokenBucket;
+use crate::fleet::BackendIncarnation;
+use crate::ids::Tick;
+
+/// Number of times that the end of a limit is reported to other entries.
+const MIN_REPORTS: u32 = 10;
+
+/// The kind of request that a response belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseSource {
+    /// A request of a caller. Its response names the limit, if there is one.
+    Caller,
+    /// A request of this entry itself, such as a health check, whose response may
+    /// leave out the limit.
+    Entry,
+}
+
+/// The limit that a server names.
+#[derive(Debug, Clone)]
+struct NamedLimit {
+    /// `None` if the server no longer names a limit.
+    rate: Option<RequestRate>,
+    observed_at: Tick,
+    /// Requests that this entry may send.
+    allowance: TokenBucket,
+    /// Number of reports that included the current rate.
+    reported: u32,
+}
+
+impl NamedLimit {
+    const fn new(rate: Option<RequestRate>, observed_at: Tick) -> Self {
+        Self { rate, observed_at, allowance: TokenBucket::new(0.0, 0.0), reported: 0 }
+    }
+
+    const fn is_due(&self) -> bool {
+        self.rate.is_some() || self.reported < MIN_REPORTS
+    }
+}
+
+/// Signals of one backend server, from its responses and from other entries.
+#[derive(Debug, Clone, Default)]
+pub struct ServerSignals {
+    limit: Option<NamedLimit>,
+}
+
+impl ServerSignals {
+    /// Whether the server has never sent a signal.
+    pub const fn is_empty(&self) -> bool {
+        self.limit.is_none()
+    }
+
+    /// Applies the signals of a response. Returns whether they differ from what was
+    /// known.
+    pub fn apply(&mut self, signals: ResponseSignals, source: ResponseSource, now: Tick) -> bool {
+        match (signals.limit, source) {
+            (Signal::Present(rate), _) => self.set_limit(Some(rate), now),
+            (Signal::Absent, ResponseSource::Caller) if self.limit.is_some() => {
+                self.set_limit(None, now)
+            }
+            _ => false,
+        }
+    }
+
+    /// Merges the report of another entry: what was observed last counts. Returns
+    /// whether it differs from what was known.
+    pub fn merge(&mut self, report: &SignalReport, now: Tick) -> bool {
+        let Some(limit) = report.limit else { return false };
+        let observed_at = Tick(now.0.saturating_sub(limit.age.0));
+        let is_newer = self.limit.as_ref().is_none_or(|known| observed_at > known.observed_at);
+        is_newer && self.set_limit(limit.rate, observed_at)
+    }
+
+    fn set_limit(&mut self, rate: Option<RequestRate>, observed_at: Tick) -> bool {
+        let known = self.limit.get_or_insert_with(|| NamedLimit::new(None, observed_at));
+        known.observed_at = observed_at;
+        let changed = known.rate != rate;
+        if changed {
+            known.rate = rate;
+            known.reported = 0;
+        }
+        changed
+    }
+
+    /// The limit that the server names for all entries together.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.as_ref()?.rate
+    }
+
+    /// Sets this entry's share of the limit.
+    pub fn set_share(&mut self, share: LimitShare, now: Tick) {
+        if let Some(limit) = &mut self.limit {
+            limit.allowance.set_rate(share.rate.per_second(), share.burst, now);
+        }
+    }
+
+    /// Whether the limit allows this entry another request.
+    pub fn may_send(&self, now: Tick) -> bool {
+        let limited = self.limit.as_ref().filter(|limit| limit.rate.is_some());
+        limited.is_none_or(|limit| limit.allowance.has_token(now))
+    }
+
+    /// Records that this entry sends a request to the server.
+    pub fn record_send(&mut self, now: Tick) {
+        if let Some(limit) = self.limit.as_mut().filter(|limit| limit.rate.is_some()) {
+            limit.allowance.take(now);
+        }
+    }
+
+    /// Number of reports that included these signals, or `None` if there is nothing
+    /// to report.
+    pub fn reported(&self) -> Option<u32> {
+        let limit = self.limit.as_ref().filter(|limit| limit.is_due())?;
+        Some(limit.reported)
+    }
+
+    /// The signals for the next message to other entries.
+    pub fn next_report(&mut self, server: BackendIncarnation, now: Tick) -> SignalReport {
+        let limit = self.limit.as_mut().map(|limit| {
+            limit.reported = limit.reported.saturating_add(1);
+            LimitReport { rate: limit.rate, age: now.since(limit.observed_at) }
+        });
+        SignalReport { server, limit }
+    }
+}
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -34,6 +34,7 @@
         list_newest: version(0),
         planner: None,
         crashes: Vec::new(),
+        signals: Vec::new(),
         report,
     }
 }
--- a/crates/direct/src/buffered/attempt.rs
+++ b/crates/direct/src/buffered/attempt.rs
@@ -57,10 +57,16 @@
     if conn.queue(head, ctx.req.body.clone()).is_err() {
         return AttemptOutcome::NotSent;
     }
-    timeout_at(deadline, read_response(&mut conn, ctx)).await.unwrap_or(AttemptOutcome::TimedOut)
+    let response = read_response(&mut conn, shared, ctx, backend);
+    timeout_at(deadline, response).await.unwrap_or(AttemptOutcome::TimedOut)
 }
 
-async fn read_response(conn: &mut ClientConn, ctx: &RequestContext) -> AttemptOutcome {
+async fn read_response(
+    conn: &mut ClientConn,
+    shared: &SharedState,
+    ctx: &RequestContext,
+    backend: &BackendId,
+) -> AttemptOutcome {
     let response = match conn.read_head().await {
         Ok(head) => BackendResponse::new(head),
         Err(_) => return AttemptOutcome::ResponseLost("no-answer"),
@@ -68,6 +74,7 @@
     if !response.matches_request(&ctx.req.id) {
         return AttemptOutcome::ResponseLost("answer-to-another");
     }
+    shared.apply_response_signals(backend, &response);
     if response.execution == ExecutionStatus::NotExecuted {
         return AttemptOutcome::NotExecuted;
     }
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -176,6 +176,7 @@
         latency_ms: f64,
     ) -> Option<FinalResponse> {
         let started = Instant::now();
+        self.shared.record_send(id);
         let _reservation = Reservation::new(self.shared, vec![id.clone()], 0.0);
         let deadline = self.attempt_deadline(latency_ms);
         let request_id = &self.ctx.req.id;
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -6,11 +6,13 @@
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use clementine_decide::ids::BackendId;
+use clementine_decide::signals::ResponseSignals;
 use clementine_http1::ClientConn;
 use clementine_platform::engines::{
     EngineReport, Health, OrderResponse, PlaceOrder, RepathOrder, health_request, report_request,
     responding_server,
 };
+use clementine_platform::requests::response_signals;
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
 use tokio::time::timeout;
@@ -95,6 +97,7 @@
     pub(super) health: Health,
     /// Id by which the server identifies itself.
     pub(super) server: Option<BackendId>,
+    pub(super) signals: ResponseSignals,
 }
 
 /// Checks a server's health at the path that the configuration sets.
@@ -106,7 +109,11 @@
     let request = health_request(engine, path)
         .ok_or_else(|| call_error("the health check path is not a valid URI"))?;
     let response = fetch_head(shared, engine, HEALTH_TIMEOUT, request, Bytes::new()).await?;
-    Ok(HealthResponse { health: Health::from(&response), server: responding_server(&response) })
+    Ok(HealthResponse {
+        health: Health::from(&response),
+        server: responding_server(&response),
+        signals: response_signals(&response),
+    })
 }
 
 /// Sends a request and returns the head of the response. The body is not read.
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -6,6 +6,7 @@
 
 use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
+use clementine_decide::signals::ResponseSource;
 use clementine_platform::engines::Health;
 use spdlog::info;
 use tokio::time::sleep;
@@ -61,5 +62,10 @@
     let server = shared.fleet.borrow().get(id).map(|member| member.backend.clone())?;
     let table = shared.routing_table()?;
     let pool = table.pools.get(&server.pool)?;
-    check_health(shared, server.address, &pool.health_path).await.ok()
+    shared.record_send(id);
+    let response = check_health(shared, server.address, &pool.health_path).await.ok()?;
+    if response.server.as_ref().is_none_or(|responding| responding == id) {
+        shared.apply_signals(id, response.signals, ResponseSource::Entry);
+    }
+    Some(response)
 }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -12,6 +12,7 @@
     SightingStep, send_interval,
 };
 use clementine_decide::quarantine::CrashReport;
+use clementine_decide::signals::SignalReport;
 use clementine_objects::Millis;
 use clementine_process::http::bind_reusable;
 use spdlog::{debug, info, warn};
@@ -38,6 +39,8 @@
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of requests that crash servers in one message.
 const MAX_CRASH_REPORTS: usize = 8;
+/// Maximum number of backend servers on whose signals a message reports.
+const MAX_SIGNAL_REPORTS: usize = 16;
 
 /// Exchanges messages with the other entries until the process ends.
 pub(crate) async fn exchange_messages(shared: Rc<SharedState>) {
@@ -86,6 +89,13 @@
     }
 }
 
+/// Facts that are the same in all messages of a round.
+#[derive(Clone)]
+struct News {
+    crashes: Vec<CrashReport>,
+    signals: Vec<SignalReport>,
+}
+
 struct PeerExchange {
     shared: Rc<SharedState>,
     socket: UdpSocket,
@@ -156,6 +166,7 @@
         self.shared.config_sync.record_peer_version(message.config_newest);
         self.shared.backend_list_sync.record_peer_version(message.list_newest);
         merge_crashes(&self.shared, &message.crashes);
+        self.shared.merge_signals(&message.signals);
         let now = self.shared.now();
         let update = self.shared.peers.borrow_mut().record(message, now);
         if update == PeerUpdate::Joined {
@@ -181,17 +192,17 @@
         let interval = send_interval(neighbors.len() + remote.len());
         let load = local_load(&self.shared);
         let leaving = self.shared.drain.is_draining();
-        let crashes = self.shared.crash_log.borrow_mut().next_reports(MAX_CRASH_REPORTS, now);
+        let news = self.news(now);
         if !remote.is_empty() {
             let summary =
                 self.shared.peers.borrow().summarize(&load, leaving, MAX_REPORTED_BACKENDS);
             let report = PeerReport::Domain(summary);
-            self.send_report(report, interval, crashes.clone(), &remote).await;
+            self.send_report(report, interval, news.clone(), &remote).await;
         }
         let feed = self.shared.feed_positions();
         let config = self.config_offer();
         let report = PeerReport::Entry { leaving, feed, config, load };
-        self.send_report(report, interval, crashes, &neighbors).await;
+        self.send_report(report, interval, news, &neighbors).await;
         interval.duration()
     }
 
@@ -204,10 +215,10 @@
         &mut self,
         report: PeerReport,
         interval: Millis,
-        crashes: Vec<CrashReport>,
+        news: News,
         receivers: &[SocketAddr],
     ) {
-        let message = self.message(report, interval, crashes);
+        let message = self.message(report, interval, news);
         self.send_datagram(&PeerDatagram::Status(Box::new(message)), receivers).await;
     }
 
@@ -272,12 +283,17 @@
         }
     }
 
-    fn message(
-        &mut self,
-        report: PeerReport,
-        interval: Millis,
-        crashes: Vec<CrashReport>,
-    ) -> PeerMessage {
+    /// What to tell all receivers of a round.
+    fn news(&self, now: Tick) -> News {
+        let mut crash_log = self.shared.crash_log.borrow_mut();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        News {
+            crashes: crash_log.next_reports(MAX_CRASH_REPORTS, now),
+            signals: fleet.next_signal_reports(MAX_SIGNAL_REPORTS, now),
+        }
+    }
+
+    fn message(&mut self, report: PeerReport, interval: Millis, news: News) -> PeerMessage {
         self.sequence += 1;
         PeerMessage {
             from: self.shared.settings.entry.clone(),
@@ -288,7 +304,8 @@
             config_newest: self.shared.config_sync.newest_version_anywhere(),
             list_newest: self.shared.backend_list_sync.newest_version_anywhere(),
             planner: self.planner(),
-            crashes,
+            crashes: news.crashes,
+            signals: news.signals,
             report,
         }
     }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -23,6 +23,7 @@
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
+    malformed_signals: Counter<u64>,
 }
 
 impl DirectMetrics {
@@ -59,6 +60,10 @@
                 "direct_store_failures",
                 "Calls to the store that failed, by table",
             ),
+            malformed_signals: counter(
+                "direct_malformed_signals",
+                "Headers of backend servers that could not be read, by signal",
+            ),
             malformed_messages: counter(
                 "direct_malformed_messages",
                 "Messages of other entries that could not be decoded",
@@ -119,6 +124,11 @@
         self.store_failures.add(1, &[KeyValue::new("table", table)]);
     }
 
+    /// Counts a header of a backend server that could not be read.
+    pub(crate) fn count_malformed_signal(&self, signal: &'static str) {
+        self.malformed_signals.add(1, &[KeyValue::new("signal", signal)]);
+    }
+
     /// Counts a message of another entry that could not be decoded.
     pub(crate) fn count_malformed_message(&self) {
         self.malformed_messages.add(1, &[]);
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -7,6 +7,7 @@
 mod request_context;
 mod reservation;
 mod retry_budgets;
+mod signals;
 mod state;
 mod store;
 mod table_sync;
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -273,6 +273,8 @@
         let totals = peers.load_totals();
         self.fleet.borrow_mut().set_remote_load(&totals.backends);
         self.links.borrow_mut().set_remote(totals.links);
+        drop(peers);
+        self.update_limit_shares();
     }
 
     /// Records that a backend server failed a request, which starts its backoff.
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -48,6 +48,7 @@
     if conn.queue(head, ctx.req.body.clone()).is_err() {
         return OpenOutcome::NotSent;
     }
+    let first = route.borrow().first.clone();
     let Ok(head) = conn.read_head().await else {
         return OpenOutcome::ResponseLost("no-answer");
     };
@@ -55,6 +56,7 @@
     if !response.matches_request(&ctx.req.id) {
         return OpenOutcome::ResponseLost("answer-to-another");
     }
+    shared.apply_response_signals(&first, &response);
     if response.execution == ExecutionStatus::NotExecuted {
         return OpenOutcome::NotExecuted(response.failed_engine);
     }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -198,6 +198,7 @@
         (self.stats.stages, self.stats.domain_crossings) =
             (route.path.len(), route.domain_crossings);
         self.progress.begin_attempt();
+        self.shared.record_send(&route.first);
         let route = RefCell::new(route);
         let (shared, ctx) = (self.shared, self.ctx);
         // Moved out of `self` because the attempt uses it while `recover` borrows
--- a/crates/direct/tests/messages.rs
+++ b/crates/direct/tests/messages.rs
@@ -39,6 +39,7 @@
         list_newest: StoreVersion::default(),
         planner: None,
         crashes: Vec::new(),
+        signals: Vec::new(),
         report: PeerReport::Entry { leaving: false, feed: None, config: None, load },
     };
     rmp_serde::to_vec(&PeerDatagram::Status(Box::new(message))).expect("message is encoded")
