--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -106,7 +106,7 @@
     /// [`Self::is_usable`], this ignores the backoff after failures.
     pub fn can_host_layers(&self) -> bool {
         let alive = !self.down && !self.unconfirmed;
-        self.backend.state == BackendState::Ready && alive && !self.leaving
+        alive && !self.is_draining()
     }
 
     /// Excludes the server until its identity is confirmed.
@@ -219,7 +219,8 @@
 
     /// Whether the server is known to be draining.
     pub fn is_draining(&self) -> bool {
-        self.leaving || self.backend.state == BackendState::Leaving
+        let listed = self.backend.state == BackendState::Leaving;
+        self.leaving || listed || self.signals.is_draining()
     }
 
     /// Whether the server was active so recently that a stalled run is no
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -121,8 +121,11 @@
     }
 
     /// Merges the report of another entry on a server's signals. Returns the server
-    /// if the report differs from what was known.
+    /// if it is listed and the report differs from what was known.
     pub fn merge_signals(&mut self, report: &SignalReport, now: Tick) -> Option<&Member> {
+        if let Some((signals, _)) = self.unlisted_signals.get_mut(&report.server) {
+            signals.merge(report, now);
+        }
         let mut members = self.members.values_mut();
         let member = members.find(|member| member.incarnation == report.server)?;
         member.signals.merge(report, now).then_some(member)
--- a/crates/decide/src/signals/report.rs
+++ b/crates/decide/src/signals/report.rs
@@ -13,6 +13,8 @@
     pub server: BackendIncarnation,
     /// Its limit, if it has ever named one.
     pub limit: Option<LimitReport>,
+    /// Whether it is draining.
+    pub draining: bool,
 }
 
 /// The last limit of a server.
--- a/crates/decide/src/signals/response.rs
+++ b/crates/decide/src/signals/response.rs
@@ -35,4 +35,6 @@
     /// Requests that it accepts from all entries together, for as long as its
     /// responses say so.
     pub limit: Signal<RequestRate>,
+    /// It is draining and will terminate.
+    pub draining: Signal<()>,
 }
--- a/crates/decide/src/signals/server.rs
+++ b/crates/decide/src/signals/server.rs
@@ -5,7 +5,8 @@
 use crate::fleet::BackendIncarnation;
 use crate::ids::Tick;
 
-/// Number of times that the end of a limit is reported to other entries.
+/// Number of times that a fact that does not change any more is reported to other
+/// entries.
 const MIN_REPORTS: u32 = 10;
 
 /// The kind of request that a response belongs to.
@@ -44,30 +45,51 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerSignals {
     limit: Option<NamedLimit>,
+    /// Whether the server is draining, which does not end before it terminates.
+    draining: bool,
+    /// Number of reports that included that the server is draining.
+    draining_reported: u32,
 }
 
 impl ServerSignals {
     /// Whether the server has never sent a signal.
     pub const fn is_empty(&self) -> bool {
-        self.limit.is_none()
+        self.limit.is_none() && !self.draining
     }
 
     /// Applies the signals of a response. Returns whether they differ from what was
     /// known.
     pub fn apply(&mut self, signals: ResponseSignals, source: ResponseSource, now: Tick) -> bool {
-        match (signals.limit, source) {
+        let limit_changed = match (signals.limit, source) {
             (Signal::Present(rate), _) => self.set_limit(Some(rate), now),
             (Signal::Absent, ResponseSource::Caller) if self.limit.is_some() => {
                 self.set_limit(None, now)
             }
             _ => false,
-        }
+        };
+        let starts_draining = self.record_draining(signals.draining.present().is_some());
+        limit_changed || starts_draining
+    }
+
+    fn record_draining(&mut self, draining: bool) -> bool {
+        let starts = draining && !self.draining;
+        self.draining |= draining;
+        starts
+    }
+
+    /// Whether the server has said that it is draining.
+    pub const fn is_draining(&self) -> bool {
+        self.draining
     }
 
     /// Merges the report of another entry: what was observed last counts. Returns
     /// whether it differs from what was known.
     pub fn merge(&mut self, report: &SignalReport, now: Tick) -> bool {
-        let Some(limit) = report.limit else { return false };
+        let limit_changed = report.limit.is_some_and(|limit| self.merge_limit(limit, now));
+        self.record_draining(report.draining) || limit_changed
+    }
+
+    fn merge_limit(&mut self, limit: LimitReport, now: Tick) -> bool {
         let observed_at = Tick(now.0.saturating_sub(limit.age.0));
         let is_newer = self.limit.as_ref().is_none_or(|known| observed_at > known.observed_at);
         is_newer && self.set_limit(limit.rate, observed_at)
@@ -112,8 +134,10 @@
     /// Number of reports that included these signals, or `None` if there is nothing
     /// to report.
     pub fn reported(&self) -> Option<u32> {
-        let limit = self.limit.as_ref().filter(|limit| limit.is_due())?;
-        Some(limit.reported)
+        let limit = self.limit.as_ref().filter(|limit| limit.is_due());
+        let draining_due = self.draining && self.draining_reported < MIN_REPORTS;
+        let draining = draining_due.then_some(self.draining_reported);
+        limit.map(|limit| limit.reported).into_iter().chain(draining).min()
     }
 
     /// The signals for the next message to other entries.
@@ -122,6 +146,7 @@
             limit.reported = limit.reported.saturating_add(1);
             LimitReport { rate: limit.rate, age: now.since(limit.observed_at) }
         });
-        SignalReport { server, limit }
+        self.draining_reported += u32::from(self.draining);
+        SignalReport { server, limit, draining: self.draining }
     }
 }
--- a/crates/decide/tests/limit_sharing.rs
+++ b/crates/decide/tests/limit_sharing.rs
@@ -84,7 +84,10 @@
             let mut entries: Vec<ServerSignals> = Vec::new();
             for (share, burst) in shares(&fleet(sizes), 7, limit) {
                 let mut signals = ServerSignals::default();
-                let named = ResponseSignals { limit: Signal::Present(rate(limit)) };
+                let named = ResponseSignals {
+                    limit: Signal::Present(rate(limit)),
+                    ..ResponseSignals::default()
+                };
                 signals.apply(named, ResponseSource::Caller, Tick(0));
                 let share = clementine_decide::signals::LimitShare { rate: rate(share), burst };
                 signals.set_share(share, Tick(0));
@@ -113,6 +116,7 @@
     let report = |rate: Option<RequestRate>, age| SignalReport {
         server: BackendIncarnation(1),
         limit: Some(LimitReport { rate, age: Millis(age) }),
+        draining: false,
     };
     let mut signals = ServerSignals::default();
     assert!(signals.merge(&report(Some(rate(3.0)), 0), Tick(1_000)));
@@ -124,7 +128,7 @@
     signals.merge(&report(Some(rate(2.0)), 0), Tick(2_000));
     assert!(!signals.apply(absent, ResponseSource::Entry, Tick(2_100)), "a health check");
     assert!(signals.apply(absent, ResponseSource::Caller, Tick(2_200)));
-    let malformed = ResponseSignals { limit: Signal::Malformed };
+    let malformed = ResponseSignals { limit: Signal::Malformed, ..absent };
     signals.merge(&report(Some(rate(2.0)), 0), Tick(3_000));
     assert!(!signals.apply(malformed, ResponseSource::Caller, Tick(3_100)));
     assert_eq!(signals.limit(), Some(rate(2.0)));
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -66,6 +66,7 @@
             "tokens": member.used_tokens,
             "tokens_of_others": member.remote_tokens,
             "answer_ms": member.latency_ms(),
+            "draining": member.is_draining(),
             "limit_per_s": member.signals.limit(),
             "alive_ms_ago": self.now().since(member.last_seen).0,
         })
--- a/crates/direct/src/shared/signals.rs
+++ b/crates/direct/src/shared/signals.rs
@@ -20,6 +20,10 @@
             self.metrics.count_malformed_signal("limit");
             warn!("fleet: backend={} names a limit that is no number", id);
         }
+        if signals.draining.is_malformed() {
+            self.metrics.count_malformed_signal("draining");
+            warn!("fleet: backend={} has an unreadable header on draining", id);
+        }
         if self.fleet.borrow_mut().apply_signals(id, signals, source, self.now()) {
             self.update_limit_shares();
             if let Some(member) = self.fleet.borrow().get(id) {
@@ -67,5 +71,11 @@
 
 fn log_signals(member: &Member, source: &'static str) {
     let limit = member.signals.limit().map_or_else(|| "none".into(), |limit| limit.to_string());
-    info!("fleet: backend={} limit_per_s={} source={}", member.backend.id, limit, source);
+    info!(
+        "fleet: backend={} limit_per_s={} draining={} source={}",
+        member.backend.id,
+        limit,
+        member.signals.is_draining(),
+        source
+    );
 }
--- /dev/null
+++ b/crates/direct/tests/server_signals.rs
@@ -0,0 +1,53 @@
+//! Backend servers that say in their responses that they are draining.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_rt::test;
+use common::{Backend, Store, config, send_request, start_entry};
+use tokio::time::sleep;
+
+const LAYERS: u32 = 12;
+/// Time in which entries tell each other what a server has said.
+const EXCHANGE_TIME: Duration = Duration::from_millis(600);
+
+async fn start_configured_store() -> Store {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    store
+}
+
+#[test]
+async fn malformed_signals_are_ignored() {
+    let store = start_configured_store().await;
+    let server = Backend::start("plain-1", "plain", &store).await;
+    let entry = start_entry("one", &store).await;
+    for value in ["", "0", "-1", "yes", "11"] {
+        server.extra_headers.replace(vec![("server-leaving", value)]);
+        let response = send_request(entry.callers, "POST", "/safe/x", "x").await;
+        assert_eq!(response.status, 200, "after `{value}`");
+    }
+}
+
+#[test]
+async fn draining_server_gets_no_requests_from_any_entry() {
+    let store = start_configured_store().await;
+    let server = Backend::start("plain-1", "plain", &store).await;
+    server.extra_headers.replace(vec![("server-leaving", "1")]);
+    let entries = [start_entry("one", &store).await, start_entry("two", &store).await];
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(send_request(entries[0].callers, "POST", "/safe/x", "x").await.status, 200);
+    let _other = Backend::start("plain-2", "plain", &store).await;
+    sleep(EXCHANGE_TIME).await;
+    // The row still says that it is ready, and is written anew.
+    store.remove("servers", "plain-1");
+    sleep(EXCHANGE_TIME).await;
+    server.write_server_row();
+    sleep(EXCHANGE_TIME).await;
+    for n in 0..10 {
+        let response = send_request(entries[n % 2].callers, "POST", "/safe/x", "x").await;
+        assert_eq!(response.status, 200);
+    }
+    assert_eq!(server.arrivals.borrow().len(), 1, "only the request that was answered");
+}
