A server that turns a request away for some time is left alone until then

An entry backed off by its own rule, 250 ms at first, and any later event ended it, so that a server which had named 2.5 s got requests meanwhile. Now it gets no requests, health checks, reports or load orders of that entry before the time is over.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -99,7 +99,7 @@
 
     /// Whether new requests may be sent to the server.
     pub fn is_usable(&self, now: Tick) -> bool {
-        self.can_host_layers() && now >= self.backoff_until
+        self.can_host_layers() && now >= self.backoff_until && !self.signals.is_paused(now)
     }
 
     /// Whether the layer placement may include the server. Unlike
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -144,6 +144,14 @@
             .collect()
     }
 
+    /// Time until a server of a pool accepts requests of this entry again, if all
+    /// that are up have asked to be left alone.
+    pub fn pool_pause(&self, pool: &PoolId, now: Tick) -> Option<Millis> {
+        let up = self.pool(pool).filter(|member| member.can_host_layers());
+        let pause = up.map(|member| member.signals.pause_left(now)).min()?;
+        (pause.0 > 0).then_some(pause)
+    }
+
     /// Sets this entry's share of each limit that a server names.
     pub fn set_limit_shares(&mut self, sharing: &LimitSharing<'_>, now: Tick) {
         for member in self.members.values_mut() {
--- a/crates/decide/src/signals/response.rs
+++ b/crates/decide/src/signals/response.rs
@@ -1,5 +1,7 @@
 //! Signals in one response of a backend server.
 
+use clementine_objects::Millis;
+
 use super::RequestRate;
 
 /// A value that a response may carry.
@@ -37,4 +39,6 @@
     pub limit: Signal<RequestRate>,
     /// It is draining and will terminate.
     pub draining: Signal<()>,
+    /// It rejected the request, and accepts none of this entry for this time.
+    pub retry_delay: Signal<Millis>,
 }
--- a/crates/decide/src/signals/server.rs
+++ b/crates/decide/src/signals/server.rs
@@ -1,5 +1,7 @@
 //! Signals of one backend server, from its responses and from other entries.
 
+use clementine_objects::Millis;
+
 use super::{LimitReport, LimitShare, RequestRate, ResponseSignals, Signal, SignalReport};
 use crate::circuit::TokenBucket;
 use crate::fleet::BackendIncarnation;
@@ -9,6 +11,10 @@
 /// entries.
 const MIN_REPORTS: u32 = 10;
 
+/// Maximum time for which a server is left alone at its request. A longer time is
+/// taken for a mistake.
+const MAX_RETRY_DELAY: Millis = Millis(3_600_000);
+
 /// The kind of request that a response belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseSource {
@@ -49,12 +55,14 @@
     draining: bool,
     /// Number of reports that included that the server is draining.
     draining_reported: u32,
+    /// Time until which the server accepts nothing from this entry.
+    paused_until: Tick,
 }
 
 impl ServerSignals {
     /// Whether the server has never sent a signal.
     pub const fn is_empty(&self) -> bool {
-        self.limit.is_none() && !self.draining
+        self.limit.is_none() && !self.draining && self.paused_until.0 == 0
     }
 
     /// Applies the signals of a response. Returns whether they differ from what was
@@ -68,7 +76,26 @@
             _ => false,
         };
         let starts_draining = self.record_draining(signals.draining.present().is_some());
-        limit_changed || starts_draining
+        let paused = signals.retry_delay.present().is_some_and(|delay| self.pause(delay, now));
+        limit_changed || starts_draining || paused
+    }
+
+    fn pause(&mut self, delay: Millis, now: Tick) -> bool {
+        let until = now.after(delay.min(MAX_RETRY_DELAY));
+        let longer = until > self.paused_until;
+        self.paused_until = self.paused_until.max(until);
+        longer
+    }
+
+    /// Time for which the server still accepts nothing from this entry; zero if it
+    /// accepts requests.
+    pub const fn pause_left(&self, now: Tick) -> Millis {
+        self.paused_until.since(now)
+    }
+
+    /// Whether the server accepts nothing from this entry.
+    pub const fn is_paused(&self, now: Tick) -> bool {
+        self.pause_left(now).0 > 0
     }
 
     fn record_draining(&mut self, draining: bool) -> bool {
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -260,9 +260,10 @@
             if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
                 return FinalResponse::Error(error);
             }
+            let pause = self.shared.pool_retry_delay(&self.ctx.pool).unwrap_or_default();
             return FinalResponse::Error(RequestError::with_retry_after(
                 ErrorKind::Overloaded,
-                OVERLOADED_RETRY_AFTER,
+                pause.max(OVERLOADED_RETRY_AFTER),
             ));
         }
         let timed_out = self.ctx.time_left().is_zero();
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -46,6 +46,9 @@
 /// and reports that it is carrying out an order. An engine that accepts
 /// connections but is not busy cannot be reached by the engines that wait on it.
 async fn check_blocking_engine(shared: Rc<SharedState>, id: BackendId) {
+    if shared.is_paused(&id) {
+        return;
+    }
     let now = shared.now();
     let alive = match shared.fleet.borrow().get(&id) {
         Some(member) => member.is_recently_alive(now).then_some(member.backend.address),
@@ -70,8 +73,12 @@
 }
 
 /// Fetches an engine's report, and marks the engine as down if that fails.
-/// Returns `None` also while another task does the same.
+/// Returns `None` also while another task does the same, or if the engine has asked
+/// to be left alone.
 async fn check_report(shared: &Rc<SharedState>, id: &BackendId) -> Option<EngineReport> {
+    if shared.is_paused(id) {
+        return None;
+    }
     let address = shared.fleet.borrow().get(id)?.backend.address;
     if !shared.report_requests.borrow_mut().insert(id.clone()) {
         return None;
@@ -144,7 +151,7 @@
 /// that succeeds. Returns whether it does.
 pub(super) async fn check_recovery(shared: &SharedState, id: &BackendId) -> bool {
     let address = match shared.fleet.borrow().get(id) {
-        Some(member) if member.is_down() => member.backend.address,
+        Some(member) if member.is_down() && !shared.is_paused(id) => member.backend.address,
         _ => return false,
     };
     let Ok(report) = fetch_report(shared, address, REPORT_TIMEOUT).await else { return false };
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -57,8 +57,12 @@
     health_response(shared, id).await.map_or(Health::Unknown, |response| response.health)
 }
 
-/// A server's response to a health check, or `None` if the check fails.
+/// A server's response to a health check, or `None` if the check fails or the
+/// server has asked to be left alone.
 async fn health_response(shared: &SharedState, id: &BackendId) -> Option<HealthResponse> {
+    if shared.is_paused(id) {
+        return None;
+    }
     let server = shared.fleet.borrow().get(id).map(|member| member.backend.clone())?;
     let table = shared.routing_table()?;
     let pool = table.pools.get(&server.pool)?;
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -83,7 +83,7 @@
     let mut fleet = shared.fleet.borrow_mut();
     let Some(member) = fleet.get_mut(id) else { return };
     member.record_connection(now);
-    if !member.is_slowdown_stale(now) {
+    if !member.is_slowdown_stale(now) || member.signals.is_paused(now) {
         return;
     }
     let (shared, id) = (Rc::clone(shared), id.clone());
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -110,6 +110,9 @@
     }
 
     fn start(&self, assignment: Assignment, engine: &Rc<EngineSpec>, fence: FencingNumber) {
+        if self.shared.is_paused(&assignment.id) {
+            return;
+        }
         let fleet = self.shared.fleet.borrow();
         let Some(address) = fleet.get(&assignment.id).map(|member| member.backend.address) else {
             return;
@@ -190,6 +193,9 @@
         let mut idle = 0;
         while Instant::now() < end && idle < MAX_IDLE_REPORTS {
             sleep(REPORT_INTERVAL).await;
+            if self.shared.is_paused(&self.assignment.id) {
+                continue;
+            }
             let Some(report) = self.fetch_report().await else { continue };
             self.record(&report);
             if report.layers == Some(self.assignment.layers) && !report.busy {
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -67,6 +67,7 @@
             "tokens_of_others": member.remote_tokens,
             "answer_ms": member.latency_ms(),
             "draining": member.is_draining(),
+            "paused_ms": member.signals.pause_left(self.now()),
             "limit_per_s": member.signals.limit(),
             "alive_ms_ago": self.now().since(member.last_seen).0,
         })
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -156,7 +156,7 @@
     async fn first_route(&self, conn: &mut ServerConn) -> Option<StreamRoute> {
         let latest = self.ctx.arrived + max_capacity_wait(self.ctx.rule.target_latency).duration();
         let mut route = self.choose_route();
-        while route.is_none() && Instant::now() < latest {
+        while route.is_none() && Instant::now() < latest && !self.is_pool_paused(latest) {
             tokio::select! {
                 () = conn.wait_closed() => break,
                 () = sleep(CAPACITY_POLL_INTERVAL.duration()) => route = self.choose_route(),
@@ -166,10 +166,19 @@
         route
     }
 
+    /// Whether all backend servers have asked to be left alone until after `latest`,
+    /// so that waiting is pointless.
+    fn is_pool_paused(&self, latest: Instant) -> bool {
+        let pause = self.shared.fleet.borrow().pool_pause(&self.ctx.pool, self.shared.now());
+        pause.is_some_and(|pause| Instant::now() + pause.duration() > latest)
+    }
+
     /// Retry delay to send with an error response for lack of capacity.
     fn retry_after(&self) -> Duration {
+        let pause = self.shared.pool_retry_delay(&self.ctx.pool).unwrap_or_default();
         let refusal_rate = self.shared.refusal_rate.borrow();
-        refusal_rate.retry_after(&mut *self.shared.rng.borrow_mut()).duration()
+        let delay = refusal_rate.retry_after(&mut *self.shared.rng.borrow_mut()).duration();
+        delay.max(pause)
     }
 
     /// Waits for a short time before the next try to resume a stream that the
