Requests in quarantine outlast a restart of all entries

Each entry kept them in memory only: when all entries are killed at once, the request that crashed two servers before is new to them, and two more crash each time. The test starts an entry that hears no others: it refuses the request, where it crashed a third server without the saved row.

--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -34,6 +34,12 @@
     pub const fn request(&self) -> Fingerprint {
         Fingerprint(u128::from_le_bytes(self.request))
     }
+
+    /// The same report after some time.
+    #[must_use]
+    pub fn older_by(self, time: Millis) -> Self {
+        Self { age: Millis(self.age.0.saturating_add(time.0)), ..self }
+    }
 }
 
 #[derive(Debug, Clone)]
--- a/crates/direct/src/crashes/lost_run.rs
+++ b/crates/direct/src/crashes/lost_run.rs
@@ -10,6 +10,7 @@
 
 use super::evidence::has_crashed;
 use super::quarantine::{announce, is_quarantined};
+use super::saved::save;
 use crate::shared::{RequestContext, SharedState};
 
 /// A run that its backend server broke off.
@@ -58,8 +59,13 @@
             "crashes: request={} content={} backend={} crashed",
             self.request, self.content, self.backend
         );
-        if is_new && !was_quarantined && is_quarantined(&shared, self.content) {
-            announce(&shared, self.content, "observed");
+        if !is_new || was_quarantined || !is_quarantined(&shared, self.content) {
+            return;
+        }
+        let report = shared.crash_log.borrow().report_on(self.content, now);
+        if let Some(report) = report {
+            announce(&shared, &report, "observed");
+            spawn_local(save(shared, report));
         }
     }
 }
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -6,6 +6,8 @@
 mod evidence;
 mod lost_run;
 mod quarantine;
+mod saved;
 
 pub(crate) use lost_run::LostRun;
 pub(crate) use quarantine::{is_quarantined, merge_crashes, quarantine_error};
+pub(crate) use saved::load_saved_quarantine;
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -24,17 +24,18 @@
 /// this puts in quarantine is passed on at once.
 pub(crate) fn merge_crashes(shared: &SharedState, reports: &[CrashReport]) {
     for report in reports {
-        if shared.crash_log.borrow_mut().merge(report, shared.now()) {
-            announce(shared, report.request(), "reported");
+        if !shared.crash_log.borrow_mut().merge(report, shared.now()) {
+            continue;
+        }
+        if let Some(merged) = shared.crash_log.borrow().report_on(report.request(), shared.now()) {
+            announce(shared, &merged, "reported");
         }
     }
 }
 
 /// Logs that a request has been put in quarantine, and tells the other entries.
-pub(super) fn announce(shared: &SharedState, content: Fingerprint, reason: &'static str) {
-    warn!("crashes: content={} in quarantine reason={}", content, reason);
+pub(super) fn announce(shared: &SharedState, report: &CrashReport, reason: &'static str) {
+    warn!("crashes: content={} in quarantine reason={}", report.request(), reason);
     shared.metrics.count_quarantined();
-    if let Some(report) = shared.crash_log.borrow().report_on(content, shared.now()) {
-        shared.outbox.push(UrgentMessage::Quarantined(report));
-    }
+    shared.outbox.push(UrgentMessage::Quarantined(report.clone()));
 }
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -20,6 +20,7 @@
 
 use crate::accept::accept_connections;
 use crate::callers::serve_caller;
+use crate::crashes::load_saved_quarantine;
 use crate::follow::{follow_backends, follow_config};
 use crate::peers::exchange_messages;
 use crate::planner::{maintain_lease, run_planner};
@@ -112,6 +113,7 @@
     spawn_local(follow_config(Rc::clone(&shared)));
     spawn_local(follow_backends(Rc::clone(&shared)));
     spawn_local(exchange_messages(Rc::clone(&shared)));
+    spawn_local(load_saved_quarantine(Rc::clone(&shared)));
     spawn_local(maintain_lease(Rc::clone(&shared)));
     spawn_local(run_planner(Rc::clone(&shared)));
     Ok(Running { callers, readiness, shared })
--- a/crates/direct/tests/crashing_requests.rs
+++ b/crates/direct/tests/crashing_requests.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use clementine_direct::Running;
-use common::{Backend, Store, config, send_request, start_entry, wait_until};
+use clementine_direct::{Running, start};
+use clementine_platform::settings::InstanceSettings;
+use common::{Backend, Store, config, send_request, settings, start_entry, wait_until};
 use tokio::time::sleep;
 
 const LAYERS: u32 = 12;
@@ -22,6 +23,9 @@
 /// each other of a crash.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time in which an entry that starts has read what is saved in the store.
+const READ_TIME: Duration = Duration::from_secs(4);
+
 async fn start_servers(store: &Store, pool: &'static str) -> Vec<Backend> {
     let mut servers = Vec::new();
     for n in 0..SERVERS {
@@ -93,3 +97,33 @@
     let other = send_request(entries[1].callers, "POST", "/stream/x", "harmless").await;
     assert!(other.complete, "{other:?}");
 }
+
+/// An entry that has never heard of the others knows what they saved in the store.
+#[test]
+async fn quarantine_outlasts_a_restart_of_all_entries() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let servers = start_servers(&store, "plain").await;
+    let entries = start_entries(&store).await;
+    send_repeatedly(&entries, "/safe/x").await;
+    let unconnected = InstanceSettings { internal_ports: None, ..settings("three", &store) };
+    let started = start(unconnected).expect("entry starts");
+    sleep(READ_TIME).await;
+    let response = send_request(started.callers, "POST", "/safe/x", CRASHING).await;
+    assert_eq!(response.status, 503);
+    assert_eq!(crashed(&servers), MAX_CRASHES);
+}
+
+#[test]
+async fn damaged_saved_requests_are_ignored() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, LAYERS));
+    let _servers = start_servers(&store, "plain").await;
+    for (key, value) in [("00", ""), ("01", "{}"), ("02", "[1]"), ("03", r#"{"report":7}"#)] {
+        store.put("quarantine", key, value);
+    }
+    let entry = start_entry("one", &store).await;
+    sleep(READ_TIME).await;
+    let response = send_request(entry.callers, "POST", "/safe/x", "harmless").await;
+    assert_eq!(response.status, 200);
+}
