The soak injects crashing requests and the signals of backend servers

Servers name limits and retry delays, drain and restart under their id, and crash; one caller sends requests that crash the server that begins to run them.

--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -199,8 +199,12 @@
 
     /// Number of entries that accept callers, including this one.
     pub fn serving_count(&self) -> usize {
-        let serving = self.neighbors.values().filter(|peer| !peer.leaving).count();
-        1 + serving + self.remote_count(|summary| summary.serving)
+        1 + self.serving_neighbors().count() + self.remote_count(|summary| summary.serving)
+    }
+
+    /// Neighbors that accept callers.
+    fn serving_neighbors(&self) -> impl Iterator<Item = &EntryId> {
+        self.neighbors.iter().filter(|(_, peer)| !peer.leaving).map(|(id, _)| id)
     }
 
     /// The entries that share the limits of backend servers, as seen by `entry`.
@@ -209,12 +213,11 @@
         entry: &'a EntryId,
         domain: &'a DomainId,
     ) -> LimitSharing<'a> {
-        let serving = self.neighbors.iter().filter(|(_, peer)| !peer.leaving);
         let domains = self.domains.iter().map(|(id, domain)| (id, domain.summary.serving));
         LimitSharing {
             entry,
             domain,
-            neighbors: serving.map(|(id, _)| id).collect(),
+            neighbors: self.serving_neighbors().collect(),
             domains: domains.collect(),
         }
     }
@@ -255,10 +258,9 @@
     pub fn summarize(&self, own: &LoadStatus, leaving: bool, max_backends: usize) -> DomainSummary {
         let mut totals = self.neighbor_totals();
         totals.add(own);
-        let serving = self.neighbors.values().filter(|peer| !peer.leaving).count();
         DomainSummary {
             live: 1 + self.neighbors.len() as u32,
-            serving: serving as u32 + u32::from(!leaving),
+            serving: self.serving_neighbors().count() as u32 + u32::from(!leaving),
             load: totals.into_status(max_backends),
         }
     }
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -55,6 +55,10 @@
     /// Whether it has crashed: it closes all connections and accepts no others.
     pub crashed: Rc<Cell<bool>>,
     crash: Rc<Notify>,
+    /// URI paths of the requests that crashed it.
+    pub crashed_by: Rc<RefCell<Vec<String>>>,
+    /// Start time that it reports; higher after each restart.
+    started: Rc<Cell<u64>>,
     /// Address of the engine that streams wait for after half of their events.
     pub waiting_on: Rc<Cell<Option<SocketAddr>>>,
     /// Whether its report says that it is executing an order.
@@ -108,6 +112,8 @@
             crashes_on: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
+            crashed_by: Rc::default(),
+            started: Rc::new(Cell::new(1)),
             waiting_on: Rc::default(),
             busy: Rc::default(),
             unresponsive: Rc::default(),
@@ -127,14 +133,39 @@
             order_sequence: Rc::default(),
         };
         backend.write_server_row();
-        let server = backend.clone();
+        backend.serve_until_crash(listener);
+        backend
+    }
+
+    fn serve_until_crash(&self, listener: TcpListener) {
+        let server = self.clone();
         spawn_local(async move {
             tokio::select! {
                 () = server.clone().accept(listener) => {}
                 () = server.crash.notified() => {}
             }
         });
-        backend
+    }
+
+    /// Starts a crashed server again on its address, without layers and with no memory
+    /// of what it ran. Does nothing if another task has done so.
+    pub async fn restart(&self) {
+        let listener = loop {
+            if !self.crashed.get() {
+                return;
+            }
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        };
+        self.started.set(self.started.get() + 1);
+        self.layer_range.set((0, 0));
+        self.order_sequence.set(0);
+        self.extra_headers.replace(Vec::new());
+        self.crashed.set(false);
+        self.serve_until_crash(listener);
+        self.write_server_row();
     }
 
     async fn accept(self, listener: TcpListener) {
@@ -152,7 +183,7 @@
     }
 
     /// Closes the listener and all connections.
-    fn crash(&self) {
+    pub fn crash(&self) {
         self.crashed.set(true);
         self.crash.notify_waiters();
     }
@@ -171,7 +202,7 @@
     pub fn write_server_row(&self) {
         let row = json!({"service": self.pool, "address": self.address.to_string(), "zone": "a",
             "slots": 6, "state": "ready", "kind": "card", "layers": self.layers_json(),
-            "sequence": self.order_sequence.get(), "born": 1});
+            "sequence": self.order_sequence.get(), "born": self.started.get()});
         self.store.put("servers", &self.id, &row.to_string());
     }
 
@@ -190,6 +221,7 @@
             }
             if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
                 self.record_run(&request);
+                self.crashed_by.borrow_mut().push(request.head.uri.path().into());
                 return self.crash();
             }
             let keep_alive = match request.head.uri.path() {
@@ -224,7 +256,7 @@
             .into_iter()
             .collect();
         json!({"layers": self.layers_json(), "busy": self.busy.get(), "sequence": self.order_sequence.get(),
-            "born": 1, "stalled": stalled_runs})
+            "born": self.started.get(), "stalled": stalled_runs})
     }
 
     async fn handle_order(&self, conn: &mut ServerConn, request: &BufferedRequest) -> bool {
--- a/crates/direct/tests/soak/callers.rs
+++ b/crates/direct/tests/soak/callers.rs
@@ -16,6 +16,8 @@
 
 /// Timeout of a response: the request's deadline of 5 s plus 1 s.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Body of the requests that crash the server that begins to run them.
+pub const CRASHING: &str = "crash";
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -87,8 +89,35 @@
     ClientConn::connect(address, CONNECT_TIMEOUT, &ServerConn::codec_config()).await.ok()
 }
 
+/// Sends a request that crashes servers again and again, to random entries, until
+/// `stop_callers` is set.
+pub async fn run_crashing_caller(soak: Rc<Soak>) {
+    let mut rng = SmallRng::seed_from_u64(soak.seed);
+    let mut sent = 0;
+    while !soak.stop_callers.get() {
+        let kind = *RequestKind::ALL.choose(&mut rng).expect("nonempty list");
+        if let Some(mut conn) = get_connection(&soak, None, &mut rng).await {
+            sent += 1;
+            let id = format!("crash-{sent:x}");
+            soak.checks.record_sent(kind, &id);
+            let response = send_body(&mut conn, kind, &id, CRASHING).await;
+            soak.checks.check_response(kind, &id, &response);
+        }
+        sleep(Duration::from_millis(rng.random_range(100..900))).await;
+    }
+}
+
 /// Sends one request.
 pub async fn send_request(conn: &mut ClientConn, kind: RequestKind, id: &str) -> CallerResponse {
+    send_body(conn, kind, id, "body").await
+}
+
+async fn send_body(
+    conn: &mut ClientConn,
+    kind: RequestKind,
+    id: &str,
+    body: &'static str,
+) -> CallerResponse {
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = kind.path().parse().expect("valid path");
@@ -104,7 +133,7 @@
         let value = HeaderValue::from_str(value).expect("valid header value");
         head.headers.insert(HeaderName::from_static(name), value);
     }
-    conn.queue(head, Bytes::from_static(b"body")).expect("request is queued");
+    conn.queue(head, Bytes::from_static(body.as_bytes())).expect("request is queued");
     let mut response = CallerResponse::default();
     // After a timeout, the incomplete response is checked as far as it was received.
     let _ = timeout(RESPONSE_TIMEOUT, read_response(conn, &mut response)).await;
--- a/crates/direct/tests/soak/checks.rs
+++ b/crates/direct/tests/soak/checks.rs
@@ -8,6 +8,8 @@
 use crate::common::Backend;
 use crate::harness::LAYERS;
 
+/// Servers that the requests of one content may crash: three, and three retries.
+const MAX_CRASHES: usize = 6;
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 20;
 
@@ -83,8 +85,21 @@
         }
     }
 
+    /// Checks that the requests of one content stop crashing servers. Each route is a
+    /// content of its own.
+    fn check_crashes(&self, backends: &[Backend]) {
+        let mut crashes: BTreeMap<String, usize> = BTreeMap::new();
+        for path in backends.iter().flat_map(|backend| backend.crashed_by.borrow().clone()) {
+            *crashes.entry(path).or_default() += 1;
+        }
+        for (path, crashes) in crashes.into_iter().filter(|(_, n)| *n > MAX_CRASHES) {
+            self.record_violation(format!("requests of {path} crashed {crashes} servers"));
+        }
+    }
+
     /// Checks what the backend servers ran, and returns all violations.
     pub fn finish(&self, backends: &[Backend]) -> Vec<String> {
+        self.check_crashes(backends);
         let mut runs: HashMap<String, u32> = HashMap::new();
         for backend in backends {
             for id in backend.run_request_ids.borrow().iter() {
--- a/crates/direct/tests/soak/faults.rs
+++ b/crates/direct/tests/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Faults, chosen at random from a seed and removed after a random time.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
     let entry = Rc::clone(soak.entries.choose(rng).expect("nonempty list"));
     let engine = soak.engines.choose(rng).expect("nonempty list").clone();
     let plain = soak.plain_servers.choose(rng).expect("nonempty list").clone();
-    match rng.random_range(0..13) {
+    match rng.random_range(0..17) {
         0 => spawn_local(pause_process(entry, duration)),
         1 => spawn_local(restart_gracefully(soak, entry)),
         2 => spawn_local(kill_and_restart(entry, duration)),
@@ -38,7 +39,11 @@
         9 => spawn_local(change_behaviour(plain, rng.random(), duration)),
         10 => spawn_local(disconnect_streams(engine, duration)),
         11 => spawn_local(restore_store(soak, duration)),
-        _ => spawn_local(drain(engine, duration)),
+        12 => spawn_local(drain(engine, duration)),
+        13 => spawn_local(name_limit(plain, engine, duration)),
+        14 => spawn_local(name_retry_delay(plain, duration)),
+        15 => spawn_local(leave_and_restart(plain, duration)),
+        _ => spawn_local(crash_and_restart(engine, duration)),
     }
 }
 
@@ -146,6 +151,64 @@
     engine.draining.set(false);
 }
 
+/// Lets two servers name a limit in their responses.
+async fn name_limit(plain: Backend, engine: Backend, duration: Duration) {
+    for server in [&plain, &engine] {
+        server.extra_headers.replace(vec![("server-limit", "4.5")]);
+    }
+    sleep(duration).await;
+    for server in [&plain, &engine] {
+        server.extra_headers.replace(Vec::new());
+    }
+}
+
+async fn name_retry_delay(plain: Backend, duration: Duration) {
+    plain.extra_headers.replace(vec![("retry-after", "0.7")]);
+    plain.behaviour.set(Behaviour::Refuse);
+    sleep(duration).await;
+    plain.behaviour.set(Behaviour::Serve);
+    plain.extra_headers.replace(Vec::new());
+}
+
+/// Lets a server say that it is draining, and restarts it under its id.
+async fn leave_and_restart(server: Backend, duration: Duration) {
+    server.extra_headers.replace(vec![("server-leaving", "1")]);
+    sleep(duration).await;
+    crash_and_restart(server, duration).await;
+}
+
+async fn crash_and_restart(server: Backend, duration: Duration) {
+    if server.crashed.get() {
+        return;
+    }
+    server.crash();
+    sleep(duration).await;
+    server.restart().await;
+}
+
+/// Time after which a server that a request has crashed starts again.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+
+/// Restarts the servers that requests crash, until the callers stop.
+pub async fn restart_crashed_servers(soak: Rc<Soak>) {
+    let mut crashes_seen = HashMap::new();
+    while !soak.stop_callers.get() {
+        for server in soak.engines.iter().chain(&soak.plain_servers) {
+            let seen = crashes_seen.entry(server.id.clone()).or_insert(0);
+            let crashes = server.crashed_by.borrow().len();
+            if crashes > *seen {
+                *seen = crashes;
+                let server = server.clone();
+                spawn_local(async move {
+                    sleep(RESTART_DELAY).await;
+                    server.restart().await;
+                });
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Random interval until the next fault; some faults follow within 60 ms.
 pub fn fault_interval(rng: &mut impl Rng) -> Duration {
     let max_ms = if rng.random_bool(0.3) { 60 } else { 600 };
--- a/crates/direct/tests/soak/harness.rs
+++ b/crates/direct/tests/soak/harness.rs
@@ -10,11 +10,11 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::callers::{RequestKind, run_caller, send_request};
+use crate::callers::{CRASHING, RequestKind, run_caller, run_crashing_caller, send_request};
 use crate::checks::Checks;
 use crate::common::{Backend, Store, config, wait_until};
 use crate::entries::Entry;
-use crate::faults::{fault_interval, inject_fault};
+use crate::faults::{fault_interval, inject_fault, restart_crashed_servers};
 
 /// Number of layers of the model.
 pub const LAYERS: u32 = 12;
@@ -55,6 +55,9 @@
         }
         wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers))
             .await;
+        for server in engines.iter().chain(&plain_servers) {
+            server.crashes_on.set(Some(CRASHING));
+        }
         Self {
             seed,
             store,
@@ -70,8 +73,10 @@
     /// Injects faults for `fault_time` and returns the guarantees that were violated.
     pub async fn run(self, fault_time: Duration) -> Vec<String> {
         let soak = Rc::new(self);
-        let callers: Vec<_> =
+        let mut callers: Vec<_> =
             (0..CALLERS).map(|number| spawn_local(run_caller(Rc::clone(&soak), number))).collect();
+        callers.push(spawn_local(run_crashing_caller(Rc::clone(&soak))));
+        callers.push(spawn_local(restart_crashed_servers(Rc::clone(&soak))));
         let mut rng = SmallRng::seed_from_u64(soak.seed);
         let mut active_faults = Vec::new();
         let end = Instant::now() + fault_time;
