--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod sliding_window;
+mod stream_attempts;
 
 pub use budget::{RetryBudget, RetryBudgetLimits};
 pub use sliding_window::{WindowBudget, WindowLimits};
+pub use stream_attempts::StreamAttempts;
--- a/crates/decide/tests/guards.rs
+++ b/crates/decide/tests/guards.rs
@@ -7,7 +7,7 @@
 use clementine_decide::ids::Tick;
 use clementine_decide::outcome::{ErrorKind, Outcome};
 use clementine_decide::quarantine::{Fingerprint, Quarantine, QuarantineLimits, SuspectGate};
-use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
+use clementine_decide::retry::{RetryBudget, RetryBudgetLimits, StreamAttempts};
 use clementine_objects::Millis;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -93,3 +93,20 @@
         assert!(!client_error || response.outcome != Outcome::Ran, "{kind:?}");
     }
 }
+
+/// A stream whose recovery began while the caller was receiving it had the limit of
+/// one that had not begun.
+#[test]
+fn stream_that_the_caller_receives_may_be_refused_more_often() {
+    let refused = |not_executed| StreamAttempts { executed: 1, not_executed, ..Default::default() };
+    assert!(refused(4).allow_another(2, true, false) && !refused(5).allow_another(2, true, false));
+    assert!(refused(12).allow_another(2, true, true) && !refused(13).allow_another(2, true, true));
+    assert!(!refused(0).allow_another(2, false, true), "it may have been executed");
+}
+
+#[test]
+fn loss_of_backend_servers_grants_at_most_two_attempts() {
+    let lost = |n| StreamAttempts { executed: n, lost_to_down_backend: n, not_executed: 0 };
+    assert!(lost(2).allow_another(2, true, true) && lost(3).allow_another(2, true, true));
+    assert!(!lost(4).allow_another(2, true, true));
+}
--- a/crates/direct/src/streams/mod.rs
+++ b/crates/direct/src/streams/mod.rs
@@ -2,6 +2,7 @@
 
 mod open;
 mod progress;
+mod recover;
 mod relay;
 mod repath;
 mod route;
--- /dev/null
+++ b/crates/direct/src/streams/recover.rs
@@ -0,0 +1,66 @@
+//! Recovery of an attempt that has a problem.
+
+use std::cell::RefCell;
+
+use super::progress::Progress;
+use super::repath::repath;
+use super::route::StreamRoute;
+use super::supervise::Supervisor;
+use super::watchdog::Problem;
+use crate::crashes::LostRun;
+
+/// What becomes of an attempt that has a problem.
+pub(super) enum Recovery {
+    /// It goes on, possibly by another path.
+    Continue,
+    /// An attempt with this route takes its place.
+    Replace(StreamRoute),
+    /// It is ended, and no other attempt is made.
+    GiveUp,
+}
+
+impl Supervisor<'_> {
+    /// Recovers an attempt from a problem. Moves the run to another path if
+    /// possible; otherwise returns the route for another attempt, which replaces
+    /// the current one. A silent attempt without an alternative continues, because
+    /// silence alone is no reason to end it.
+    pub(super) async fn recover(
+        &mut self,
+        route: &RefCell<StreamRoute>,
+        progress: &Progress,
+        problem: &Problem,
+    ) -> Recovery {
+        if let Problem::BackendDown(down) = problem {
+            // A run that made progress is not what brought the server down.
+            if !progress.attempt_has_events() {
+                LostRun::new(self.shared, self.ctx, down).record(self.shared).await;
+            }
+            if self.is_quarantined() {
+                return Recovery::GiveUp;
+            }
+            if repath(self.shared, self.ctx, route, progress, down).await {
+                self.stats.repaths += 1;
+                self.shared.metrics.count_repath();
+                return Recovery::Continue;
+            }
+            self.avoid.push(down.clone());
+        } else {
+            self.avoid.extend(route.borrow().backends().cloned());
+        }
+        if !self.is_retry_allowed(progress) {
+            return Recovery::Continue;
+        }
+        self.record_executed_on(&route.borrow().first);
+        match self.choose_route_for(progress) {
+            Some(next) if differs(&next, &route.borrow()) && self.take_from_budget(progress) => {
+                Recovery::Replace(next)
+            }
+            _ => Recovery::Continue,
+        }
+    }
+}
+
+/// Whether two routes differ in the backend servers that they use.
+fn differs(a: &StreamRoute, b: &StreamRoute) -> bool {
+    a.first != b.first || a.path != b.path
+}
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -9,6 +9,7 @@
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::overload::{CAPACITY_POLL_INTERVAL, max_capacity_wait};
+use clementine_decide::retry::StreamAttempts;
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
 use spdlog::info;
@@ -16,8 +17,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::progress::Progress;
+use super::recover::Recovery;
 use super::relay::{Attempt, AttemptOutcome};
-use super::repath::repath;
 use super::route::{RouteRequirements, StreamRoute, format_path};
 use super::watchdog::{Problem, wait_for_problem};
 use crate::buffered::BufferedResponse;
@@ -26,18 +27,9 @@
 use crate::engines::check_backend;
 use crate::shared::{RequestContext, RetryPriority, SharedState};
 
-/// Maximum number of retries after attempts in which the request was not
-/// executed. They do not count towards the attempts that the route rule allows.
-const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
-/// Maximum number of retries after attempts in which the request was not
-/// executed, for a stream that the caller is already receiving.
-const MAX_UNEXECUTED_RESUMES: u32 = 12;
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
 const MAX_RESUMABLE_SILENCE: Duration = Duration::from_secs(2);
-/// Maximum number of attempts beyond those that the route rule allows. One is
-/// granted for each attempt that ended because a backend server went down.
-const MAX_EXTRA_ATTEMPTS: u32 = 2;
 /// Interval between tries to recover a stream for which there is no other route
 /// or no retry budget.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(150);
@@ -59,12 +51,7 @@
 /// Statistics of a stream for the log and for the retry limits.
 #[derive(Debug, Default)]
 pub(super) struct StreamStats {
-    /// Attempts in which the request may have been executed.
-    pub(super) executed: u32,
-    /// Attempts in which the request was not executed.
-    pub(super) not_executed: u32,
-    /// Attempts that ended because one of their backend servers went down.
-    lost_to_down_backend: u32,
+    pub(super) attempts: StreamAttempts,
     /// Path changes within an attempt.
     pub(super) repaths: u32,
     /// Number of engines in the last attempt's path.
@@ -81,32 +68,17 @@
     Finish(StreamOutcome),
 }
 
-/// What becomes of an attempt that has a problem.
-enum Recovery {
-    /// It goes on, possibly by another path.
-    Continue,
-    /// An attempt with this route takes its place.
-    Replace(StreamRoute),
-    /// It is ended, and no other attempt is made.
-    GiveUp,
-}
-
-/// Whether two routes differ in the backend servers that they use.
-fn differs(a: &StreamRoute, b: &StreamRoute) -> bool {
-    a.first != b.first || a.path != b.path
-}
-
 /// Makes attempts at a stream until it is complete or has to be given up.
 pub(super) struct Supervisor<'a> {
-    shared: &'a Rc<SharedState>,
-    ctx: &'a RequestContext,
+    pub(super) shared: &'a Rc<SharedState>,
+    pub(super) ctx: &'a RequestContext,
     pub(super) progress: Progress,
     pub(super) stats: StreamStats,
     /// Backend servers to which the request was sent and which may have executed
     /// it.
     executed_on: Vec<BackendId>,
     /// Backend servers to avoid in further attempts.
-    avoid: Vec<BackendId>,
+    pub(super) avoid: Vec<BackendId>,
     /// Last error response of a backend server.
     last_error: Option<BufferedResponse>,
 }
@@ -238,9 +210,9 @@
             Ok(outcome) => self.next_step(&route, outcome).await,
             Err((problem, recovery)) => {
                 self.record_executed_on(&route.first);
-                self.stats.lost_to_down_backend +=
+                self.stats.attempts.lost_to_down_backend +=
                     u32::from(matches!(problem, Problem::BackendDown(_)));
-                self.stats.executed += 1;
+                self.stats.attempts.executed += 1;
                 match recovery {
                     Recovery::Replace(next) => NextStep::Retry(problem.reason(), Some(next)),
                     Recovery::Continue | Recovery::GiveUp => {
@@ -253,50 +225,11 @@
         Ok(next)
     }
 
-    /// Recovers an attempt from a problem. Moves the run to another path if
-    /// possible; otherwise returns the route for another attempt, which replaces
-    /// the current one. A silent attempt without an alternative continues, because
-    /// silence alone is no reason to end it.
-    async fn recover(
-        &mut self,
-        route: &RefCell<StreamRoute>,
-        progress: &Progress,
-        problem: &Problem,
-    ) -> Recovery {
-        if let Problem::BackendDown(down) = problem {
-            // A run that made progress is not what brought the server down.
-            if !progress.attempt_has_events() {
-                LostRun::new(self.shared, self.ctx, down).record(self.shared).await;
-            }
-            if self.is_quarantined() {
-                return Recovery::GiveUp;
-            }
-            if repath(self.shared, self.ctx, route, progress, down).await {
-                self.stats.repaths += 1;
-                self.shared.metrics.count_repath();
-                return Recovery::Continue;
-            }
-            self.avoid.push(down.clone());
-        } else {
-            self.avoid.extend(route.borrow().backends().cloned());
-        }
-        if !self.is_retry_allowed() {
-            return Recovery::Continue;
-        }
-        self.record_executed_on(&route.borrow().first);
-        match self.choose_route_for(progress) {
-            Some(next) if differs(&next, &route.borrow()) && self.take_from_budget(progress) => {
-                Recovery::Replace(next)
-            }
-            _ => Recovery::Continue,
-        }
-    }
-
-    fn is_quarantined(&self) -> bool {
+    pub(super) fn is_quarantined(&self) -> bool {
         is_quarantined(self.shared, self.ctx.fingerprint)
     }
 
-    fn record_executed_on(&mut self, id: &BackendId) {
+    pub(super) fn record_executed_on(&mut self, id: &BackendId) {
         if !self.executed_on.contains(id) {
             self.executed_on.push(id.clone());
         }
@@ -308,17 +241,17 @@
         }
         match outcome {
             AttemptOutcome::Complete => {
-                self.stats.executed += 1;
+                self.stats.attempts.executed += 1;
                 self.shared.crash_log.borrow_mut().record_completion(self.ctx.fingerprint);
                 NextStep::Finish(StreamOutcome::Complete)
             }
             AttemptOutcome::CallerLeft => NextStep::Finish(StreamOutcome::CallerLeft),
             AttemptOutcome::DeadlinePassed => {
-                self.stats.executed += 1;
+                self.stats.attempts.executed += 1;
                 NextStep::Finish(self.give_up("out-of-time"))
             }
             AttemptOutcome::ErrorResponse(error) => {
-                self.stats.executed += 1;
+                self.stats.attempts.executed += 1;
                 if !self.progress.headers_sent() {
                     self.last_error = Some(error);
                 }
@@ -330,7 +263,7 @@
                 self.after_unexecuted(&id, "refused")
             }
             AttemptOutcome::Interrupted(reason) => {
-                self.stats.executed += 1;
+                self.stats.attempts.executed += 1;
                 self.record_backend_failure(&route.first, reason);
                 LostRun::new(self.shared, self.ctx, &route.first).record(self.shared).await;
                 NextStep::Retry(reason, None)
@@ -339,7 +272,7 @@
     }
 
     fn after_unexecuted(&mut self, failed: &BackendId, reason: &'static str) -> NextStep {
-        self.stats.not_executed += 1;
+        self.stats.attempts.not_executed += 1;
         self.record_backend_failure(failed, reason);
         NextStep::Retry(reason, None)
     }
@@ -365,7 +298,7 @@
     /// Chooses the route of the next attempt. Once the request may have been
     /// executed on as many backend servers as the route rule allows, only those
     /// are eligible as the first one.
-    fn choose_route_for(&self, progress: &Progress) -> Option<StreamRoute> {
+    pub(super) fn choose_route_for(&self, progress: &Progress) -> Option<StreamRoute> {
         let fleet = self.shared.fleet.borrow();
         // A server that does not send its report may just be slow, so it still
         // counts.
@@ -383,19 +316,11 @@
     }
 
     /// Whether the limits on attempts allow another one.
-    fn is_retry_allowed(&self) -> bool {
-        let max_executed =
-            self.ctx.rule.max_attempts + self.stats.lost_to_down_backend.min(MAX_EXTRA_ATTEMPTS);
-        let max_unexecuted = if self.progress.headers_sent() {
-            MAX_UNEXECUTED_RESUMES
-        } else {
-            MAX_UNEXECUTED_ATTEMPTS
-        };
-        let may_repeat = self.stats.executed == 0 || self.is_resumable();
-        may_repeat
-            && !self.is_quarantined()
-            && self.stats.executed < max_executed
-            && self.stats.not_executed <= max_unexecuted
+    pub(super) fn is_retry_allowed(&self, progress: &Progress) -> bool {
+        let max_attempts = self.ctx.rule.max_attempts;
+        let attempts = &self.stats.attempts;
+        !self.is_quarantined()
+            && attempts.allow_another(max_attempts, self.is_resumable(), progress.headers_sent())
     }
 
     fn is_resumable(&self) -> bool {
@@ -405,10 +330,10 @@
     /// Takes a retry from the budget. Returns `false` if the limits on attempts or
     /// the budget do not allow it.
     fn try_retry(&self) -> bool {
-        self.is_retry_allowed() && self.take_from_budget(&self.progress)
+        self.is_retry_allowed(&self.progress) && self.take_from_budget(&self.progress)
     }
 
-    fn take_from_budget(&self, progress: &Progress) -> bool {
+    pub(super) fn take_from_budget(&self, progress: &Progress) -> bool {
         let priority =
             if progress.headers_sent() { RetryPriority::High } else { RetryPriority::Low };
         self.shared.retry_budgets.borrow_mut().try_retry(
@@ -426,7 +351,7 @@
         if let Some(error) = self.last_error.take() {
             return StreamOutcome::ErrorResponse(error);
         }
-        if self.stats.executed == 0 {
+        if self.stats.attempts.executed == 0 {
             if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
                 return StreamOutcome::Refused(error);
             }
@@ -446,7 +371,7 @@
         info!(
             "stream: id={} run={} ended reason={} events={} path={}",
             self.ctx.req.id,
-            self.stats.executed,
+            self.stats.attempts.executed,
             reason,
             self.progress.events_sent(),
             format_path(&route.path, self.shared)
