--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -1,15 +1,14 @@
-//! Sends and receives the messages.
+//! Sends the messages.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::{
-    ConfigOffer, PeerDatagram, PeerMessage, PeerReport, PeerUpdate, PlannerAnnouncement, Sighting,
-    SightingStep, send_interval,
+    ConfigOffer, PeerDatagram, PeerMessage, PeerReport, PlannerAnnouncement, Sighting,
+    send_interval,
 };
 use clementine_decide::quarantine::CrashReport;
 use clementine_decide::signals::SignalReport;
@@ -21,12 +20,10 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::config_offer::{serve_config, take_newer_configs};
-use super::directory::{EntryRecord, follow_directory};
+use super::directory::follow_directory;
 use super::load::{MAX_REPORTED_BACKENDS, local_load};
 use super::receivers::Receivers;
 use crate::accept::accept_connections;
-use crate::crashes::merge_crashes;
-use crate::engines::apply_sighting;
 use crate::shared::{SharedState, UrgentMessage};
 
 /// Interval at which received loads are applied. Summing them up costs more than
@@ -96,10 +93,11 @@
     signals: Vec<SignalReport>,
 }
 
-struct PeerExchange {
-    shared: Rc<SharedState>,
+/// Exchange of messages with the other entries. Receiving is in `receive`.
+pub(super) struct PeerExchange {
+    pub(super) shared: Rc<SharedState>,
     socket: UdpSocket,
-    receivers: Rc<RefCell<Receivers>>,
+    pub(super) receivers: Rc<RefCell<Receivers>>,
     /// Address at which the neighbors fetch this entry's configuration.
     config_address: Option<SocketAddr>,
     /// Sequence number of the last message.
@@ -107,7 +105,7 @@
     /// Number of times that messages were sent.
     round: u64,
     /// Whether loads were received that have not been applied yet.
-    loads_changed: bool,
+    pub(super) loads_changed: bool,
 }
 
 impl PeerExchange {
@@ -130,51 +128,6 @@
         }
     }
 
-    async fn receive(&mut self, received: io::Result<(usize, SocketAddr)>, buf: &[u8]) {
-        let (size, from) = match received {
-            Ok(received) => received,
-            Err(error) => return warn!("peers: receiving a message failed: {}", error),
-        };
-        match rmp_serde::from_slice(&buf[..size]) {
-            Ok(PeerDatagram::Status(message)) => self.record_status(*message, from),
-            Ok(PeerDatagram::Changes(changes)) => {
-                self.shared.table_sync(changes.table).push_changes(changes);
-            }
-            Ok(PeerDatagram::Sighting(sighting)) => self.receive_sighting(sighting).await,
-            Ok(PeerDatagram::Quarantined(report)) => merge_crashes(&self.shared, &[report]),
-            Err(error) => {
-                self.shared.metrics.count_malformed_message();
-                debug!("peers: malformed message from {}: {}", from, error);
-            }
-        }
-    }
-
-    fn record_status(&mut self, mut message: PeerMessage, from: SocketAddr) {
-        let id = message.from.clone();
-        let own_id = &self.shared.settings.entry;
-        if id == *own_id {
-            return;
-        }
-        // Others pass on the announcements of this entry as well.
-        message.planner.take_if(|planner| planner.holder == *own_id);
-        let record = EntryRecord { address: from, domain: message.domain.clone() };
-        self.receivers.borrow_mut().insert(id.clone(), record);
-        if let PeerReport::Entry { feed: Some(feed), .. } = &message.report {
-            self.shared.config_sync.record_peer_position(feed.config);
-            self.shared.backend_list_sync.record_peer_position(feed.backends);
-        }
-        self.shared.config_sync.record_peer_version(message.config_newest);
-        self.shared.backend_list_sync.record_peer_version(message.list_newest);
-        merge_crashes(&self.shared, &message.crashes);
-        self.shared.merge_signals(&message.signals);
-        let now = self.shared.now();
-        let update = self.shared.peers.borrow_mut().record(message, now);
-        if update == PeerUpdate::Joined {
-            info!("peers: entry={} address={} joined", id, from);
-        }
-        self.loads_changed |= update != PeerUpdate::Ignored;
-    }
-
     /// Sends the next messages and returns the time until those after them.
     async fn send(&mut self) -> Duration {
         let now = self.shared.now();
@@ -253,22 +206,7 @@
         }
     }
 
-    /// Handles a report on a backend server, and passes one that came from another
-    /// failure domain on to the neighbors.
-    async fn receive_sighting(&self, sighting: Sighting) {
-        let step = self.shared.sightings.borrow_mut().record(&sighting, self.shared.now());
-        if step == SightingStep::Ignore {
-            return;
-        }
-        apply_sighting(&self.shared, &sighting, step);
-        if !sighting.within_domain {
-            let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
-            let within = Sighting { within_domain: true, ..sighting };
-            self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
-        }
-    }
-
-    async fn send_datagram(&self, datagram: &PeerDatagram, receivers: &[SocketAddr]) {
+    pub(super) async fn send_datagram(&self, datagram: &PeerDatagram, receivers: &[SocketAddr]) {
         let bytes = match rmp_serde::to_vec(datagram) {
             Ok(bytes) => bytes,
             Err(error) => return warn!("peers: encoding a message failed: {}", error),
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod exchange;
 mod load;
+mod receive;
 mod receivers;
 
 pub(crate) use exchange::exchange_messages;
