Changes that the table service has lost are put back

After the product's own table service came back from a copy without the revision in force, nobody could publish: each change follows the head row, which was behind the entries.

--- a/crates/decide/src/config/local.rs
+++ b/crates/decide/src/config/local.rs
@@ -92,11 +92,24 @@
         else {
             return ConfigUpdate::None;
         };
-        let missing: Vec<_> =
-            self.recent.iter().filter(|record| record.revision > revision).cloned().collect();
-        if missing.first().is_some_and(|record| record.revision == revision.next()) {
-            return ConfigUpdate::of_changes(&missing);
+        let missing = self.changes_since(revision);
+        if missing.is_empty() {
+            return ConfigUpdate::Snapshot(snapshot.encode().into());
         }
-        ConfigUpdate::Snapshot(snapshot.encode().into())
+        ConfigUpdate::of_changes(&missing)
+    }
+
+    /// All changes after `revision`, in order; empty if there are none or not all of
+    /// them are kept.
+    pub fn changes_since(&self, revision: Revision) -> Vec<ChangeRecord> {
+        let missing = self.recent.iter().filter(|record| record.revision > revision);
+        let missing: Vec<ChangeRecord> = missing.cloned().collect();
+        let complete = missing.first().is_some_and(|record| record.revision == revision.next());
+        if complete { missing } else { Vec::new() }
+    }
+
+    /// The change that produced a revision, if it is kept.
+    pub fn change(&self, revision: Revision) -> Option<&ChangeRecord> {
+        self.recent.iter().find(|record| record.revision == revision)
     }
 }
--- a/crates/entry/src/config/publish.rs
+++ b/crates/entry/src/config/publish.rs
@@ -38,6 +38,7 @@
             change: request.change,
             published_unix_ms: unix_ms(),
         };
+        self.restore_lost_changes().await;
         let current = self.snapshot();
         let published =
             publish(&self.config_table, &current, &publication, PublishLimits::default()).await?;
--- a/crates/entry/src/config/sync.rs
+++ b/crates/entry/src/config/sync.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use clementine_decide::config::ConfigUpdate;
-use clementine_decide::publish::ConfigStore;
+use clementine_decide::publish::{ConfigHead, ConfigStore, append_lost_changes, lost_changes};
 use clementine_objects::{Millis, Revision, Snapshot, SnapshotError};
 use clementine_stores::ObjectStore;
 use snafu::{ResultExt, Snafu};
@@ -100,6 +100,29 @@
         }
     }
 
+    /// Puts the changes back that the table service lacks, given its head row.
+    async fn restore_changes(&self, head: Option<ConfigHead>) {
+        let lost = lost_changes(&self.config.borrow(), head);
+        if lost.is_empty() {
+            return;
+        }
+        match append_lost_changes(&self.config_table, &lost).await {
+            Ok(written) => {
+                warn!("config: {} of {} lost changes put back", written, lost.len());
+            }
+            Err(error) => warn!("config: lost changes cannot be put back: {}", error),
+        }
+    }
+
+    /// Puts the changes back that the table service lacks. A failure to read the head
+    /// row is found again, and reported, by the publication that follows.
+    pub(super) async fn restore_lost_changes(&self) {
+        match self.config_table.head().await {
+            Ok(head) => self.restore_changes(head).await,
+            Err(error) => debug!("config: failed to read the head row: {}", error),
+        }
+    }
+
     async fn read_config(&self) -> Result<(), ConfigReadError> {
         if self.config.borrow().snapshot().is_none() {
             // If the object store is unavailable, the full history is read below.
@@ -111,6 +134,7 @@
             }
         }
         let head = self.config_table.head().await.context(StoreSnafu)?;
+        self.restore_changes(head).await;
         let newest = head.map_or(Revision::default(), |head| head.revision);
         let current = self.config.borrow().revision();
         if newest == Revision::default() {
