--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -49,8 +49,10 @@
         Ok(socket) => socket,
         Err(error) => return warn!("peers: cannot bind {}: {}", address, error),
     };
-    let address = socket.local_addr().unwrap_or(address);
+    // With port 0, each of the two sockets gets a free port of its own: the neighbors
+    // learn the address of the configuration from messages.
     let config_address = offer_config(&shared, address);
+    let address = socket.local_addr().unwrap_or(address);
     let receivers = Receivers::new(shared.settings.entry.clone(), shared.settings.domain.clone());
     let receivers = Rc::new(RefCell::new(receivers));
     spawn_local(follow_directory(Rc::clone(&shared), address, Rc::clone(&receivers)));
@@ -66,8 +68,7 @@
     exchange.run().await;
 }
 
-/// Serves the configuration to the neighbors on the port of the messages, and takes
-/// theirs. Returns the address of the server, or `None` if it cannot be bound.
+/// Serves the configuration to the neighbors at `address`, and takes theirs. Returns the address of the server, or `None` if it cannot be bound.
 fn offer_config(shared: &Rc<SharedState>, address: SocketAddr) -> Option<SocketAddr> {
     spawn_local(take_newer_configs(Rc::clone(shared)));
     let bound = bind_reusable(address).and_then(|listener| {
