--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -8,7 +8,7 @@
 use super::{Backend, BackendIncarnation, BackendState, EngineSpec, Member};
 use crate::ids::{BackendId, PoolId, Tick};
 use crate::paths::PathCandidate;
-use crate::peers::{BackendHash, BackendLoad};
+use crate::peers::{BackendHash, BackendLoad, least_reported};
 use crate::signals::{LimitSharing, ResponseSignals, ResponseSource, ServerSignals, SignalReport};
 
 /// All backend servers known to this process.
@@ -135,13 +135,9 @@
     /// most `max`, those first that were reported least often.
     pub fn next_signal_reports(&mut self, max: usize, now: Tick) -> Vec<SignalReport> {
         let members = self.members.values_mut();
-        let mut due: Vec<(u32, &mut Member)> =
-            members.filter_map(|member| Some((member.signals.reported()?, member))).collect();
-        due.sort_by_key(|(reported, _)| *reported);
-        due.truncate(max);
-        due.into_iter()
-            .map(|(_, member)| member.signals.next_report(member.incarnation, now))
-            .collect()
+        let due = members.filter_map(|member| Some((member.signals.reported()?, member)));
+        let reports = least_reported(due, max).into_iter();
+        reports.map(|member| member.signals.next_report(member.incarnation, now)).collect()
     }
 
     /// Time until a server of a pool accepts requests of this entry again, if all
@@ -152,6 +148,11 @@
         (pause.0 > 0).then_some(pause)
     }
 
+    /// Whether any server names a limit.
+    pub fn has_limits(&self) -> bool {
+        self.members.values().any(|member| member.signals.limit().is_some())
+    }
+
     /// Sets this entry's share of each limit that a server names.
     pub fn set_limit_shares(&mut self, sharing: &LimitSharing<'_>, now: Tick) {
         for member in self.members.values_mut() {
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -7,6 +7,7 @@
 
 mod feed;
 mod message;
+mod repeat;
 mod schedule;
 mod sighting;
 mod totals;
@@ -17,6 +18,7 @@
     BackendHash, BackendLoad, ConfigOffer, DomainSummary, LinkLoad, LoadStatus, PeerDatagram,
     PeerMessage, PeerReport, PlannerAnnouncement,
 };
+pub(crate) use repeat::{MIN_REPORTS, least_reported};
 pub use schedule::{send_interval, summary_targets};
 pub use sighting::{Condition, Sighting, SightingStep, Sightings, recovery_check_interval};
 pub use totals::LoadTotals;
--- a/crates/decide/src/quarantine/crash_counts.rs
+++ b/crates/decide/src/quarantine/crash_counts.rs
@@ -1,10 +1,9 @@
 //! Counts of backend server crashes by request.
 
-use std::collections::BTreeMap;
-
 use clementine_objects::Millis;
 
 use super::Fingerprint;
+use super::records::{CrashRecord, CrashRecords};
 use crate::ids::Tick;
 
 /// Settings of the quarantine.
@@ -25,11 +24,17 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct CrashRecord {
+struct CrashCount {
     crashes: u32,
     last_crash: Tick,
 }
 
+impl CrashRecord for CrashCount {
+    fn last_crash(&self) -> Tick {
+        self.last_crash
+    }
+}
+
 /// Requests that were running when their backend server crashed.
 ///
 /// A request is considered the cause only if it ran alone or if a second backend
@@ -39,23 +44,19 @@
 #[derive(Debug)]
 pub struct Quarantine {
     limits: QuarantineLimits,
-    records: BTreeMap<Fingerprint, CrashRecord>,
+    records: CrashRecords<CrashCount>,
 }
 
 impl Quarantine {
     /// Creates an empty quarantine.
     pub const fn new(limits: QuarantineLimits) -> Self {
-        Self { limits, records: BTreeMap::new() }
+        Self { limits, records: CrashRecords::new(limits) }
     }
 
     /// Records that a backend server crashed while it ran a request.
     pub fn record_crash(&mut self, request: Fingerprint, now: Tick) {
-        self.evict_expired(now);
-        if !self.records.contains_key(&request) && self.records.len() >= self.limits.capacity {
-            self.evict_oldest();
-        }
-        let empty = CrashRecord { crashes: 0, last_crash: now };
-        let record = self.records.entry(request).or_insert(empty);
+        let empty = CrashCount { crashes: 0, last_crash: now };
+        let record = self.records.get_or_insert(request, empty, now);
         record.crashes += 1;
         record.last_crash = now;
     }
@@ -70,7 +71,7 @@
 
     /// Records that a request completed, which removes it from the quarantine.
     pub fn record_success(&mut self, request: Fingerprint) {
-        self.records.remove(&request);
+        self.records.remove(request);
     }
 
     /// Whether a request has to be refused.
@@ -92,25 +93,11 @@
 
     /// Whether no request is recorded.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.records.len() == 0
     }
 
     /// Number of recorded crashes of a request.
     pub fn crashes(&self, request: Fingerprint, now: Tick) -> u32 {
-        let record = self.records.get(&request);
-        let retained = record.filter(|record| now.since(record.last_crash) < self.limits.retention);
-        retained.map_or(0, |record| record.crashes)
-    }
-
-    fn evict_expired(&mut self, now: Tick) {
-        let retention = self.limits.retention;
-        self.records.retain(|_, record| now.since(record.last_crash) < retention);
-    }
-
-    fn evict_oldest(&mut self) {
-        let oldest = self.records.iter().min_by_key(|(_, record)| record.last_crash);
-        if let Some(request) = oldest.map(|(request, _)| *request) {
-            self.records.remove(&request);
-        }
+        self.records.get(request, now).map_or(0, |record| record.crashes)
     }
 }
--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -1,18 +1,15 @@
 //! Crashes of backend servers by request, merged over all entries.
 
-use std::collections::BTreeMap;
-
 use clementine_objects::Millis;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
 use super::recent_set::RecentSet;
+use super::records::{CrashRecord, CrashRecords};
 use super::{Fingerprint, QuarantineLimits};
 use crate::fleet::BackendIncarnation;
 use crate::ids::Tick;
-
-/// Number of times that a request below the limit is reported to other entries.
-const MIN_REPORTS: u32 = 10;
+use crate::peers::{MIN_REPORTS, least_reported};
 
 /// What an entry knows of one request that was running when backend servers
 /// crashed.
@@ -53,6 +50,12 @@
     reported: u32,
 }
 
+impl CrashRecord for Crashes {
+    fn last_crash(&self) -> Tick {
+        self.last_crash
+    }
+}
+
 /// Requests that were running when a backend server crashed, as any entry has
 /// observed it.
 ///
@@ -60,18 +63,24 @@
 /// entries can be merged in any order and more than once.
 ///
 /// Invariant: at most `limits.capacity` requests are recorded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashLog {
     limits: QuarantineLimits,
-    requests: BTreeMap<Fingerprint, Crashes>,
+    requests: CrashRecords<Crashes>,
     /// Requests that this entry has seen complete.
     completed: RecentSet,
 }
 
+impl Default for CrashLog {
+    fn default() -> Self {
+        Self::new(QuarantineLimits::default())
+    }
+}
+
 impl CrashLog {
     /// Creates an empty log.
     pub fn new(limits: QuarantineLimits) -> Self {
-        Self { limits, requests: BTreeMap::new(), completed: RecentSet::default() }
+        Self { limits, requests: CrashRecords::new(limits), completed: RecentSet::default() }
     }
 
     /// Records that a server crashed while it ran a request. Returns whether this
@@ -92,7 +101,7 @@
     }
 
     fn mark_completed(&mut self, request: Fingerprint) {
-        if let Some(crashes) = self.requests.get_mut(&request)
+        if let Some(crashes) = self.requests.get_mut(request)
             && !crashes.completed
         {
             crashes.completed = true;
@@ -123,11 +132,10 @@
         last_crash: Tick,
         now: Tick,
     ) -> bool {
-        self.evict(request, now);
         let capacity = self.limits.crashes as usize;
         let completed = self.completed.contains(request);
-        let empty = || Crashes { servers: Vec::new(), completed, last_crash, reported: 0 };
-        let crashes = self.requests.entry(request).or_insert_with(empty);
+        let empty = Crashes { servers: Vec::new(), completed, last_crash, reported: 0 };
+        let crashes = self.requests.get_or_insert(request, empty, now);
         let known = crashes.servers.len();
         for server in servers {
             if crashes.servers.len() < capacity && !crashes.servers.contains(server) {
@@ -142,29 +150,15 @@
         changed
     }
 
-    /// Drops expired requests, and the one with the oldest crash if another one
-    /// does not fit.
-    fn evict(&mut self, request: Fingerprint, now: Tick) {
-        let retention = self.limits.retention;
-        self.requests.retain(|_, crashes| now.since(crashes.last_crash) < retention);
-        if self.requests.len() < self.limits.capacity || self.requests.contains_key(&request) {
-            return;
-        }
-        let oldest = self.requests.iter().min_by_key(|(_, crashes)| crashes.last_crash);
-        if let Some(oldest) = oldest.map(|(request, _)| *request) {
-            self.requests.remove(&oldest);
-        }
-    }
-
     /// Whether a request is refused. One that has also completed is not the cause of
     /// the crashes.
     pub fn is_quarantined(&self, request: Fingerprint, now: Tick) -> bool {
-        self.current(request, now).is_some_and(|crashes| self.is_at_limit(crashes))
+        self.requests.get(request, now).is_some_and(|crashes| self.is_at_limit(crashes))
     }
 
     /// Whether one more crash would put a request in quarantine.
     pub fn is_near_quarantine(&self, request: Fingerprint, now: Tick) -> bool {
-        let known = self.current(request, now);
+        let known = self.requests.get(request, now);
         let completed = known.is_some_and(|crashes| crashes.completed);
         let crashes = known.map_or(0, |crashes| crashes.servers.len());
         !completed && crashes + 1 >= self.limits.crashes as usize
@@ -172,7 +166,8 @@
 
     /// Time for which a request is still refused, if it is.
     pub fn refused_for(&self, request: Fingerprint, now: Tick) -> Option<Millis> {
-        let crashes = self.current(request, now).filter(|crashes| self.is_at_limit(crashes))?;
+        let crashes =
+            self.requests.get(request, now).filter(|crashes| self.is_at_limit(crashes))?;
         Some(crashes.last_crash.after(self.limits.retention).since(now))
     }
 
@@ -187,33 +182,20 @@
     /// that has just started learns of them.
     pub fn next_reports(&mut self, max: usize, now: Tick) -> Vec<CrashReport> {
         let limit = self.limits.crashes as usize;
-        let retention = self.limits.retention;
-        let mut due: Vec<(&Fingerprint, &mut Crashes)> = self
-            .requests
-            .iter_mut()
-            .filter(|(_, crashes)| {
-                let persistent = crashes.servers.len() >= limit;
-                now.since(crashes.last_crash) < retention
-                    && (persistent || crashes.reported < MIN_REPORTS)
-            })
-            .collect();
-        due.sort_by_key(|(_, crashes)| crashes.reported);
-        due.truncate(max);
-        let reports = due.into_iter().map(|(request, crashes)| {
+        let due = self.requests.iter_mut(now).filter(|(_, crashes)| {
+            crashes.servers.len() >= limit || crashes.reported < MIN_REPORTS
+        });
+        let due = due.map(|(request, crashes)| (crashes.reported, (request, crashes)));
+        let reports = least_reported(due, max).into_iter().map(|(request, crashes)| {
             crashes.reported = crashes.reported.saturating_add(1);
-            report(*request, crashes, now)
+            report(request, crashes, now)
         });
         reports.collect()
     }
 
     /// What is known of one request.
     pub fn report_on(&self, request: Fingerprint, now: Tick) -> Option<CrashReport> {
-        Some(report(request, self.current(request, now)?, now))
-    }
-
-    fn current(&self, request: Fingerprint, now: Tick) -> Option<&Crashes> {
-        let crashes = self.requests.get(&request)?;
-        (now.since(crashes.last_crash) < self.limits.retention).then_some(crashes)
+        Some(report(request, self.requests.get(request, now)?, now))
     }
 
     fn is_at_limit(&self, crashes: &Crashes) -> bool {
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -4,6 +4,7 @@
 mod crash_log;
 mod fingerprint;
 mod recent_set;
+mod records;
 mod suspect_gate;
 
 pub use crash_counts::{Quarantine, QuarantineLimits};
--- a/crates/decide/src/signals/server.rs
+++ b/crates/decide/src/signals/server.rs
@@ -6,10 +6,7 @@
 use crate::circuit::TokenBucket;
 use crate::fleet::BackendIncarnation;
 use crate::ids::Tick;
-
-/// Number of times that a fact that does not change any more is reported to other
-/// entries.
-const MIN_REPORTS: u32 = 10;
+use crate::peers::MIN_REPORTS;
 
 /// Maximum time for which a server is left alone at its request. A longer time is
 /// taken for a mistake.
@@ -38,8 +35,9 @@
 }
 
 impl NamedLimit {
-    const fn new(rate: Option<RequestRate>, observed_at: Tick) -> Self {
-        Self { rate, observed_at, allowance: TokenBucket::new(0.0, 0.0), reported: 0 }
+    /// A limit that the server has not named yet.
+    const fn unnamed(observed_at: Tick) -> Self {
+        Self { rate: None, observed_at, allowance: TokenBucket::new(0.0, 0.0), reported: 0 }
     }
 
     const fn is_due(&self) -> bool {
@@ -123,7 +121,7 @@
     }
 
     fn set_limit(&mut self, rate: Option<RequestRate>, observed_at: Tick) -> bool {
-        let known = self.limit.get_or_insert_with(|| NamedLimit::new(None, observed_at));
+        let known = self.limit.get_or_insert_with(|| NamedLimit::unnamed(observed_at));
         known.observed_at = observed_at;
         let changed = known.rate != rate;
         if changed {
--- a/crates/direct/src/crashes/evidence.rs
+++ b/crates/direct/src/crashes/evidence.rs
@@ -1,15 +1,11 @@
 //! Whether a backend server has crashed.
 
-use std::time::Duration;
-
 use clementine_decide::ids::{BackendId, Tick};
-use clementine_http1::{ClientConn, ConnectError};
+use clementine_http1::ConnectError;
 
+use crate::engines::connect_to_engine;
 use crate::shared::SharedState;
 
-/// Timeout of one attempt to connect. Within one region connecting takes a few
-/// ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(90);
 /// Number of attempts to connect, since a packet may be lost.
 const MAX_CONNECT_ATTEMPTS: usize = 2;
 
@@ -25,15 +21,15 @@
             Some(member) => member.backend.address,
             None => return false,
         };
-        let connected = ClientConn::connect(address, CONNECT_TIMEOUT, &shared.codec).await;
-        let mut fleet = shared.fleet.borrow_mut();
-        let Some(member) = fleet.get_mut(id) else { return false };
-        match connected {
-            Ok(_) => member.record_connection(shared.now()),
-            Err(ConnectError::Refused { .. }) => member.record_refused_connection(shared.now()),
+        match connect_to_engine(shared, id, address).await {
+            Ok(_) => return false,
+            Err(ConnectError::Refused { .. }) => {
+                // What is known of the server may have changed meanwhile.
+                let fleet = shared.fleet.borrow();
+                return fleet.get(id).is_some_and(|member| !member.is_draining());
+            }
             Err(ConnectError::TimedOut) => {}
         }
     }
-    let fleet = shared.fleet.borrow();
-    fleet.get(id).is_some_and(|member| member.refused_connection_since(lost_at))
+    false
 }
--- a/crates/direct/src/crashes/lost_run.rs
+++ b/crates/direct/src/crashes/lost_run.rs
@@ -53,13 +53,13 @@
         let Some(incarnation) = incarnation else { return };
         let was_quarantined = is_quarantined(&shared, self.content);
         let now = shared.now();
-        let is_new = shared.crash_log.borrow_mut().record_crash(self.content, incarnation, now);
+        shared.crash_log.borrow_mut().record_crash(self.content, incarnation, now);
         shared.metrics.count_crash();
         info!(
             "crashes: request={} content={} backend={} crashed",
             self.request, self.content, self.backend
         );
-        if !is_new || was_quarantined || !is_quarantined(&shared, self.content) {
+        if was_quarantined || !is_quarantined(&shared, self.content) {
             return;
         }
         let report = shared.crash_log.borrow().report_on(self.content, now);
--- a/crates/direct/src/crashes/saved.rs
+++ b/crates/direct/src/crashes/saved.rs
@@ -2,11 +2,12 @@
 //! of all entries.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use clementine_decide::quarantine::{CrashReport, Fingerprint};
 use clementine_objects::Millis;
 use clementine_platform::store::{RowKey, StoreError, Transaction};
+use clementine_process::clock::unix_ms;
 use compact_str::{CompactString, format_compact};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -33,17 +34,12 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct SavedReport {
     report: CrashReport,
-    /// When it was saved, in ms since the Unix epoch.
+    /// When it was saved, in ms since the Unix epoch. The time of day may differ
+    /// between instances by seconds, which is little compared to the time for which a
+    /// request is refused.
     saved_at_ms: u64,
 }
 
-/// Time of day. It may differ between instances by seconds, which is little compared
-/// to the time for which a request is refused.
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Millis::from(now).0
-}
-
 fn row_key(content: Fingerprint) -> RowKey {
     RowKey {
         table: TABLE.into(),
--- a/crates/direct/src/engines/mod.rs
+++ b/crates/direct/src/engines/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use calls::{CALL_TIMEOUT, CallError, change_path, fetch_report, place_layers};
 pub(crate) use diagnose::{check_backend, diagnose_stall};
 pub(crate) use health::confirm_identity;
-pub(crate) use probe::probe_engines;
+pub(crate) use probe::{connect_to_engine, probe_engines};
 pub(crate) use reported::apply_sighting;
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -18,7 +18,7 @@
 
 /// Timeout of a connection attempt. Within one region connecting takes a few
 /// ms.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(90);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(90);
 
 /// Connects to the engines of a stalled run that have not been active recently,
 /// and marks those as down that [`unreachable_engines`] selects. This detects a
@@ -53,36 +53,47 @@
     if !shared.connection_probes.borrow_mut().insert(id.clone()) {
         return None;
     }
-    let connected = ClientConn::connect(address, CONNECT_TIMEOUT, &shared.codec).await;
+    let connected = connect_to_engine(shared, &id, address).await;
     shared.connection_probes.borrow_mut().remove(&id);
     let result = match connected {
         Ok(conn) => {
-            record_connection(shared, &id, conn, address);
+            refresh_slowdown(shared, &id, conn, address);
             ProbeResult::Connected
         }
-        Err(ConnectError::Refused { .. }) => {
-            if let Some(member) = shared.fleet.borrow_mut().get_mut(&id) {
-                member.record_refused_connection(shared.now());
-            }
-            ProbeResult::Refused
-        }
+        Err(ConnectError::Refused { .. }) => ProbeResult::Refused,
         Err(ConnectError::TimedOut) => ProbeResult::TimedOut,
     };
     Some((id, result))
 }
 
-/// Records that the engine accepted a connection. The engine may be slow rather
-/// than down, so a stale slowdown factor is fetched again on this connection.
-fn record_connection(
+/// Connects to a server, and records whether it accepted or refused the connection.
+pub(crate) async fn connect_to_engine(
+    shared: &SharedState,
+    id: &BackendId,
+    address: SocketAddr,
+) -> Result<ClientConn, ConnectError> {
+    let connected = ClientConn::connect(address, CONNECT_TIMEOUT, &shared.codec).await;
+    if let Some(member) = shared.fleet.borrow_mut().get_mut(id) {
+        match &connected {
+            Ok(_) => member.record_connection(shared.now()),
+            Err(ConnectError::Refused { .. }) => member.record_refused_connection(shared.now()),
+            Err(ConnectError::TimedOut) => {}
+        }
+    }
+    connected
+}
+
+/// Fetches a stale slowdown factor again on a new connection, because an engine that
+/// accepts connections may be slow rather than down.
+fn refresh_slowdown(
     shared: &Rc<SharedState>,
     id: &BackendId,
     conn: ClientConn,
     address: SocketAddr,
 ) {
     let now = shared.now();
-    let mut fleet = shared.fleet.borrow_mut();
-    let Some(member) = fleet.get_mut(id) else { return };
-    member.record_connection(now);
+    let fleet = shared.fleet.borrow();
+    let Some(member) = fleet.get(id) else { return };
     if !member.is_slowdown_stale(now) || member.signals.is_paused(now) {
         return;
     }
--- a/crates/direct/src/engines/reported.rs
+++ b/crates/direct/src/engines/reported.rs
@@ -4,11 +4,10 @@
 
 use clementine_decide::ids::BackendId;
 use clementine_decide::peers::{BackendHash, Condition, Sighting, SightingStep};
-use clementine_http1::ClientConn;
 use tokio::task::spawn_local;
 
 use super::diagnose::{check_recovery, mark_down};
-use super::probe::CONNECT_TIMEOUT;
+use super::probe::connect_to_engine;
 use crate::shared::SharedState;
 
 /// Acts on the report of another entry.
@@ -45,14 +44,7 @@
         }
         _ => return,
     };
-    match ClientConn::connect(address, CONNECT_TIMEOUT, &shared.codec).await {
-        Ok(_) => {
-            if let Some(member) = shared.fleet.borrow_mut().get_mut(&id) {
-                member.record_connection(shared.now());
-            }
-        }
-        Err(_) => {
-            mark_down(&shared, &id, "reported-no-connection");
-        }
+    if connect_to_engine(&shared, &id, address).await.is_err() {
+        mark_down(&shared, &id, "reported-no-connection");
     }
 }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -138,11 +138,7 @@
         }
         self.round += 1;
         let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
-        let remote = if now < Tick(LISTEN_TIME.0) {
-            Vec::new()
-        } else {
-            self.receivers.borrow().summary_receivers(&self.shared.peers.borrow(), self.round)
-        };
+        let remote = if now < Tick(LISTEN_TIME.0) { Vec::new() } else { self.remote_receivers() };
         let interval = send_interval(neighbors.len() + remote.len());
         let load = local_load(&self.shared);
         let leaving = self.shared.drain.is_draining();
@@ -187,26 +183,25 @@
                 self.send_datagram(&PeerDatagram::Changes(changes), &neighbors).await;
             }
             UrgentMessage::Sighting(sighting) => {
-                let remote = self
-                    .receivers
-                    .borrow()
-                    .summary_receivers(&self.shared.peers.borrow(), self.round);
+                let remote = self.remote_receivers();
                 let across = Sighting { within_domain: false, ..sighting.clone() };
                 let within = Sighting { within_domain: true, ..sighting };
                 self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
                 self.send_datagram(&PeerDatagram::Sighting(across), &remote).await;
             }
             UrgentMessage::Quarantined(report) => {
-                let remote = self
-                    .receivers
-                    .borrow()
-                    .summary_receivers(&self.shared.peers.borrow(), self.round);
+                let remote = self.remote_receivers();
                 let datagram = PeerDatagram::Quarantined(report);
                 self.send_datagram(&datagram, &[neighbors, remote].concat()).await;
             }
         }
     }
 
+    /// Entries of other failure domains that this entry sends to in this round.
+    fn remote_receivers(&self) -> Vec<SocketAddr> {
+        self.receivers.borrow().summary_receivers(&self.shared.peers.borrow(), self.round)
+    }
+
     pub(super) async fn send_datagram(&self, datagram: &PeerDatagram, receivers: &[SocketAddr]) {
         let bytes = match rmp_serde::to_vec(datagram) {
             Ok(bytes) => bytes,
--- a/crates/direct/src/shared/signals.rs
+++ b/crates/direct/src/shared/signals.rs
@@ -88,6 +88,9 @@
 
     /// Divides the limits that backend servers name among the entries known now.
     pub(super) fn update_limit_shares(&self) {
+        if !self.fleet.borrow().has_limits() {
+            return;
+        }
         let peers = self.peers.borrow();
         let sharing = peers.limit_sharing(&self.settings.entry, &self.settings.domain);
         self.fleet.borrow_mut().set_limit_shares(&sharing, self.now());
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// Starts a store with a configuration of a model with `layers` layers.
+pub async fn start_configured_store(layers: u32) -> Store {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, layers));
+    store
+}
+
 /// Settings of an entry in failure domain `a` that uses `store`.
 pub fn settings(name: &str, store: &Store) -> InstanceSettings {
     InstanceSettings {
--- a/crates/direct/tests/crashing_requests.rs
+++ b/crates/direct/tests/crashing_requests.rs
@@ -7,7 +7,9 @@
 use actix_rt::test;
 use clementine_direct::{Running, start};
 use clementine_platform::settings::InstanceSettings;
-use common::{Backend, Store, config, send_request, settings, start_entry, wait_until};
+use common::{
+    Backend, Store, send_request, settings, start_configured_store, start_entry, wait_until,
+};
 use tokio::time::sleep;
 
 const LAYERS: u32 = 12;
@@ -61,8 +63,7 @@
 
 #[test]
 async fn repeatable_request_crashes_at_most_two_servers() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = start_configured_store(LAYERS).await;
     let servers = start_servers(&store, "plain").await;
     let entries = start_entries(&store).await;
     let statuses = send_repeatedly(&entries, "/safe/x").await;
@@ -74,8 +75,7 @@
 
 #[test]
 async fn unrepeatable_request_that_the_caller_sends_again_crashes_at_most_two_servers() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = start_configured_store(LAYERS).await;
     let servers = start_servers(&store, "plain").await;
     let entries = start_entries(&store).await;
     let statuses = send_repeatedly(&entries, "/once/x").await;
@@ -86,8 +86,7 @@
 
 #[test]
 async fn stream_crashes_at_most_two_engines() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = start_configured_store(LAYERS).await;
     let engines = start_servers(&store, "model").await;
     let entries = start_entries(&store).await;
     wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
@@ -101,8 +100,7 @@
 /// An entry that has never heard of the others knows what they saved in the store.
 #[test]
 async fn quarantine_outlasts_a_restart_of_all_entries() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = start_configured_store(LAYERS).await;
     let servers = start_servers(&store, "plain").await;
     let entries = start_entries(&store).await;
     send_repeatedly(&entries, "/safe/x").await;
@@ -116,8 +114,7 @@
 
 #[test]
 async fn damaged_saved_requests_are_ignored() {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
+    let store = start_configured_store(LAYERS).await;
     let _servers = start_servers(&store, "plain").await;
     for (key, value) in [("00", ""), ("01", "{}"), ("02", "[1]"), ("03", r#"{"report":7}"#)] {
         store.put("quarantine", key, value);
--- a/crates/direct/tests/server_limit.rs
+++ b/crates/direct/tests/server_limit.rs
@@ -6,7 +6,7 @@
 
 use actix_rt::test;
 use clementine_direct::Running;
-use common::{Backend, Store, config, send_request, start_entry, wait_until};
+use common::{Backend, Store, send_request, start_configured_store, start_entry, wait_until};
 use tokio::time::{Instant, sleep};
 
 const LAYERS: u32 = 12;
@@ -27,12 +27,6 @@
     (limit * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
 }
 
-async fn start_configured_store() -> Store {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    store
-}
-
 async fn start_entries(store: &Store, count: usize) -> Vec<Running> {
     let mut entries = Vec::new();
     for n in 0..count {
@@ -68,7 +62,7 @@
 
 #[test]
 async fn entries_together_keep_the_limit_that_a_server_names() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     for server in [&one, &two] {
@@ -86,7 +80,7 @@
 
 #[test]
 async fn entries_together_keep_the_limit_of_engines_that_are_first_on_a_path() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let mut engines = Vec::new();
     for n in 0..6 {
         engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
@@ -106,7 +100,7 @@
 
 #[test]
 async fn limit_ends_when_the_server_no_longer_names_it() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     server.extra_headers.replace(vec![LIMIT]);
     let entries = start_entries(&store, 2).await;
@@ -132,7 +126,7 @@
 
 #[test]
 async fn malformed_limit_is_ignored() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     let entry = &start_entries(&store, 1).await[0];
     for value in ["", "-1", "NaN", "inf", "many", "1e400", "0x10"] {
--- a/crates/direct/tests/server_signals.rs
+++ b/crates/direct/tests/server_signals.rs
@@ -6,22 +6,16 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use common::{Backend, Behaviour, Store, config, send_request, start_entry, wait_until};
+use common::{Backend, Behaviour, send_request, start_configured_store, start_entry, wait_until};
 use tokio::time::sleep;
 
 const LAYERS: u32 = 12;
 /// Time in which entries tell each other what a server has said.
 const EXCHANGE_TIME: Duration = Duration::from_millis(600);
 
-async fn start_configured_store() -> Store {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    store
-}
-
 #[test]
 async fn malformed_signals_are_ignored() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     let entry = start_entry("one", &store).await;
     for value in ["", "0", "-1", "yes", "11"] {
@@ -43,7 +37,7 @@
 
 #[test]
 async fn server_that_names_a_retry_delay_gets_nothing_until_it_ends() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     server.behaviour.set(Behaviour::Refuse);
     server.extra_headers.replace(vec![("retry-after", "2.5")]);
@@ -70,7 +64,7 @@
 
 #[test]
 async fn callers_learn_when_the_servers_accept_requests_again() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     server.behaviour.set(Behaviour::Refuse);
     server.extra_headers.replace(vec![("retry-after", "5")]);
@@ -86,7 +80,7 @@
 
 #[test]
 async fn draining_server_gets_no_requests_from_any_entry() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let server = Backend::start("plain-1", "plain", &store).await;
     server.extra_headers.replace(vec![("server-leaving", "1")]);
     let entries = [start_entry("one", &store).await, start_entry("two", &store).await];
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -8,7 +8,7 @@
 use clementine_direct::Running;
 use common::{
     Backend, Behaviour, CallerResponse, Store, config, send_request, send_request_with_headers,
-    silence_engine_on_path, start_entry, wait_until,
+    silence_engine_on_path, start_configured_store, start_entry, wait_until,
 };
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -26,13 +26,6 @@
     (1..=20).collect()
 }
 
-/// Starts a store with a configuration.
-async fn start_configured_store() -> Store {
-    let store = Store::start().await;
-    store.put("op", "config", &config(1, LAYERS));
-    store
-}
-
 /// Starts engines and an entry, and waits until the engines host the model.
 async fn start_placed_engines(store: &Store, count: usize) -> (Vec<Backend>, Running) {
     let engines = start_engines(store, count).await;
@@ -59,7 +52,7 @@
 
 #[test]
 async fn stream_runs_on_a_path_that_covers_all_layers() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 4).await;
     let response = send_request(entry.callers, "POST", "/stream/x", "prompt").await;
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
@@ -71,7 +64,7 @@
 
 #[test]
 async fn run_with_an_unresponsive_engine_is_repathed_without_losing_events() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 5).await;
     let (response, _) = tokio::join!(
         send_request(entry.callers, "POST", "/stream/x", "prompt"),
@@ -83,7 +76,7 @@
 
 #[test]
 async fn stream_uses_at_most_max_attempts_engines() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     // Nine engines host three copies of the model, so that a third engine could start
     // a run.
     let (engines, entry) = start_placed_engines(&store, 9).await;
@@ -98,7 +91,7 @@
 
 #[test]
 async fn started_stream_waits_for_capacity() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 9).await;
     for engine in &engines {
         engine.disconnect_after.set(Some(5));
@@ -133,7 +126,7 @@
 
 #[test]
 async fn unsafe_request_with_a_lost_response_is_not_retried_or_reported_as_not_run() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = start_entry("one", &store).await;
@@ -147,7 +140,7 @@
 
 #[test]
 async fn refused_unsafe_request_is_sent_to_another_backend_server() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = start_entry("one", &store).await;
@@ -165,7 +158,7 @@
 
 #[test]
 async fn idempotent_request_is_retried_and_the_last_error_is_relayed() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let two = Backend::start("plain-2", "plain", &store).await;
     let entry = start_entry("one", &store).await;
@@ -185,7 +178,7 @@
 
 #[test]
 async fn close_delimited_response_is_relayed_as_close_delimited() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     one.behaviour.set(Behaviour::ServeCloseDelimited);
     let entry = start_entry("one", &store).await;
@@ -195,7 +188,7 @@
 
 #[test]
 async fn missing_or_wrong_api_key_gives_401_and_unknown_route_404() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let _one = Backend::start("plain-1", "plain", &store).await;
     let entry = start_entry("one", &store).await;
     let no_key = send_request_with_headers(entry.callers, "GET", "/safe/x", "", &[]).await;
@@ -208,7 +201,7 @@
 
 #[test]
 async fn stream_without_engines_gets_503_with_retry_after() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let entry = start_entry("one", &store).await;
     let response = send_request(entry.callers, "POST", "/stream/x", "prompt").await;
     assert_eq!((response.status, response.retry_after.is_some()), (503, true));
@@ -216,7 +209,7 @@
 
 #[test]
 async fn unanswered_order_is_resent_immediately() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let engines = start_engines(&store, 4).await;
     for engine in &engines {
         engine.orders_to_ignore.set(2);
@@ -229,7 +222,7 @@
 
 #[test]
 async fn entries_started_together_discover_each_other_and_one_holds_the_planner_lease() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let engines = start_engines(&store, 4).await;
     let (one, two) = tokio::join!(start_entry("one", &store), start_entry("two", &store));
     wait_until_placed(&engines).await;
@@ -243,7 +236,7 @@
 
 #[test]
 async fn removed_backend_server_gets_no_requests_and_a_new_configuration_takes_effect() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let one = Backend::start("plain-1", "plain", &store).await;
     let _two = Backend::start("plain-2", "plain", &store).await;
     let entry = start_entry("one", &store).await;
@@ -265,7 +258,7 @@
 
 #[test]
 async fn entry_shutdown_completes_streams_in_progress() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 4).await;
     let stop = async {
         wait_until("a run has started", async || {
@@ -283,7 +276,7 @@
 
 #[test]
 async fn draining_engine_is_avoided_and_completes_its_runs() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 9).await;
     let drain_one = async {
         wait_until("a run has started", async || {
@@ -309,7 +302,7 @@
 
 #[test]
 async fn engine_that_executes_an_order_is_not_marked_down() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     let (engines, entry) = start_placed_engines(&store, 5).await;
     let execute_order_on_one = async {
         wait_until("a run has started", async || {
@@ -340,7 +333,7 @@
 /// count of attempts when the second attempt stalls.
 #[test]
 async fn delisted_engine_counts_towards_the_attempt_limit_of_a_stream() {
-    let store = start_configured_store().await;
+    let store = start_configured_store(LAYERS).await;
     // 14 engines host at least three copies of the model, so that a third engine could
     // start a run.
     let (engines, entry) = start_placed_engines(&store, 14).await;
--- a/crates/process/src/clock/mod.rs
+++ b/crates/process/src/clock/mod.rs
@@ -25,7 +25,7 @@
 }
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch, for
-/// timestamps that people read.
+/// timestamps that people read or that outlast the process.
 pub fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
