--- a/crates/direct/src/crashes/lost_run.rs
+++ b/crates/direct/src/crashes/lost_run.rs
@@ -8,7 +8,7 @@
 use spdlog::info;
 use tokio::task::spawn_local;
 
-use super::evidence::has_crashed;
+use super::evidence::check_crashed;
 use super::quarantine::{announce, is_quarantined};
 use super::saved::save;
 use crate::shared::{RequestContext, SharedState};
@@ -46,8 +46,14 @@
     }
 
     async fn check(self, shared: Rc<SharedState>) {
-        if !has_crashed(&shared, &self.backend, self.lost_at).await {
-            return;
+        if let Err(reason) = check_crashed(&shared, &self.backend, self.lost_at).await {
+            return info!(
+                "crashes: request={} content={} backend={} not counted reason={}",
+                self.request,
+                self.content,
+                self.backend,
+                reason.reason()
+            );
         }
         let incarnation = shared.fleet.borrow().get(&self.backend).map(|member| member.incarnation);
         let Some(incarnation) = incarnation else { return };
