--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use clementine_http1::{BufferedRequest, ReadLimits, ServerConn};
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -38,6 +39,27 @@
     Fail,
 }
 
+/// What a backend server that crashes looks like from outside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CrashStyle {
+    /// Its connections are closed, and its address refuses new ones.
+    #[default]
+    Refuses,
+    /// Its row is removed from the store before its connections are closed.
+    Unlisted,
+    /// Another process serves its address under its id as soon as its connections are
+    /// closed.
+    BackAtOnce,
+    /// Its host loses power: nothing is closed, no connection is established, and its
+    /// row expires later.
+    Silent,
+}
+
+/// Time for which entries hear of a removed row before the server is gone.
+const UNLISTED_BEFORE_CRASH: Duration = Duration::from_millis(300);
+/// Time after which the row of a server that is silent expires.
+const ROW_TTL: Duration = Duration::from_millis(3_600);
+
 /// Backend server whose faults are set by the test.
 #[derive(Clone)]
 pub struct Backend {
@@ -55,6 +77,11 @@
     /// Whether it has crashed: it closes all connections and accepts no others.
     pub crashed: Rc<Cell<bool>>,
     crash: Rc<Notify>,
+    pub crash_style: Rc<Cell<CrashStyle>>,
+    /// Notified when it closes its connections, but not its listener.
+    drop_connections: Rc<Notify>,
+    /// Notified when it stops to accept connections without refusing them.
+    silence: Rc<Notify>,
     /// URI paths of the requests that crashed it.
     pub crashed_by: Rc<RefCell<Vec<String>>>,
     /// Start time that it reports; higher after each restart.
@@ -112,6 +139,9 @@
             crashes_on: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
+            crash_style: Rc::default(),
+            drop_connections: Rc::default(),
+            silence: Rc::default(),
             crashed_by: Rc::default(),
             started: Rc::new(Cell::new(1)),
             waiting_on: Rc::default(),
@@ -169,19 +199,52 @@
     }
 
     async fn accept(self, listener: TcpListener) {
-        while let Ok((io, _)) = listener.accept().await {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.silence.notified() => return fill_backlog(&listener).await,
+            };
+            let Ok((io, _)) = accepted else { return };
             let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("connection setup");
             let server = self.clone();
             spawn_local(async move {
                 let crashed = Rc::clone(&server.crash);
+                let dropped = Rc::clone(&server.drop_connections);
                 tokio::select! {
                     () = server.serve(conn) => {}
                     () = crashed.notified() => {}
+                    () = dropped.notified() => {}
                 }
             });
         }
     }
 
+    /// Crashes as [`CrashStyle`] says.
+    async fn crash_in_style(&self) {
+        match self.crash_style.get() {
+            CrashStyle::Refuses => self.crash(),
+            CrashStyle::Unlisted => {
+                self.store.remove("servers", &self.id);
+                sleep(UNLISTED_BEFORE_CRASH).await;
+                self.crash();
+            }
+            CrashStyle::BackAtOnce => {
+                self.started.set(self.started.get() + 1);
+                self.drop_connections.notify_waiters();
+                self.write_server_row();
+            }
+            CrashStyle::Silent => {
+                self.silence.notify_one();
+                let (store, id) = (self.store.clone(), self.id.clone());
+                spawn_local(async move {
+                    sleep(ROW_TTL).await;
+                    store.remove("servers", &id);
+                });
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Closes the listener and all connections.
     pub fn crash(&self) {
         self.crashed.set(true);
@@ -222,7 +285,7 @@
             if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
                 self.record_run(&request);
                 self.crashed_by.borrow_mut().push(request.head.uri.path().into());
-                return self.crash();
+                return self.crash_in_style().await;
             }
             let keep_alive = match request.head.uri.path() {
                 "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
@@ -386,3 +449,15 @@
         conn.finish_stream().await.is_ok()
     }
 }
+
+/// Fills the backlog of a listener, so that no further connection is established,
+/// and holds it.
+async fn fill_backlog(listener: &TcpListener) {
+    /// More connections than a backlog of 0 admits.
+    const CONNECTIONS: usize = 4;
+    SockRef::from(listener).listen(0).expect("change the backlog");
+    let address = listener.local_addr().expect("local address");
+    let connections = (0..CONNECTIONS).map(|_| TcpStream::connect(address));
+    futures::future::join_all(connections).await;
+    std::future::pending::<()>().await;
+}
--- a/crates/direct/tests/crashing_requests.rs
+++ b/crates/direct/tests/crashing_requests.rs
@@ -8,7 +8,8 @@
 use clementine_direct::{Running, start};
 use clementine_platform::settings::InstanceSettings;
 use common::{
-    Backend, Store, send_request, settings, start_configured_store, start_entry, wait_until,
+    Backend, CrashStyle, Store, send_request, send_request_with_headers, settings,
+    start_configured_store, start_entry, wait_until,
 };
 use tokio::time::sleep;
 
@@ -25,6 +26,10 @@
 /// each other of a crash.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Deadline of the crashing request. It has passed when a server that falls silent has
+/// not responded.
+const DEADLINE_MS: &str = "1000";
+
 /// Time in which an entry that starts has read what is saved in the store.
 const READ_TIME: Duration = Duration::from_secs(4);
 
@@ -45,6 +50,11 @@
     entries
 }
 
+/// Number of servers that ran the crashing request.
+fn ended(servers: &[Backend]) -> usize {
+    servers.iter().map(|server| server.crashed_by.borrow().len()).sum()
+}
+
 fn crashed(servers: &[Backend]) -> usize {
     servers.iter().filter(|server| server.crashed.get()).count()
 }
@@ -52,10 +62,12 @@
 /// Sends the crashing request again and again, to one entry after the other.
 /// Returns the statuses of the responses.
 async fn send_repeatedly(entries: &[Running; 2], path: &str) -> Vec<u16> {
+    let headers = [("x-api-key", "key"), ("deadline-ms", DEADLINE_MS)];
     let mut statuses = Vec::new();
     for n in 0..REPEATS {
-        let entry = &entries[n % entries.len()];
-        statuses.push(send_request(entry.callers, "POST", path, CRASHING).await.status);
+        let to = entries[n % entries.len()].callers;
+        let response = send_request_with_headers(to, "POST", path, CRASHING, &headers).await;
+        statuses.push(response.status);
         sleep(REPEAT_INTERVAL).await;
     }
     statuses
@@ -124,3 +136,36 @@
     let response = send_request(entry.callers, "POST", "/safe/x", "harmless").await;
     assert_eq!(response.status, 200);
 }
+
+/// Number of servers after whose end a request is not sent again, however they ended.
+const MAX_ENDED: usize = 3;
+
+/// Sends the crashing request to servers that end in the given way.
+async fn assert_uncertain_crashes_count(style: CrashStyle, path: &str) {
+    let store = start_configured_store(LAYERS).await;
+    let servers = start_servers(&store, "plain").await;
+    for server in &servers {
+        server.crash_style.set(style);
+    }
+    let entries = start_entries(&store).await;
+    let statuses = send_repeatedly(&entries, path).await;
+    assert!(ended(&servers) <= MAX_ENDED, "{} servers ended, {statuses:?}", ended(&servers));
+    assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
+}
+
+#[test]
+async fn servers_that_are_unlisted_before_they_crash_count() {
+    assert_uncertain_crashes_count(CrashStyle::Unlisted, "/safe/x").await;
+    assert_uncertain_crashes_count(CrashStyle::Unlisted, "/once/x").await;
+}
+
+#[test]
+async fn servers_that_are_back_at_once_after_a_crash_count() {
+    assert_uncertain_crashes_count(CrashStyle::BackAtOnce, "/safe/x").await;
+    assert_uncertain_crashes_count(CrashStyle::BackAtOnce, "/once/x").await;
+}
+
+#[test]
+async fn servers_that_fall_silent_count() {
+    assert_uncertain_crashes_count(CrashStyle::Silent, "/safe/x").await;
+}
