--- a/crates/direct/src/crashes/run.rs
+++ b/crates/direct/src/crashes/run.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use clementine_decide::fleet::BackendIncarnation;
-use clementine_decide::ids::{BackendId, Tick};
+use clementine_decide::ids::{BackendId, PromptPart, Tick};
 use clementine_decide::quarantine::{CrashEvidence, Fingerprint, LossKind, LossVerdict};
 use clementine_objects::Millis;
 use compact_str::CompactString;
@@ -25,6 +25,8 @@
 pub(crate) struct Run {
     pub(super) request: CompactString,
     pub(super) content: Fingerprint,
+    /// Parts of its prompt that other requests share.
+    pub(super) parts: Vec<PromptPart>,
     pub(super) backend: BackendId,
     pub(super) address: SocketAddr,
     /// The start of the server to which the request was sent. Another process may
@@ -45,6 +47,7 @@
         Some(Self {
             request: ctx.req.id.clone(),
             content: ctx.fingerprint,
+            parts: ctx.req.shared_parts.clone(),
             backend: backend.clone(),
             address: member.backend.address,
             server: member.incarnation,
@@ -80,13 +83,22 @@
         match verdict {
             LossVerdict::Crashed(evidence) => self.record_crash(&shared, evidence),
             LossVerdict::NotCrashed | LossVerdict::Undecided => info!(
-                "crashes: request={} content={} backend={} not counted verdict={:?}",
-                self.request, self.content, self.backend, verdict
+                "crashes: request={} content={} parts={} backend={} not counted verdict={:?}",
+                self.request,
+                self.content,
+                self.format_parts(),
+                self.backend,
+                verdict
             ),
         }
         spawn_local(watch_lost(shared, self, loss, verdict, lost_at));
     }
 
+    fn format_parts(&self) -> String {
+        let parts = self.parts.iter().map(ToString::to_string);
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Records that the server crashed, or may have, and puts the request in quarantine
     /// if it was the last of as many as the limit says.
     pub(super) fn record_crash(&self, shared: &Rc<SharedState>, evidence: CrashEvidence) {
@@ -99,8 +111,12 @@
         }
         shared.metrics.count_crash();
         info!(
-            "crashes: request={} content={} backend={} crashed evidence={:?}",
-            self.request, self.content, self.backend, evidence
+            "crashes: request={} content={} parts={} backend={} crashed evidence={:?}",
+            self.request,
+            self.content,
+            self.format_parts(),
+            self.backend,
+            evidence
         );
         if was_quarantined || !is_quarantined(shared, self.content) {
             return;
