--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -76,6 +76,8 @@
     pub arrivals: Rc<RefCell<Vec<Instant>>>,
     /// Body of the requests that crash it when it begins to run them.
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
+    /// Part of a prompt on which it crashes inside the first event of the response.
+    pub crashes_on_part: Rc<Cell<Option<&'static str>>>,
     /// Whether it has crashed: it closes all connections and accepts no others.
     pub crashed: Rc<Cell<bool>>,
     crash: Rc<Notify>,
@@ -139,6 +141,7 @@
             extra_headers: Rc::default(),
             arrivals: Rc::default(),
             crashes_on: Rc::default(),
+            crashes_on_part: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
             crash_style: Rc::default(),
@@ -435,6 +438,12 @@
         let last = request.head.headers().get("last-event-id");
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
         conn.start_stream(self.signed_response(200, request)).expect("stream starts");
+        if self.crashes_on_part.get().is_some_and(|part| has_part(request, part)) {
+            let sent = conn.send_chunk(Bytes::from_static(b"id: 1\nda")).await;
+            self.crashed_by.borrow_mut().push(request.head.uri.path().into());
+            self.crash();
+            return sent.is_ok();
+        }
         for id in last + 1..=STREAM_EVENTS {
             if self.disconnect_after.get().is_some_and(|events| id > last + events) {
                 return false;
@@ -452,6 +461,12 @@
     }
 }
 
+fn has_part(request: &BufferedRequest, part: &str) -> bool {
+    let parts = request.head.headers().get("prompt-prefix").and_then(|list| list.to_str().ok());
+    let mut parts = parts.unwrap_or_default().split(',');
+    parts.any(|entry| entry.split(':').next() == Some(part))
+}
+
 /// Fills the backlog of a listener, so that no further connection is established,
 /// and holds it.
 async fn fill_backlog(listener: &TcpListener) {
