--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -61,8 +61,8 @@
     Changes(TableChanges),
     /// Condition of a backend server.
     Sighting(Sighting),
-    /// A request that has been put in quarantine.
-    Quarantined(CrashReport),
+    /// What is known of a suspect of crashes, for all entries.
+    Crashes(CrashReport),
 }
 
 /// Periodic status message of an entry.
--- a/crates/decide/src/quarantine/crash_counts.rs
+++ b/crates/decide/src/quarantine/crash_counts.rs
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     limits: QuarantineLimits,
-    records: CrashRecords<CrashCount>,
+    records: CrashRecords<Fingerprint, CrashCount>,
 }
 
 impl Quarantine {
--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -1,114 +1,98 @@
-//! Crashes of backend servers by request, merged over all entries.
+//! Evidence for and against suspects, merged over all entries.
 
 use clementine_objects::Millis;
-use serde::{Deserialize, Serialize};
-use serde_with::serde_as;
 
 use super::evidence::{Crash, CrashEvidence};
-use super::recent_set::RecentSet;
-use super::records::{CrashRecord, CrashRecords};
-use super::{Fingerprint, QuarantineLimits};
+use super::recent_answers::RecentAnswers;
+use super::records::CrashRecords;
+use super::suspect_record::SuspectRecord;
+use super::{CrashReport, QuarantineLimits, RunSuspects, Suspect};
 use crate::fleet::BackendIncarnation;
-use crate::ids::Tick;
+use crate::ids::{PromptPart, Tick};
 use crate::peers::{MIN_REPORTS, least_reported};
 
-/// What an entry knows of one request that was running when backend servers
-/// crashed.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    #[serde_as(as = "serde_with::Bytes")]
-    request: [u8; 16],
-    /// Servers that crashed while they ran it.
-    servers: Vec<CrashedServer>,
-    /// Whether it has also completed.
-    completed: bool,
+/// Number of certain crashes from which on a part is not tried any more, unless
+/// another one explains them as well.
+const MAX_PROBED_CRASHES: usize = 5;
+/// Retry delay of a request that is refused for a part that is being tried.
+const PROBED_RETRY_DELAY: Millis = Millis(2_000);
+/// Number of crashes of an unanswered part from which on other entries are told of
+/// each at once.
+const MIN_URGENT_CRASHES: usize = 2;
+/// Whether a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Nothing speaks against it.
+    Admitted,
+    /// The suspect is refused, but this request is let through to learn whether it is
+    /// the cause.
+    Probe(Suspect),
+    /// The suspect is refused.
+    Refused {
+        /// The suspect.
+        suspect: Suspect,
+        /// Time after which trying again may help.
+        retry_delay: Millis,
+    },
 }
 
-/// A server that crashed, in a [`CrashReport`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct CrashedServer {
-    server: BackendIncarnation,
-    evidence: CrashEvidence,
-    /// Time since the crash.
-    age: Millis,
+/// A change that other entries are told at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectChange {
+    /// The suspect is refused from now on.
+    Quarantined(Suspect),
+    /// There is more evidence against the suspect.
+    Advanced(Suspect),
+    /// The suspect was refused and has been answered now.
+    Cleared(Suspect),
 }
 
-impl CrashReport {
-    /// The request that the report is about.
-    pub const fn request(&self) -> Fingerprint {
-        Fingerprint(u128::from_le_bytes(self.request))
-    }
-
-    /// The same report after some time.
-    #[must_use]
-    pub fn older_by(mut self, time: Millis) -> Self {
-        for crashed in &mut self.servers {
-            crashed.age = Millis(crashed.age.0.saturating_add(time.0));
+impl SuspectChange {
+    /// The suspect that changed.
+    pub const fn suspect(self) -> Suspect {
+        match self {
+            Self::Quarantined(suspect) | Self::Advanced(suspect) | Self::Cleared(suspect) => {
+                suspect
+            }
         }
-        self
     }
 }
 
-/// Maximum number of servers that are kept for one request.
-const MAX_SERVERS: usize = 8;
-
-#[derive(Debug, Clone)]
-struct Crashes {
-    /// Each server once, at most [`MAX_SERVERS`].
-    servers: Vec<Crash>,
-    completed: bool,
-    last_crash: Tick,
-    /// Number of reports that included this request in its present state.
-    reported: u32,
+/// What the crash of a server changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordedCrash {
+    /// Whether the crash was not known for all suspects.
+    pub is_new: bool,
+    /// Changes of single suspects.
+    pub changes: Vec<SuspectChange>,
 }
 
-impl Crashes {
-    /// Adds a server, or what is known of it in addition. Returns whether that changes
-    /// anything.
-    fn add(&mut self, crash: Crash) -> bool {
-        let is_full = self.servers.len() == MAX_SERVERS;
-        match self.servers.iter_mut().find(|known| known.server == crash.server) {
-            Some(known) if known.is_superseded_by(&crash) => *known = crash,
-            Some(_) => return false,
-            None if is_full => return false,
-            None => self.servers.push(crash),
-        }
-        self.last_crash = self.last_crash.max(crash.at);
-        self.reported = 0;
-        true
-    }
-
-    /// Whether as many servers crashed as the limit says, or one more if it is not
-    /// certain that they did.
-    fn is_at_limit(&self, limit: usize, now: Tick) -> bool {
-        let counted = self.servers.iter().filter(|crash| crash.counts(now));
-        let evidence: Vec<CrashEvidence> = counted.map(|crash| crash.evidence).collect();
-        let certain = evidence.iter().filter(|found| **found == CrashEvidence::Certain).count();
-        !self.completed && (certain >= limit || evidence.len() > limit)
-    }
-}
-
-impl CrashRecord for Crashes {
-    fn last_crash(&self) -> Tick {
-        self.last_crash
-    }
+/// How well a suspect explains the crashes under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Explanation {
+    /// A part that is not in the request explains these crashes and others.
+    Worse,
+    /// A part that is not in the request explains them as well.
+    Equal,
+    /// No other part does.
+    Only,
 }
 
-/// Requests that were running when a backend server crashed, as any entry has
-/// observed it.
+/// Evidence for and against the requests and parts of prompts that were running when
+/// backend servers crashed, as any entry has observed it.
 ///
 /// Servers are kept instead of a count, so that the observations of several
 /// entries can be merged in any order and more than once.
 ///
-/// Invariant: at most `limits.capacity` requests are recorded.
+/// Invariant: at most `limits.capacity` suspects are recorded.
 #[derive(Debug)]
 pub struct CrashLog {
     limits: QuarantineLimits,
-    requests: CrashRecords<Crashes>,
+    suspects: CrashRecords<Suspect, SuspectRecord>,
     /// Requests that this entry has seen complete.
-    completed: RecentSet,
+    completed_requests: RecentAnswers,
+    /// Parts on which this entry has seen an answer begin.
+    answered_parts: RecentAnswers,
 }
 
 impl Default for CrashLog {
@@ -120,133 +104,232 @@
 impl CrashLog {
     /// Creates an empty log.
     pub fn new(limits: QuarantineLimits) -> Self {
-        Self { limits, requests: CrashRecords::new(limits), completed: RecentSet::default() }
+        Self {
+            limits,
+            suspects: CrashRecords::new(limits),
+            completed_requests: RecentAnswers::default(),
+            answered_parts: RecentAnswers::default(),
+        }
     }
 
-    /// Records that a server crashed, or may have, while it ran a request. Returns
-    /// whether this was not known.
+    /// Records that a server crashed, or may have, under a run.
     pub fn record_crash(
         &mut self,
-        request: Fingerprint,
+        suspects: &RunSuspects,
         server: BackendIncarnation,
         evidence: CrashEvidence,
         now: Tick,
-    ) -> bool {
-        self.record(request, now).add(Crash { server, evidence, at: now })
+    ) -> RecordedCrash {
+        let crash = Crash { server, evidence, at: now };
+        let mut recorded = RecordedCrash { is_new: false, changes: Vec::new() };
+        for suspect in suspects.iter() {
+            let was_quarantined = self.is_at_limit(suspect, now);
+            let record = self.record(suspect, now);
+            record.began |= suspects.has_begun();
+            if !record.add(crash) {
+                continue;
+            }
+            recorded.is_new = true;
+            if !was_quarantined && self.is_at_limit(suspect, now) {
+                recorded.changes.push(SuspectChange::Quarantined(suspect));
+            } else if self.is_urgent(suspect, now) {
+                recorded.changes.push(SuspectChange::Advanced(suspect));
+            }
+        }
+        recorded
     }
 
     /// Takes back that a server may have crashed, because it responds.
-    pub fn withdraw_crash(&mut self, request: Fingerprint, server: BackendIncarnation) {
-        if let Some(crashes) = self.requests.get_mut(request) {
-            crashes
-                .servers
-                .retain(|crash| crash.server != server || crash.evidence > CrashEvidence::Silent);
+    pub fn withdraw_crash(&mut self, suspects: &RunSuspects, server: BackendIncarnation) {
+        for suspect in suspects.iter() {
+            if let Some(record) = self.suspects.get_mut(suspect) {
+                record.crashes.retain(|crash| {
+                    crash.server != server || crash.evidence > CrashEvidence::Silent
+                });
+            }
         }
     }
 
     /// Records that a request completed, before or after servers crashed under it.
-    pub fn record_completion(&mut self, request: Fingerprint) {
-        self.completed.insert(request, self.limits.capacity);
-        self.mark_completed(request);
+    pub fn record_completion(&mut self, suspects: &RunSuspects, now: Tick) -> Vec<SuspectChange> {
+        let request = Suspect::Request(suspects.request());
+        self.completed_requests.record(request, now, self.limits.capacity);
+        self.record_answer(request, now).into_iter().collect()
     }
 
-    fn mark_completed(&mut self, request: Fingerprint) {
-        if let Some(crashes) = self.requests.get_mut(request)
-            && !crashes.completed
-        {
-            crashes.completed = true;
-            crashes.reported = 0;
+    /// Records that an answer has begun on parts of a prompt, before or after servers
+    /// crashed under them.
+    pub fn record_answer_begun(&mut self, parts: &[PromptPart], now: Tick) -> Vec<SuspectChange> {
+        let mut changes = Vec::new();
+        for part in parts {
+            let part = Suspect::Part(*part);
+            self.answered_parts.record(part, now, self.limits.capacity);
+            changes.extend(self.record_answer(part, now));
         }
+        changes
+    }
+
+    fn record_answer(&mut self, suspect: Suspect, now: Tick) -> Option<SuspectChange> {
+        let was_quarantined = self.is_at_limit(suspect, now);
+        self.suspects.get_mut(suspect)?.record_answer(now);
+        was_quarantined.then_some(SuspectChange::Cleared(suspect))
     }
 
-    /// Merges the report of another entry. Returns whether it has put the request
+    /// Merges the report of another entry. Returns whether it has put the suspect
     /// in quarantine.
     pub fn merge(&mut self, report: &CrashReport, now: Tick) -> bool {
-        let retention = self.limits.retention;
-        let mut recent = report.servers.iter().filter(|crash| crash.age < retention).peekable();
-        if recent.peek().is_none() {
+        let mut crashes = report.crashes(now, self.limits.retention).peekable();
+        if crashes.peek().is_none() {
             return false;
         }
-        let request = report.request();
-        let was_quarantined = self.is_quarantined(request, now);
-        let crashes = self.record(request, now);
-        for crashed in recent {
-            let at = Tick(now.0.saturating_sub(crashed.age.0));
-            crashes.add(Crash { server: crashed.server, evidence: crashed.evidence, at });
+        let suspect = report.suspect();
+        let was_quarantined = self.is_at_limit(suspect, now);
+        let record = self.record(suspect, now);
+        record.began |= report.began();
+        for crash in crashes {
+            record.add(crash);
+        }
+        match report.answered(now) {
+            Some(answered) => record.answered = record.answered.max(Some(answered)),
+            None if record.answered.is_some() => {
+                record.contested = true;
+                record.reported = 0;
+            }
+            None => {}
+        }
+        !was_quarantined && self.is_at_limit(suspect, now)
+    }
+
+    fn record(&mut self, suspect: Suspect, now: Tick) -> &mut SuspectRecord {
+        let answers = match suspect {
+            Suspect::Request(_) => &self.completed_requests,
+            Suspect::Part(_) => &self.answered_parts,
+        };
+        let empty = SuspectRecord::new(answers.last(suspect));
+        self.suspects.get_or_insert(suspect, empty, now)
+    }
+
+    /// Decides whether a request may be sent. One that is let through for a part that
+    /// is refused is followed by the next one after `probe_interval`.
+    pub fn admit(
+        &mut self,
+        suspects: &RunSuspects,
+        now: Tick,
+        probe_interval: Millis,
+    ) -> Admission {
+        let Some((suspect, explanation)) = self.blamed(suspects, now) else {
+            return Admission::Admitted;
+        };
+        let Some(record) = self.suspects.get_mut(suspect) else { return Admission::Admitted };
+        let is_probed = matches!(suspect, Suspect::Part(_))
+            && (explanation == Explanation::Equal || record.certain(now) < MAX_PROBED_CRASHES);
+        if !is_probed {
+            let retry_delay = record.last_crash.after(self.limits.retention).since(now);
+            return Admission::Refused { suspect, retry_delay };
+        }
+        let is_due = record.next_probe.is_some_and(|due| now >= due);
+        if is_due || record.next_probe.is_none() {
+            record.next_probe = Some(now.after(probe_interval));
         }
-        if report.completed {
-            self.mark_completed(request);
+        if is_due {
+            return Admission::Probe(suspect);
         }
-        !was_quarantined && self.is_quarantined(request, now)
+        Admission::Refused { suspect, retry_delay: PROBED_RETRY_DELAY }
     }
 
-    fn record(&mut self, request: Fingerprint, now: Tick) -> &mut Crashes {
-        let completed = self.completed.contains(request);
-        let last_crash = Tick(0);
-        let empty = Crashes { servers: Vec::new(), completed, last_crash, reported: 0 };
-        self.requests.get_or_insert(request, empty, now)
+    /// Whether a request is not sent again because of the servers that crashed under
+    /// it or under a part of its prompt.
+    pub fn is_quarantined(&self, suspects: &RunSuspects, now: Tick) -> bool {
+        self.blamed(suspects, now).is_some()
     }
 
-    /// Whether a request is refused. One that has also completed is not the cause of
-    /// the crashes.
-    pub fn is_quarantined(&self, request: Fingerprint, now: Tick) -> bool {
-        self.requests.get(request, now).is_some_and(|crashes| self.is_at_limit(crashes, now))
+    /// The suspect for which a request is refused.
+    fn blamed(&self, suspects: &RunSuspects, now: Tick) -> Option<(Suspect, Explanation)> {
+        let at_limit = suspects.iter().filter(|suspect| self.is_at_limit(*suspect, now));
+        let blamed = at_limit.map(|suspect| (suspect, self.explanation(suspect, suspects, now)));
+        // The one that is surest to be the cause decides.
+        blamed
+            .filter(|(_, explanation)| *explanation != Explanation::Worse)
+            .max_by_key(|(_, explanation)| *explanation == Explanation::Only)
     }
 
-    /// Whether one more crash would put a request in quarantine.
-    pub fn is_near_quarantine(&self, request: Fingerprint, now: Tick) -> bool {
-        let known = self.requests.get(request, now);
-        let completed = known.is_some_and(|crashes| crashes.completed);
-        let crashes = known.map_or(0, |crashes| crashes.servers.len());
-        !completed && crashes + 1 >= self.limits.crashes as usize
+    /// Compares a suspect with the parts that are not in the request: a part under
+    /// which the same servers crashed, and more, is the better explanation.
+    fn explanation(&self, suspect: Suspect, suspects: &RunSuspects, now: Tick) -> Explanation {
+        let Some(record) = self.suspects.get(suspect, now) else { return Explanation::Only };
+        let count = record.counted(now).count();
+        let others = self
+            .suspects
+            .iter(now)
+            .filter(|(other, _)| matches!(other, Suspect::Part(_)) && !suspects.contains(*other));
+        let mut explanation = Explanation::Only;
+        for (_, other) in others.filter(|(_, other)| other.covers(record, now)) {
+            if other.counted(now).count() > count {
+                return Explanation::Worse;
+            }
+            explanation = Explanation::Equal;
+        }
+        explanation
     }
 
-    /// Time for which a request is still refused, if it is.
-    pub fn refused_for(&self, request: Fingerprint, now: Tick) -> Option<Millis> {
-        let crashes =
-            self.requests.get(request, now).filter(|crashes| self.is_at_limit(crashes, now))?;
-        Some(crashes.last_crash.after(self.limits.retention).since(now))
+    fn is_at_limit(&self, suspect: Suspect, now: Tick) -> bool {
+        let record = self.suspects.get(suspect, now);
+        record.is_some_and(|record| record.is_at_limit(suspect, self.limits, now))
     }
 
-    /// Number of requests in quarantine.
-    pub fn quarantined_count(&self, now: Tick) -> usize {
-        self.requests.values().filter(|crashes| self.is_at_limit(crashes, now)).count()
+    /// Whether other entries are told of each crash under a suspect at once.
+    fn is_urgent(&self, suspect: Suspect, now: Tick) -> bool {
+        let record = self.suspects.get(suspect, now);
+        matches!(suspect, Suspect::Part(_))
+            && record.is_some_and(|record| {
+                record.answered.is_none() && record.counted(now).count() >= MIN_URGENT_CRASHES
+            })
+    }
+
+    /// Whether one more crash would put a request in quarantine.
+    pub fn is_near_quarantine(&self, suspects: &RunSuspects, now: Tick) -> bool {
+        suspects.iter().any(|suspect| {
+            self.suspects
+                .get(suspect, now)
+                .is_some_and(|record| record.is_near_limit(suspect, self.limits, now))
+        })
+    }
+
+    /// Number of requests and of parts of prompts in quarantine.
+    pub fn quarantined_counts(&self, now: Tick) -> (usize, usize) {
+        let refused = |(suspect, record): &(Suspect, &SuspectRecord)| {
+            record.is_at_limit(*suspect, self.limits, now)
+        };
+        let refused = self.suspects.iter(now).filter(refused);
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            refused.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
+        (requests.len(), parts.len())
     }
 
     /// What to report to other entries in the next message: at most `max`
-    /// requests, those first that were reported least often. Requests in
+    /// suspects, those first that were reported least often, parts before requests and
+    /// parts with many crashes before others. Those in
     /// quarantine are reported for as long as they are recorded, so that an entry
     /// that has just started learns of them.
     pub fn next_reports(&mut self, max: usize, now: Tick) -> Vec<CrashReport> {
-        let limit = self.limits.crashes as usize;
-        let due = self.requests.iter_mut(now).filter(|(_, crashes)| {
-            crashes.servers.len() >= limit || crashes.reported < MIN_REPORTS
+        let limits = self.limits;
+        let due = self.suspects.iter_mut(now).filter_map(|(suspect, record)| {
+            let is_refused = record.is_at_limit(suspect, limits, now);
+            let is_sound = record.answered.is_some() && record.counted(now).next().is_none();
+            let is_told = is_sound && !record.contested;
+            let is_due = is_refused || (!is_told && record.reported < MIN_REPORTS);
+            let rank = record.report_rank(suspect, now);
+            is_due.then_some((rank, (suspect, record)))
         });
-        let due = due.map(|(request, crashes)| (crashes.reported, (request, crashes)));
-        let reports = least_reported(due, max).into_iter().map(|(request, crashes)| {
-            crashes.reported = crashes.reported.saturating_add(1);
-            report(request, crashes, now)
+        let reports = least_reported(due, max).into_iter().map(|(suspect, record)| {
+            record.reported = record.reported.saturating_add(1);
+            CrashReport::new(suspect, record, now)
         });
         reports.collect()
     }
 
-    /// What is known of one request.
-    pub fn report_on(&self, request: Fingerprint, now: Tick) -> Option<CrashReport> {
-        Some(report(request, self.requests.get(request, now)?, now))
-    }
-
-    fn is_at_limit(&self, crashes: &Crashes, now: Tick) -> bool {
-        crashes.is_at_limit(self.limits.crashes as usize, now)
-    }
-}
-
-fn report(request: Fingerprint, crashes: &Crashes, now: Tick) -> CrashReport {
-    let servers = crashes.servers.iter().filter(|crash| crash.counts(now)).map(|crash| {
-        CrashedServer { server: crash.server, evidence: crash.evidence, age: now.since(crash.at) }
-    });
-    CrashReport {
-        request: request.0.to_le_bytes(),
-        servers: servers.collect(),
-        completed: crashes.completed,
+    /// What is known of one suspect.
+    pub fn report_on(&self, suspect: Suspect, now: Tick) -> Option<CrashReport> {
+        Some(CrashReport::new(suspect, self.suspects.get(suspect, now)?, now))
     }
 }
--- /dev/null
+++ b/crates/decide/src/quarantine/crash_report.rs
@@ -0,0 +1,88 @@
+//! What entries tell each other of a suspect.
+
+use clementine_objects::Millis;
+use serde::{Deserialize, Serialize};
+
+use super::evidence::{Crash, CrashEvidence};
+use super::{Suspect, suspect_record::SuspectRecord};
+use crate::fleet::BackendIncarnation;
+use crate::ids::Tick;
+
+/// What an entry knows of one suspect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    suspect: Suspect,
+    /// Servers that crashed under it.
+    servers: Vec<CrashedServer>,
+    /// Time since it was last answered, if it was.
+    answered: Option<Millis>,
+    /// Whether a run with it broke off between the head of its response and the first
+    /// event.
+    began: bool,
+}
+
+/// A server that crashed, in a [`CrashReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct CrashedServer {
+    server: BackendIncarnation,
+    evidence: CrashEvidence,
+    /// Time since the crash.
+    age: Millis,
+}
+
+impl CrashReport {
+    pub(super) fn new(suspect: Suspect, record: &SuspectRecord, now: Tick) -> Self {
+        let servers = record.crashes.iter().filter(|crash| crash.counts(now));
+        let servers = servers.map(|crash| CrashedServer {
+            server: crash.server,
+            evidence: crash.evidence,
+            age: now.since(crash.at),
+        });
+        Self {
+            suspect,
+            servers: servers.collect(),
+            answered: record.answered.map(|at| now.since(at)),
+            began: record.began,
+        }
+    }
+
+    /// The suspect that the report is about.
+    pub const fn suspect(&self) -> Suspect {
+        self.suspect
+    }
+
+    /// The same report after some time.
+    #[must_use]
+    pub fn older_by(mut self, time: Millis) -> Self {
+        let ages = self.servers.iter_mut().map(|crashed| &mut crashed.age);
+        for age in ages.chain(&mut self.answered) {
+            *age = Millis(age.0.saturating_add(time.0));
+        }
+        self
+    }
+
+    /// The crashes that happened less than `retention` ago.
+    pub(super) fn crashes(&self, now: Tick, retention: Millis) -> impl Iterator<Item = Crash> {
+        let recent = self.servers.iter().filter(move |crashed| crashed.age < retention);
+        recent.map(move |crashed| Crash {
+            server: crashed.server,
+            evidence: crashed.evidence,
+            at: before(now, crashed.age),
+        })
+    }
+
+    /// Whether a run with the suspect broke off between the head of its response and
+    /// the first event.
+    pub(super) const fn began(&self) -> bool {
+        self.began
+    }
+
+    /// When the suspect was last answered.
+    pub(super) fn answered(&self, now: Tick) -> Option<Tick> {
+        self.answered.map(|age| before(now, age))
+    }
+}
+
+const fn before(now: Tick, age: Millis) -> Tick {
+    Tick(now.0.saturating_sub(age.0))
+}
--- a/crates/decide/src/quarantine/records.rs
+++ b/crates/decide/src/quarantine/records.rs
@@ -1,8 +1,8 @@
-//! Records of requests that were running when backend servers crashed.
+//! Records of what was running when backend servers crashed.
 
 use std::collections::BTreeMap;
 
-use super::{Fingerprint, QuarantineLimits};
+use super::QuarantineLimits;
 use crate::ids::Tick;
 
 /// A record that expires some time after the last crash.
@@ -11,33 +11,33 @@
     fn last_crash(&self) -> Tick;
 }
 
-/// Records by request.
+/// Records by suspect.
 ///
-/// Invariant: at most `limits.capacity` requests are recorded.
+/// Invariant: at most `limits.capacity` suspects are recorded.
 #[derive(Debug)]
-pub(super) struct CrashRecords<R> {
+pub(super) struct CrashRecords<K, R> {
     limits: QuarantineLimits,
-    records: BTreeMap<Fingerprint, R>,
+    records: BTreeMap<K, R>,
 }
 
-impl<R: CrashRecord> CrashRecords<R> {
+impl<K: Copy + Ord, R: CrashRecord> CrashRecords<K, R> {
     /// Creates an empty set.
     pub(super) const fn new(limits: QuarantineLimits) -> Self {
         Self { limits, records: BTreeMap::new() }
     }
 
-    /// The record of a request, unless it has expired.
-    pub(super) fn get(&self, request: Fingerprint, now: Tick) -> Option<&R> {
-        self.records.get(&request).filter(|record| self.is_current(*record, now))
+    /// The record of a suspect, unless it has expired.
+    pub(super) fn get(&self, suspect: K, now: Tick) -> Option<&R> {
+        self.records.get(&suspect).filter(|record| self.is_current(*record, now))
     }
 
-    /// The record of a request; `empty` is recorded if there is none. If it does not
+    /// The record of a suspect; `empty` is recorded if there is none. If it does not
     /// fit, it replaces the one with the oldest crash.
-    pub(super) fn get_or_insert(&mut self, request: Fingerprint, empty: R, now: Tick) -> &mut R {
-        if self.get(request, now).is_none() {
+    pub(super) fn get_or_insert(&mut self, suspect: K, empty: R, now: Tick) -> &mut R {
+        if self.get(suspect, now).is_none() {
             self.make_room(now);
         }
-        self.records.entry(request).or_insert(empty)
+        self.records.entry(suspect).or_insert(empty)
     }
 
     fn make_room(&mut self, now: Tick) {
@@ -47,32 +47,33 @@
             return;
         }
         let oldest = self.records.iter().min_by_key(|(_, record)| record.last_crash());
-        if let Some(request) = oldest.map(|(request, _)| *request) {
-            self.records.remove(&request);
+        if let Some(suspect) = oldest.map(|(suspect, _)| *suspect) {
+            self.records.remove(&suspect);
         }
     }
 
-    /// The record of a request, also if it has expired.
-    pub(super) fn get_mut(&mut self, request: Fingerprint) -> Option<&mut R> {
-        self.records.get_mut(&request)
+    /// The record of a suspect, also if it has expired.
+    pub(super) fn get_mut(&mut self, suspect: K) -> Option<&mut R> {
+        self.records.get_mut(&suspect)
     }
 
-    /// Removes the record of a request.
-    pub(super) fn remove(&mut self, request: Fingerprint) {
-        self.records.remove(&request);
+    /// Removes the record of a suspect.
+    pub(super) fn remove(&mut self, suspect: K) {
+        self.records.remove(&suspect);
     }
 
-    /// All records that have not expired.
-    pub(super) fn iter_mut(&mut self, now: Tick) -> impl Iterator<Item = (Fingerprint, &mut R)> {
+    /// All records that have not expired, for changes.
+    pub(super) fn iter_mut(&mut self, now: Tick) -> impl Iterator<Item = (K, &mut R)> {
         let retention = self.limits.retention;
         let current = move |record: &R| now.since(record.last_crash()) < retention;
-        let records = self.records.iter_mut().map(|(request, record)| (*request, record));
+        let records = self.records.iter_mut().map(|(suspect, record)| (*suspect, record));
         records.filter(move |(_, record)| current(record))
     }
 
-    /// All records.
-    pub(super) fn values(&self) -> impl Iterator<Item = &R> {
-        self.records.values()
+    /// All records that have not expired.
+    pub(super) fn iter(&self, now: Tick) -> impl Iterator<Item = (K, &R)> {
+        let records = self.records.iter().map(|(suspect, record)| (*suspect, record));
+        records.filter(move |(_, record)| self.is_current(record, now))
     }
 
     /// Number of records.
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -1,27 +1,33 @@
 //! Crashes of backend servers by request, as entries tell them to each other.
 
+mod crash_exchange;
+
 use clementine_decide::fleet::{BackendIncarnation, ProbeResult};
 use clementine_decide::ids::Tick;
-use clementine_decide::peers::{send_interval, summary_targets};
+use clementine_decide::peers::send_interval;
 use clementine_decide::quarantine::{
     CrashEvidence, CrashLog, Fingerprint, Listing, LossKind, LossVerdict, QuarantineLimits,
-    SILENCE_TTL, judge_loss,
+    RunSuspects, SILENCE_TTL, Suspect, judge_loss,
 };
 use clementine_objects::Millis;
+use crash_exchange::{REPORTS_PER_MESSAGE, exchange};
 use quickcheck::quickcheck;
 
 const LIMITS: QuarantineLimits =
     QuarantineLimits { crashes: 2, retention: Millis(600_000), capacity: 4_096 };
 const REQUEST: Fingerprint = Fingerprint(7);
-/// Maximum number of reports in one message.
-const REPORTS_PER_MESSAGE: usize = 8;
 
 fn server(n: u64) -> BackendIncarnation {
     BackendIncarnation(n)
 }
 
+/// A run of a request without a prompt.
+fn run(request: Fingerprint) -> RunSuspects {
+    RunSuspects::new(request, Vec::new())
+}
+
 fn record_crash(log: &mut CrashLog, request: Fingerprint, n: u64, now: Tick) -> bool {
-    log.record_crash(request, server(n), CrashEvidence::Certain, now)
+    log.record_crash(&run(request), server(n), CrashEvidence::Certain, now).is_new
 }
 
 fn log_with(crashes: &[(u128, u64)]) -> CrashLog {
@@ -37,9 +43,12 @@
     let mut log = CrashLog::new(LIMITS);
     assert!(record_crash(&mut log, REQUEST, 1, Tick(0)));
     assert!(!record_crash(&mut log, REQUEST, 1, Tick(5)));
-    assert!(!log.is_quarantined(REQUEST, Tick(5)) && log.is_near_quarantine(REQUEST, Tick(5)));
+    assert!(
+        !log.is_quarantined(&run(REQUEST), Tick(5))
+            && log.is_near_quarantine(&run(REQUEST), Tick(5))
+    );
     assert!(record_crash(&mut log, REQUEST, 2, Tick(10)));
-    assert!(log.is_quarantined(REQUEST, Tick(10)));
+    assert!(log.is_quarantined(&run(REQUEST), Tick(10)));
 }
 
 #[test]
@@ -48,16 +57,18 @@
     let reports = a.next_reports(REPORTS_PER_MESSAGE, Tick(20));
     assert!(b.merge(&reports[0], Tick(20)), "the second crash puts the request in quarantine");
     assert!(!b.merge(&reports[0], Tick(20)), "a repeated report changes nothing");
-    assert!(b.is_quarantined(REQUEST, Tick(20)) && !a.is_quarantined(REQUEST, Tick(20)));
+    assert!(
+        b.is_quarantined(&run(REQUEST), Tick(20)) && !a.is_quarantined(&run(REQUEST), Tick(20))
+    );
 }
 
 #[test]
 fn completed_request_is_not_quarantined() {
     let [mut a, mut b] = [log_with(&[(7, 1)]), log_with(&[(7, 1), (7, 2)])];
-    a.record_completion(REQUEST);
+    a.record_completion(&run(REQUEST), Tick(0));
     b.merge(&a.next_reports(REPORTS_PER_MESSAGE, Tick(0))[0], Tick(0));
-    assert!(!b.is_quarantined(REQUEST, Tick(0)));
-    a.record_completion(Fingerprint(8));
+    assert!(!b.is_quarantined(&run(REQUEST), Tick(0)));
+    a.record_completion(&run(Fingerprint(8)), Tick(0));
     assert_eq!(a.next_reports(REPORTS_PER_MESSAGE, Tick(0)).len(), 1, "unsuspected requests");
 }
 
@@ -66,10 +77,10 @@
 #[test]
 fn request_that_completed_before_the_crashes_is_not_quarantined() {
     let [mut a, mut b] = [CrashLog::new(LIMITS), log_with(&[(7, 1), (7, 2)])];
-    a.record_completion(REQUEST);
+    a.record_completion(&run(REQUEST), Tick(0));
     assert!(!a.merge(&b.next_reports(REPORTS_PER_MESSAGE, Tick(0))[0], Tick(0)));
     b.merge(&a.next_reports(REPORTS_PER_MESSAGE, Tick(0))[0], Tick(0));
-    assert!(!b.is_quarantined(REQUEST, Tick(0)));
+    assert!(!b.is_quarantined(&run(REQUEST), Tick(0)));
 }
 
 #[test]
@@ -83,7 +94,7 @@
         }
     }
     let end = LIMITS.retention.0 + 1_000;
-    assert!(logs.iter().all(|log| !log.is_quarantined(REQUEST, Tick(end))));
+    assert!(logs.iter().all(|log| !log.is_quarantined(&run(REQUEST), Tick(end))));
 }
 
 #[test]
@@ -94,32 +105,8 @@
             record_crash(&mut log, Fingerprint(n), crashed, Tick(n as u64));
         }
     }
-    assert_eq!(log.quarantined_count(Tick(3)), 2);
-    assert!(!log.is_quarantined(Fingerprint(0), Tick(3)));
-}
-
-/// Sends the messages of one round: each entry to all entries of its domain, and to
-/// some of each other domain.
-fn exchange(domains: &mut [Vec<CrashLog>], round: u64, now: Tick) {
-    let count = domains.len();
-    for from in 0..count {
-        for rank in 0..domains[from].len() {
-            let reports = domains[from][rank].next_reports(REPORTS_PER_MESSAGE, now);
-            let senders = domains[from].len();
-            for (to, domain) in domains.iter_mut().enumerate() {
-                let receivers: Vec<usize> = if to == from {
-                    (0..senders).collect()
-                } else {
-                    summary_targets(rank, senders, domain.len(), round).collect()
-                };
-                for receiver in receivers {
-                    for report in &reports {
-                        domain[receiver].merge(report, now);
-                    }
-                }
-            }
-        }
-    }
+    assert_eq!(log.quarantined_counts(Tick(3)), (2, 0));
+    assert!(!log.is_quarantined(&run(Fingerprint(0)), Tick(3)));
 }
 
 /// A request is in quarantine everywhere within one second, also while many others
@@ -145,7 +132,8 @@
         now = now.after(interval);
         round += 1;
     }
-    let knowing = domains.iter().flatten().filter(|log| log.is_quarantined(REQUEST, now)).count();
+    let knowing =
+        domains.iter().flatten().filter(|log| log.is_quarantined(&run(REQUEST), now)).count();
     assert_eq!(knowing, 103, "after {round} rounds");
 }
 
@@ -153,34 +141,37 @@
 fn uncertain_crashes_count_but_take_one_more() {
     let mut log = CrashLog::new(LIMITS);
     for n in 1..=3 {
-        assert!(!log.is_quarantined(REQUEST, Tick(0)), "{n}");
-        log.record_crash(REQUEST, server(n), CrashEvidence::Gone, Tick(0));
+        assert!(!log.is_quarantined(&run(REQUEST), Tick(0)), "{n}");
+        log.record_crash(&run(REQUEST), server(n), CrashEvidence::Gone, Tick(0));
     }
-    assert!(log.is_quarantined(REQUEST, Tick(0)));
+    assert!(log.is_quarantined(&run(REQUEST), Tick(0)));
     let mut log = log_with(&[(7, 1)]);
-    log.record_crash(REQUEST, server(2), CrashEvidence::Gone, Tick(0));
-    assert!(!log.is_quarantined(REQUEST, Tick(0)));
-    log.record_crash(REQUEST, server(2), CrashEvidence::Certain, Tick(5));
-    assert!(log.is_quarantined(REQUEST, Tick(5)), "two are certain now");
+    log.record_crash(&run(REQUEST), server(2), CrashEvidence::Gone, Tick(0));
+    assert!(!log.is_quarantined(&run(REQUEST), Tick(0)));
+    log.record_crash(&run(REQUEST), server(2), CrashEvidence::Certain, Tick(5));
+    assert!(log.is_quarantined(&run(REQUEST), Tick(5)), "two are certain now");
 }
 
 #[test]
 fn silence_counts_for_a_limited_time_unless_withdrawn() {
     let silent = |log: &mut CrashLog, n: u64, now: Tick| {
-        log.record_crash(REQUEST, server(n), CrashEvidence::Silent, now);
+        log.record_crash(&run(REQUEST), server(n), CrashEvidence::Silent, now);
     };
     let mut log = CrashLog::new(LIMITS);
     (1..=3).for_each(|n| silent(&mut log, n, Tick(0)));
     let mut other = CrashLog::new(LIMITS);
-    other.merge(&log.report_on(REQUEST, Tick(0)).expect("a report"), Tick(0));
+    other.merge(&log.report_on(Suspect::Request(REQUEST), Tick(0)).expect("a report"), Tick(0));
     let end = Tick(SILENCE_TTL.0);
     for log in [&log, &other] {
-        assert!(log.is_quarantined(REQUEST, Tick(end.0 - 1)) && !log.is_quarantined(REQUEST, end));
+        assert!(
+            log.is_quarantined(&run(REQUEST), Tick(end.0 - 1))
+                && !log.is_quarantined(&run(REQUEST), end)
+        );
     }
     silent(&mut log, 1, end);
-    assert!(!log.is_quarantined(REQUEST, end), "the other two do not count any more");
-    other.withdraw_crash(REQUEST, server(2));
-    assert!(!other.is_quarantined(REQUEST, Tick(1)));
+    assert!(!log.is_quarantined(&run(REQUEST), end), "the other two do not count any more");
+    other.withdraw_crash(&run(REQUEST), server(2));
+    assert!(!other.is_quarantined(&run(REQUEST), Tick(1)));
 }
 
 #[test]
@@ -213,14 +204,14 @@
         let full_round = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
         for (from, to) in pairs.chain(full_round).chain(full_round) {
             let reports: Vec<_> = (0..4)
-                .filter_map(|request| logs[from].report_on(Fingerprint(request), Tick(0)))
+                .filter_map(|request| logs[from].report_on(Suspect::Request(Fingerprint(request)), Tick(0)))
                 .collect();
             for report in reports {
                 logs[to].merge(&report, Tick(0));
             }
         }
         let quarantined = |log: &CrashLog| {
-            (0..4).map(|n| log.is_quarantined(Fingerprint(n), Tick(0))).collect::<Vec<_>>()
+            (0..4).map(|n| log.is_quarantined(&run(Fingerprint(n)), Tick(0))).collect::<Vec<_>>()
         };
         logs.iter().all(|log| quarantined(log) == quarantined(&all))
     }
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -17,7 +17,9 @@
 
 use super::attempt::{AttemptOutcome, BufferedResponse, send_request};
 use crate::callers::{RequestError, send_error};
-use crate::crashes::{Run, is_quarantined, quarantine_error};
+use crate::crashes::{
+    Run, is_quarantined, late_quarantine_error, record_answer_begun, record_completion,
+};
 use crate::shared::{RequestContext, Reservation, RetryPriority, SharedState};
 
 /// `Retry-After` of the error if no backend server accepted the request.
@@ -194,8 +196,8 @@
                 self.record_response(id, started);
                 let failed = buffered.response.head.status.is_server_error();
                 if !failed {
-                    let mut crash_log = self.shared.crash_log.borrow_mut();
-                    crash_log.record_completion(self.ctx.fingerprint);
+                    record_answer_begun(self.shared, self.ctx);
+                    record_completion(self.shared, self.ctx);
                 }
                 if failed && self.ctx.rule.kind.is_repeatable() {
                     self.last_error = Some(buffered);
@@ -265,7 +267,7 @@
         let may_repeat = self.executed == 0 || rule.kind.is_repeatable();
         let allowed =
             self.executed < rule.max_attempts && self.not_executed <= MAX_UNEXECUTED_ATTEMPTS;
-        if !may_repeat || !allowed || is_quarantined(self.shared, self.ctx.fingerprint) {
+        if !may_repeat || !allowed || is_quarantined(self.shared, &self.ctx.suspects) {
             return false;
         }
         self.shared.retry_budgets.borrow_mut().try_retry(
@@ -282,7 +284,7 @@
             return FinalResponse::Relayed(buffered);
         }
         if self.executed == 0 {
-            if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
+            if let Some(error) = late_quarantine_error(self.shared, self.ctx) {
                 return FinalResponse::Error(error);
             }
             let pause = self.shared.pool_retry_delay(&self.ctx.pool).unwrap_or_default();
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{Fingerprint, RunSuspects};
 use clementine_decide::routing::{RequestKind, RoutingTable, WorkspaceRule};
 use clementine_http1::{BufferedRequest, ServerConn};
 use clementine_objects::Millis;
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{RequestError, send_error};
-use crate::crashes::quarantine_error;
+use crate::crashes::check_quarantine;
 use crate::shared::{RequestContext, SharedState};
 use crate::{buffered, streams};
 
@@ -59,22 +59,22 @@
     let rule = table.route(&req.host, path).ok_or(RequestError::new(ErrorKind::NotFound))?;
     let rule = Rc::clone(rule);
     let workspace = if rule.public { None } else { authenticate(&table, &req)? };
-    let fingerprint = fingerprint(&req, workspace.as_deref());
-    if let Some(error) = quarantine_error(shared, fingerprint) {
-        return Err(error);
-    }
+    let suspects = suspects(&req, workspace.as_deref());
+    check_quarantine(shared, &req.id, &suspects)?;
     let pool = rule.pool_for(xxh3_64(req.id.as_bytes()));
     let pool = pool.ok_or(RequestError::new(ErrorKind::NoBackend))?.clone();
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = arrived + Millis::duration(timeout);
     shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
-    Ok(RequestContext { req, rule, workspace, pool, fingerprint, arrived, deadline })
+    Ok(RequestContext { req, rule, workspace, pool, suspects, arrived, deadline })
 }
 
-/// Fingerprint of a request. A public route has no workspace.
-fn fingerprint(req: &CallerRequest, workspace: Option<&WorkspaceRule>) -> Fingerprint {
+/// What may be the cause if a backend server crashes under a request. A public route
+/// has no workspace.
+fn suspects(req: &CallerRequest, workspace: Option<&WorkspaceRule>) -> RunSuspects {
     let workspace = workspace.map_or("", |workspace| workspace.id.as_str());
-    Fingerprint::of_request(workspace, req.head.uri.path(), &req.body)
+    let request = Fingerprint::of_request(workspace, req.head.uri.path(), &req.body);
+    RunSuspects::new(request, req.shared_parts.clone())
 }
 
 /// Returns the workspace of the request's API key, or `None` if the
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -9,6 +9,9 @@
 mod saved;
 mod watch;
 
-pub(crate) use quarantine::{is_quarantined, merge_crashes, quarantine_error};
+pub(crate) use quarantine::{
+    check_quarantine, is_quarantined, late_quarantine_error, merge_crashes, record_answer_begun,
+    record_completion,
+};
 pub(crate) use run::Run;
 pub(crate) use saved::load_saved_quarantine;
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -1,41 +1,136 @@
-//! Refusal of requests that have crashed backend servers, also of those that other
-//! entries have seen.
+//! Refusal of requests that have crashed backend servers, or that contain a part of a
+//! prompt that has, also as other entries have seen it.
+
+use std::rc::Rc;
+use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::quarantine::{CrashReport, Fingerprint};
-use spdlog::warn;
+use clementine_decide::quarantine::{Admission, CrashReport, RunSuspects, Suspect, SuspectChange};
+use clementine_objects::Millis;
+use rand::RngExt;
+use spdlog::{info, warn};
+use tokio::task::spawn_local;
 
+use super::saved::save;
 use crate::callers::RequestError;
-use crate::shared::{SharedState, UrgentMessage};
+use crate::shared::{RequestContext, SharedState, UrgentMessage};
+
+/// Mean interval at which all entries together let a request through to learn whether
+/// a part that is refused is the cause of crashes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Whether a request is refused because of the servers that have crashed while
-/// they ran it.
-pub(crate) fn is_quarantined(shared: &SharedState, content: Fingerprint) -> bool {
-    shared.crash_log.borrow().is_quarantined(content, shared.now())
+/// Whether a request is not sent again because of the servers that have crashed while
+/// they ran it or another one with a part of its prompt.
+pub(crate) fn is_quarantined(shared: &SharedState, suspects: &RunSuspects) -> bool {
+    shared.crash_log.borrow().is_quarantined(suspects, shared.now())
 }
 
-/// The error for a request in quarantine that has not been executed.
-pub(crate) fn quarantine_error(shared: &SharedState, content: Fingerprint) -> Option<RequestError> {
-    let refused_for = shared.crash_log.borrow().refused_for(content, shared.now())?;
-    Some(RequestError::with_retry_after(ErrorKind::SuspectedCrash, refused_for.duration()))
+/// Decides whether a request that has just arrived may be sent.
+///
+/// # Errors
+///
+/// Returns the error for a request in quarantine.
+pub(crate) fn check_quarantine(
+    shared: &SharedState,
+    id: &str,
+    suspects: &RunSuspects,
+) -> Result<(), RequestError> {
+    let interval = probe_interval(shared);
+    let admission = shared.crash_log.borrow_mut().admit(suspects, shared.now(), interval);
+    match admission {
+        Admission::Admitted => Ok(()),
+        Admission::Probe(suspect) => {
+            info!("crashes: request={} {} let through as a probe", id, suspect);
+            shared.metrics.count_quarantine_probe();
+            Ok(())
+        }
+        Admission::Refused { suspect, retry_delay } => {
+            info!("crashes: request={} refused for {}", id, suspect);
+            Err(quarantine_error(retry_delay))
+        }
+    }
 }
 
-/// Merges what another entry knows of requests that crash servers. A request that
-/// this puts in quarantine is passed on at once.
+/// The error for a request in quarantine that has been admitted before and has not been
+/// executed.
+pub(crate) fn late_quarantine_error(
+    shared: &SharedState,
+    ctx: &RequestContext,
+) -> Option<RequestError> {
+    let interval = probe_interval(shared);
+    match shared.crash_log.borrow_mut().admit(&ctx.suspects, shared.now(), interval) {
+        Admission::Admitted | Admission::Probe(_) => None,
+        Admission::Refused { retry_delay, .. } => Some(quarantine_error(retry_delay)),
+    }
+}
+
+fn quarantine_error(retry_delay: Millis) -> RequestError {
+    RequestError::with_retry_after(ErrorKind::SuspectedCrash, retry_delay.duration())
+}
+
+/// Interval between two probes of this entry. Random, so that the entries take turns
+/// without agreeing on it.
+fn probe_interval(shared: &SharedState) -> Millis {
+    let entries = shared.peers.borrow().live_count() + 1;
+    let mean = PROBE_INTERVAL * u32::try_from(entries).unwrap_or(u32::MAX);
+    Millis::from(mean.mul_f64(shared.rng.borrow_mut().random_range(0.0..2.0)))
+}
+
+/// Records that a request completed.
+pub(crate) fn record_completion(shared: &Rc<SharedState>, ctx: &RequestContext) {
+    let mut crash_log = shared.crash_log.borrow_mut();
+    let changes = crash_log.record_completion(&ctx.suspects, shared.now());
+    drop(crash_log);
+    tell_changes(shared, &changes);
+}
+
+/// Records that an answer to a request has begun.
+pub(crate) fn record_answer_begun(shared: &Rc<SharedState>, ctx: &RequestContext) {
+    let mut crash_log = shared.crash_log.borrow_mut();
+    let changes = crash_log.record_answer_begun(ctx.suspects.parts(), shared.now());
+    drop(crash_log);
+    tell_changes(shared, &changes);
+}
+
+/// Merges what another entry knows of suspects. A suspect that this puts in
+/// quarantine is passed on at once.
 pub(crate) fn merge_crashes(shared: &SharedState, reports: &[CrashReport]) {
     for report in reports {
         if !shared.crash_log.borrow_mut().merge(report, shared.now()) {
             continue;
         }
-        if let Some(merged) = shared.crash_log.borrow().report_on(report.request(), shared.now()) {
+        if let Some(merged) = shared.crash_log.borrow().report_on(report.suspect(), shared.now()) {
             announce(shared, &merged, "reported");
         }
     }
 }
 
-/// Logs that a request has been put in quarantine, and tells the other entries.
-pub(super) fn announce(shared: &SharedState, report: &CrashReport, reason: &'static str) {
-    warn!("crashes: content={} in quarantine reason={}", report.request(), reason);
-    shared.metrics.count_quarantined();
-    shared.outbox.push(UrgentMessage::Quarantined(report.clone()));
+/// Tells the other entries what this entry has seen itself, and saves what is refused
+/// from now on.
+pub(super) fn tell_changes(shared: &Rc<SharedState>, changes: &[SuspectChange]) {
+    for change in changes {
+        let report = shared.crash_log.borrow().report_on(change.suspect(), shared.now());
+        let Some(report) = report else { continue };
+        match change {
+            SuspectChange::Quarantined(_) => {
+                announce(shared, &report, "observed");
+                spawn_local(save(Rc::clone(shared), report));
+            }
+            SuspectChange::Advanced(_) => shared.outbox.push(UrgentMessage::Crashes(report)),
+            SuspectChange::Cleared(suspect) => {
+                info!("crashes: {} cleared, it has been answered", suspect);
+                shared.outbox.push(UrgentMessage::Crashes(report));
+            }
+        }
+    }
+}
+
+/// Logs that a suspect has been put in quarantine, and tells the other entries.
+fn announce(shared: &SharedState, report: &CrashReport, reason: &'static str) {
+    warn!("crashes: {} in quarantine reason={}", report.suspect(), reason);
+    match report.suspect() {
+        Suspect::Request(_) => shared.metrics.count_quarantined_request(),
+        Suspect::Part(_) => shared.metrics.count_quarantined_part(),
+    }
+    shared.outbox.push(UrgentMessage::Crashes(report.clone()));
 }
--- a/crates/direct/src/crashes/run.rs
+++ b/crates/direct/src/crashes/run.rs
@@ -4,16 +4,15 @@
 use std::rc::Rc;
 
 use clementine_decide::fleet::BackendIncarnation;
-use clementine_decide::ids::{BackendId, PromptPart, Tick};
-use clementine_decide::quarantine::{CrashEvidence, Fingerprint, LossKind, LossVerdict};
+use clementine_decide::ids::{BackendId, Tick};
+use clementine_decide::quarantine::{CrashEvidence, LossKind, LossVerdict, RunSuspects};
 use clementine_objects::Millis;
 use compact_str::CompactString;
 use spdlog::info;
 use tokio::task::spawn_local;
 
 use super::evidence::judge;
-use super::quarantine::{announce, is_quarantined};
-use super::saved::save;
+use super::quarantine::tell_changes;
 use super::watch::watch_lost;
 use crate::shared::{RequestContext, SharedState};
 
@@ -24,9 +23,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
     pub(super) request: CompactString,
-    pub(super) content: Fingerprint,
-    /// Parts of its prompt that other requests share.
-    pub(super) parts: Vec<PromptPart>,
+    /// What may be the cause if the server crashes.
+    pub(super) suspects: RunSuspects,
     pub(super) backend: BackendId,
     pub(super) address: SocketAddr,
     /// The start of the server to which the request was sent. Another process may
@@ -46,8 +44,7 @@
         let member = fleet.get(backend)?;
         Some(Self {
             request: ctx.req.id.clone(),
-            content: ctx.fingerprint,
-            parts: ctx.req.shared_parts.clone(),
+            suspects: ctx.suspects.clone(),
             backend: backend.clone(),
             address: member.backend.address,
             server: member.incarnation,
@@ -55,6 +52,12 @@
         })
     }
 
+    /// Records whether the head of the response has been received.
+    #[must_use]
+    pub(crate) fn with_begun(self, begun: bool) -> Self {
+        Self { suspects: self.suspects.with_begun(begun), ..self }
+    }
+
     /// Whether the server has had ample time to respond.
     pub(crate) fn is_overdue(&self, shared: &SharedState) -> bool {
         shared.now().since(self.sent_at) >= OVERDUE_TIME
@@ -63,7 +66,7 @@
     /// Records the crash of the server if that is why the run was lost. Waits for the
     /// check only if the outcome decides whether the request may be sent again.
     pub(crate) async fn record_loss(&self, shared: &Rc<SharedState>, loss: LossKind) {
-        let decisive = shared.crash_log.borrow().is_near_quarantine(self.content, shared.now());
+        let decisive = shared.crash_log.borrow().is_near_quarantine(&self.suspects, shared.now());
         let check = self.clone().check(Rc::clone(shared), loss);
         if decisive {
             check.await;
@@ -83,48 +86,26 @@
         match verdict {
             LossVerdict::Crashed(evidence) => self.record_crash(&shared, evidence),
             LossVerdict::NotCrashed | LossVerdict::Undecided => info!(
-                "crashes: request={} content={} parts={} backend={} not counted verdict={:?}",
-                self.request,
-                self.content,
-                self.format_parts(),
-                self.backend,
-                verdict
+                "crashes: request={} {} backend={} not counted verdict={:?}",
+                self.request, self.suspects, self.backend, verdict
             ),
         }
         spawn_local(watch_lost(shared, self, loss, verdict, lost_at));
     }
 
-    fn format_parts(&self) -> String {
-        let parts = self.parts.iter().map(ToString::to_string);
-        parts.collect::<Vec<_>>().join(",")
-    }
-
-    /// Records that the server crashed, or may have, and puts the request in quarantine
-    /// if it was the last of as many as the limit says.
+    /// Records that the server crashed, or may have.
     pub(super) fn record_crash(&self, shared: &Rc<SharedState>, evidence: CrashEvidence) {
-        let was_quarantined = is_quarantined(shared, self.content);
         let now = shared.now();
-        let is_new =
-            shared.crash_log.borrow_mut().record_crash(self.content, self.server, evidence, now);
-        if !is_new {
+        let recorded =
+            shared.crash_log.borrow_mut().record_crash(&self.suspects, self.server, evidence, now);
+        if !recorded.is_new {
             return;
         }
         shared.metrics.count_crash();
         info!(
-            "crashes: request={} content={} parts={} backend={} crashed evidence={:?}",
-            self.request,
-            self.content,
-            self.format_parts(),
-            self.backend,
-            evidence
+            "crashes: request={} {} backend={} crashed evidence={:?}",
+            self.request, self.suspects, self.backend, evidence
         );
-        if was_quarantined || !is_quarantined(shared, self.content) {
-            return;
-        }
-        let report = shared.crash_log.borrow().report_on(self.content, now);
-        if let Some(report) = report {
-            announce(shared, &report, "observed");
-            spawn_local(save(Rc::clone(shared), report));
-        }
+        tell_changes(shared, &recorded.changes);
     }
 }
--- a/crates/direct/src/crashes/saved.rs
+++ b/crates/direct/src/crashes/saved.rs
@@ -1,10 +1,10 @@
-//! Requests in quarantine that are saved in the store, so that they outlast a restart
+//! Suspects in quarantine that are saved in the store, so that they outlast a restart
 //! of all entries.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::quarantine::{CrashReport, Fingerprint};
+use clementine_decide::quarantine::{CrashReport, Suspect};
 use clementine_objects::Millis;
 use clementine_platform::store::{RowKey, StoreError, Transaction};
 use clementine_process::clock::unix_ms;
@@ -17,18 +17,18 @@
 use super::quarantine::merge_crashes;
 use crate::shared::SharedState;
 
-/// Table of the requests in quarantine. The key is the request's slot, the value a
+/// Table of the suspects in quarantine. The key is the suspect's slot, the value a
 /// [`SavedReport`] as JSON.
 const TABLE: &str = "quarantine";
-/// Number of rows in the table. A request replaces another one with the same slot,
-/// which bounds the table without anybody who cleans it up.
+/// Number of rows of requests, and of rows of parts of prompts. A suspect replaces
+/// another one with the same slot, which bounds the table without anybody who cleans it up.
 const SLOTS: u128 = 64;
 /// Time after the start after which the table is read. By then the entry knows
 /// whether others of its failure domain do that.
 const READ_DELAY: Duration = Duration::from_secs(2);
 /// Delay, before jitter, after a call to the store failed.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Maximum number of attempts to save a request.
+/// Maximum number of attempts to save a suspect.
 const MAX_SAVE_ATTEMPTS: usize = 30;
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -40,37 +40,39 @@
     saved_at_ms: u64,
 }
 
-fn row_key(content: Fingerprint) -> RowKey {
-    RowKey {
-        table: TABLE.into(),
-        partition: CompactString::default(),
-        key: format_compact!("{:02x}", content.0 % SLOTS),
-    }
+/// Key of the row of a suspect. Parts have slots of their own: they must not be lost
+/// among the many requests that run when servers crash.
+fn row_key(suspect: Suspect) -> RowKey {
+    let key = match suspect {
+        Suspect::Request(request) => format_compact!("{:02x}", request.0 % SLOTS),
+        Suspect::Part(part) => format_compact!("part-{:02x}", u128::from(part.0) % SLOTS),
+    };
+    RowKey { table: TABLE.into(), partition: CompactString::default(), key }
 }
 
-/// Saves a request that has been put in quarantine.
+/// Saves a suspect that has been put in quarantine.
 pub(super) async fn save(shared: Rc<SharedState>, report: CrashReport) {
-    let content = report.request();
+    let suspect = report.suspect();
     let saved = SavedReport { report, saved_at_ms: unix_ms() };
     let value = serde_json::to_vec(&saved).unwrap_or_default();
-    let transaction = Transaction::default().put(row_key(content), value.into());
+    let transaction = Transaction::default().put(row_key(suspect), value.into());
     for _ in 0..MAX_SAVE_ATTEMPTS {
         match shared.store.commit(&transaction).await {
-            Ok(_) => return info!("crashes: content={} saved", content),
-            Err(error) => warn!("crashes: content={} cannot be saved: {}", content, error),
+            Ok(_) => return info!("crashes: {} saved", suspect),
+            Err(error) => warn!("crashes: {} cannot be saved: {}", suspect, error),
         }
         sleep(retry_delay(&shared)).await;
     }
 }
 
-/// Reads the saved requests once after the start, unless neighbors do and tell this
+/// Reads the saved suspects once after the start, unless neighbors do and tell this
 /// entry.
 pub(crate) async fn load_saved_quarantine(shared: Rc<SharedState>) {
     sleep(READ_DELAY).await;
     while shared.must_follow_store() {
         match read(&shared).await {
             Ok(reports) => return merge_crashes(&shared, &reports),
-            Err(error) => warn!("crashes: saved requests cannot be read: {}", error),
+            Err(error) => warn!("crashes: saved suspects cannot be read: {}", error),
         }
         sleep(retry_delay(&shared)).await;
     }
--- a/crates/direct/src/crashes/watch.rs
+++ b/crates/direct/src/crashes/watch.rs
@@ -42,7 +42,7 @@
             (Listing::Draining | Listing::Responding, LossVerdict::Crashed(_)) => {
                 info!("crashes: request={} backend={} has not crashed", run.request, run.backend);
                 let mut crash_log = shared.crash_log.borrow_mut();
-                return crash_log.withdraw_crash(run.content, run.server);
+                return crash_log.withdraw_crash(&run.suspects, run.server);
             }
             (Listing::Draining | Listing::Unlisted, _) => return,
             (Listing::Listed | Listing::Responding, _) => {}
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -34,7 +34,7 @@
 const LISTEN_TIME: Millis = Millis(1_000);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
-/// Maximum number of requests that crash servers in one message.
+/// Maximum number of suspects of crashes in one message.
 const MAX_CRASH_REPORTS: usize = 8;
 /// Maximum number of backend servers on whose signals a message reports.
 const MAX_SIGNAL_REPORTS: usize = 16;
@@ -189,9 +189,9 @@
                 self.send_datagram(&PeerDatagram::Sighting(within), &neighbors).await;
                 self.send_datagram(&PeerDatagram::Sighting(across), &remote).await;
             }
-            UrgentMessage::Quarantined(report) => {
+            UrgentMessage::Crashes(report) => {
                 let remote = self.remote_receivers();
-                let datagram = PeerDatagram::Quarantined(report);
+                let datagram = PeerDatagram::Crashes(report);
                 self.send_datagram(&datagram, &[neighbors, remote].concat()).await;
             }
         }
--- a/crates/direct/src/peers/receive.rs
+++ b/crates/direct/src/peers/receive.rs
@@ -25,7 +25,7 @@
                 self.shared.table_sync(changes.table).push_changes(changes);
             }
             Ok(PeerDatagram::Sighting(sighting)) => self.receive_sighting(sighting).await,
-            Ok(PeerDatagram::Quarantined(report)) => merge_crashes(&self.shared, &[report]),
+            Ok(PeerDatagram::Crashes(report)) => merge_crashes(&self.shared, &[report]),
             Err(error) => {
                 self.shared.metrics.count_malformed_message();
                 debug!("peers: malformed message from {}: {}", from, error);
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -26,6 +26,8 @@
             .local(now)
             .map(|(link, rate)| json!({"ends": [link.domains().0, link.domains().1], "bytes_per_ms": rate}))
             .collect();
+        let (requests_quarantined, parts_quarantined) =
+            self.crash_log.borrow().quarantined_counts(now);
         json!({
             "entry": self.settings.entry,
             "incarnation": self.incarnation,
@@ -41,7 +43,8 @@
             "requests_in_progress": self.drain.in_progress(),
             "stopping": self.drain.is_draining(),
             "refused_share": self.refusal_rate.borrow().refused_share(),
-            "requests_quarantined": self.crash_log.borrow().quarantined_count(self.now()),
+            "requests_quarantined": requests_quarantined,
+            "prompt_parts_quarantined": parts_quarantined,
             "backends": backends,
             "links": links,
         })
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -19,7 +19,9 @@
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
     crashes: Counter<u64>,
-    quarantined: Counter<u64>,
+    quarantined_requests: Counter<u64>,
+    quarantined_parts: Counter<u64>,
+    quarantine_probes: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
@@ -51,10 +53,18 @@
                 "direct_crashes",
                 "Backend servers that crashed while they ran a request",
             ),
-            quarantined: counter(
+            quarantined_requests: counter(
                 "direct_requests_quarantined",
                 "Requests that are refused because backend servers crashed under them",
             ),
+            quarantined_parts: counter(
+                "direct_prompt_parts_quarantined",
+                "Parts of prompts that are refused because backend servers crashed under them",
+            ),
+            quarantine_probes: counter(
+                "direct_quarantine_probes",
+                "Requests let through to learn whether a part that is refused is the cause",
+            ),
             store_calls: counter("direct_store_calls", "Calls to the store, by purpose"),
             store_failures: counter(
                 "direct_store_failures",
@@ -110,8 +120,18 @@
     }
 
     /// Counts a request that has been put in quarantine.
-    pub(crate) fn count_quarantined(&self) {
-        self.quarantined.add(1, &[]);
+    pub(crate) fn count_quarantined_request(&self) {
+        self.quarantined_requests.add(1, &[]);
+    }
+
+    /// Counts a part of a prompt that has been put in quarantine.
+    pub(crate) fn count_quarantined_part(&self) {
+        self.quarantined_parts.add(1, &[]);
+    }
+
+    /// Counts a request that is let through although a part of its prompt is refused.
+    pub(crate) fn count_quarantine_probe(&self) {
+        self.quarantine_probes.add(1, &[]);
     }
 
     /// Counter of calls to the store.
--- a/crates/direct/src/shared/outbox.rs
+++ b/crates/direct/src/shared/outbox.rs
@@ -12,8 +12,8 @@
     Changes(TableChanges),
     /// Condition of a backend server, for all entries.
     Sighting(Sighting),
-    /// A request that has been put in quarantine, for all entries.
-    Quarantined(CrashReport),
+    /// What is known of a suspect, for all entries.
+    Crashes(CrashReport),
 }
 
 /// Messages that wait to be sent.
--- a/crates/direct/src/shared/request_context.rs
+++ b/crates/direct/src/shared/request_context.rs
@@ -5,7 +5,7 @@
 
 use clementine_decide::ids::{BackendId, PoolId, WorkspaceId};
 use clementine_decide::paths::PathStage;
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::RunSuspects;
 use clementine_decide::routing::{RouteRule, WorkspaceRule};
 use clementine_objects::Millis;
 use clementine_platform::requests::{CallerRequest, ForwardParams};
@@ -21,8 +21,8 @@
     pub(crate) rule: Rc<RouteRule>,
     pub(crate) workspace: Option<Rc<WorkspaceRule>>,
     pub(crate) pool: PoolId,
-    /// Identifies the request's content: copies of it have the same one.
-    pub(crate) fingerprint: Fingerprint,
+    /// What may be the cause if a backend server crashes while it runs the request.
+    pub(crate) suspects: RunSuspects,
     pub(crate) arrived: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is
     /// earlier.
--- a/crates/direct/src/streams/progress.rs
+++ b/crates/direct/src/streams/progress.rs
@@ -28,6 +28,8 @@
     longest_pause: Cell<Duration>,
     /// Exponential moving average of the pauses between events.
     mean_pause: Cell<Duration>,
+    /// Whether the current attempt has received the head of a response.
+    attempt_has_begun: Cell<bool>,
     /// Whether the current attempt has delivered an event.
     attempt_has_events: Cell<bool>,
 }
@@ -42,16 +44,23 @@
             last_activity: Cell::new(Instant::now()),
             longest_pause: Cell::new(Duration::ZERO),
             mean_pause: Cell::new(INITIAL_MEAN_PAUSE),
+            attempt_has_begun: Cell::new(false),
             attempt_has_events: Cell::new(false),
         }
     }
 
     /// Records the start of another attempt.
     pub(super) fn begin_attempt(&self) {
+        self.attempt_has_begun.set(false);
         self.attempt_has_events.set(false);
         self.last_activity.set(Instant::now());
     }
 
+    /// Records that the current attempt has received the head of a response.
+    pub(super) fn set_begun(&self) {
+        self.attempt_has_begun.set(true);
+    }
+
     /// Records that the response headers are sent to the caller. Returns whether
     /// they had been sent before.
     pub(super) fn set_headers_sent(&self) -> bool {
@@ -89,6 +98,10 @@
         self.headers_sent.get()
     }
 
+    pub(super) fn attempt_has_begun(&self) -> bool {
+        self.attempt_has_begun.get()
+    }
+
     pub(super) fn attempt_has_events(&self) -> bool {
         self.attempt_has_events.get()
     }
--- a/crates/direct/src/streams/recover.rs
+++ b/crates/direct/src/streams/recover.rs
@@ -37,6 +37,7 @@
             if !progress.attempt_has_events()
                 && let Some(run) = Run::start(self.shared, self.ctx, down)
             {
+                let run = run.with_begun(progress.attempt_has_begun());
                 run.record_loss(self.shared, LossKind::BrokenOff).await;
             }
             if self.is_quarantined() {
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use actix_http::ConnectionType;
 use clementine_decide::events::EventSplitter;
@@ -15,6 +16,7 @@
 use super::progress::Progress;
 use super::route::StreamRoute;
 use crate::buffered::BufferedResponse;
+use crate::crashes::record_answer_begun;
 use crate::shared::{RequestContext, SharedState};
 
 /// Outcome of an attempt.
@@ -39,7 +41,7 @@
 
 /// One attempt at a stream.
 pub(super) struct Attempt<'a> {
-    pub(super) shared: &'a SharedState,
+    pub(super) shared: &'a Rc<SharedState>,
     pub(super) ctx: &'a RequestContext,
     pub(super) progress: &'a Progress,
     /// Replaced during the attempt if the request moves to another path.
@@ -62,6 +64,7 @@
         };
         match opened {
             OpenOutcome::Stream(response, mut backend_conn) => {
+                self.progress.set_begun();
                 self.send_headers(conn, &response)?;
                 self.relay_events(conn, &mut backend_conn).await
             }
@@ -109,6 +112,9 @@
                 if !self.progress.is_next(&event) {
                     return Ok(AttemptOutcome::Interrupted("event-out-of-order"));
                 }
+                if !self.progress.attempt_has_events() {
+                    record_answer_begun(self.shared, self.ctx);
+                }
                 self.progress.record_event(&event);
                 self.record_backend_activity();
                 conn.send_chunk(event.bytes).await?;
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -24,7 +24,7 @@
 use super::watchdog::{Problem, wait_for_problem};
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
-use crate::crashes::{Run, is_quarantined, quarantine_error};
+use crate::crashes::{Run, is_quarantined, late_quarantine_error, record_completion};
 use crate::engines::check_backend;
 use crate::shared::{RequestContext, RetryPriority, SharedState};
 
@@ -227,7 +227,7 @@
     }
 
     pub(super) fn is_quarantined(&self) -> bool {
-        is_quarantined(self.shared, self.ctx.fingerprint)
+        is_quarantined(self.shared, &self.ctx.suspects)
     }
 
     pub(super) fn record_executed_on(&mut self, id: &BackendId) {
@@ -248,7 +248,7 @@
         match outcome {
             AttemptOutcome::Complete => {
                 self.stats.attempts.executed += 1;
-                self.shared.crash_log.borrow_mut().record_completion(self.ctx.fingerprint);
+                record_completion(self.shared, self.ctx);
                 NextStep::Finish(StreamOutcome::Complete)
             }
             AttemptOutcome::CallerLeft => {
@@ -276,6 +276,7 @@
                 self.stats.attempts.executed += 1;
                 self.record_backend_failure(&route.first, reason);
                 if let Some(run) = run {
+                    let run = run.with_begun(self.progress.attempt_has_begun());
                     run.record_loss(self.shared, LossKind::BrokenOff).await;
                 }
                 NextStep::Retry(reason, None)
@@ -289,6 +290,7 @@
         if let Some(run) = run
             && !self.progress.attempt_has_events()
         {
+            let run = run.with_begun(self.progress.attempt_has_begun());
             run.record_loss_later(self.shared, LossKind::NoResponse);
         }
     }
@@ -374,7 +376,7 @@
             return StreamOutcome::ErrorResponse(error);
         }
         if self.stats.attempts.executed == 0 {
-            if let Some(error) = quarantine_error(self.shared, self.ctx.fingerprint) {
+            if let Some(error) = late_quarantine_error(self.shared, self.ctx) {
                 return StreamOutcome::Refused(error);
             }
             return StreamOutcome::Refused(RequestError::with_retry_after(
