--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -164,9 +164,13 @@
 
     /// Whether a backend server may still be running requests that were sent to
     /// it. A server can finish its requests after its removal from the list; one
-    /// that was found down and then removed has terminated.
+    /// that was found down and then removed has terminated, and so has one on whose
+    /// address no process listens.
     pub fn may_still_run(&self, id: &BackendId) -> bool {
-        self.members.contains_key(id) || self.removed.contains_key(id)
+        match self.members.get(id) {
+            Some(member) => !member.refused_connection_since(member.last_seen),
+            None => self.removed.contains_key(id),
+        }
     }
 
     /// Returns a backend server by id.
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -139,3 +139,15 @@
     assert!(fleet.may_still_run(&"left".into()));
     assert!(!fleet.may_still_run(&"crashed".into()));
 }
+
+#[test]
+fn a_listed_server_whose_address_refuses_connections_runs_nothing() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(backend("s", "p"), Tick(0));
+    let id = "s".into();
+    assert!(fleet.may_still_run(&id));
+    fleet.get_mut(&id).expect("listed").record_refused_connection(Tick(10));
+    assert!(!fleet.may_still_run(&id));
+    fleet.get_mut(&id).expect("listed").record_activity(Tick(20));
+    assert!(fleet.may_still_run(&id), "it responds again");
+}
--- a/crates/direct/src/crashes/evidence.rs
+++ b/crates/direct/src/crashes/evidence.rs
@@ -49,7 +49,7 @@
 }
 
 /// Connects to the server, unless another task has done so since the run was lost.
-async fn probe(shared: &SharedState, run: &Run, lost_at: Tick) -> ProbeResult {
+pub(super) async fn probe(shared: &SharedState, run: &Run, lost_at: Tick) -> ProbeResult {
     for _ in 0..MAX_CONNECT_ATTEMPTS {
         match shared.fleet.borrow().get(&run.backend) {
             Some(member) if member.refused_connection_since(lost_at) => {
--- a/crates/direct/src/crashes/run.rs
+++ b/crates/direct/src/crashes/run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use clementine_decide::fleet::BackendIncarnation;
+use clementine_decide::fleet::{BackendIncarnation, ProbeResult};
 use clementine_decide::ids::{BackendId, Tick};
 use clementine_decide::quarantine::{CrashEvidence, LossKind, LossVerdict, RunSuspects};
 use clementine_objects::Millis;
@@ -11,7 +11,7 @@
 use spdlog::info;
 use tokio::task::spawn_local;
 
-use super::evidence::judge;
+use super::evidence::{judge, probe};
 use super::quarantine::tell_changes;
 use super::watch::watch_lost;
 use crate::shared::{RequestContext, SharedState};
@@ -80,6 +80,11 @@
         spawn_local(self.clone().check(Rc::clone(shared), loss));
     }
 
+    /// Whether no process listens on the server's address any more.
+    pub(crate) async fn server_refuses_connections(&self, shared: &SharedState) -> bool {
+        probe(shared, self, shared.now()).await == ProbeResult::Refused
+    }
+
     async fn check(self, shared: Rc<SharedState>, loss: LossKind) {
         let lost_at = shared.now();
         let verdict = judge(&shared, &self, loss, lost_at).await;
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -276,14 +276,25 @@
                 self.stats.attempts.executed += 1;
                 self.record_backend_failure(&route.first, reason);
                 if let Some(run) = run {
-                    let run = run.with_begun(self.progress.attempt_has_begun());
-                    run.record_loss(self.shared, LossKind::BrokenOff).await;
+                    self.record_lost_run(run).await;
                 }
                 NextStep::Retry(reason, None)
             }
         }
     }
 
+    /// Records a run that broke off. One that made progress is not what brought the
+    /// server down.
+    async fn record_lost_run(&mut self, run: Run) {
+        if self.progress.attempt_has_events() {
+            let has_ended = run.server_refuses_connections(self.shared).await;
+            self.stats.attempts.lost_to_down_backend += u32::from(has_ended);
+            return;
+        }
+        let run = run.with_begun(self.progress.attempt_has_begun());
+        run.record_loss(self.shared, LossKind::BrokenOff).await;
+    }
+
     /// Records a run that has ended without an event, because its server may have
     /// fallen silent.
     fn record_silent_run(&self, run: Option<Run>) {
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -78,6 +78,8 @@
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
     /// Part of a prompt on which it crashes inside the first event of the response.
     pub crashes_on_part: Rc<Cell<Option<&'static str>>>,
+    /// Number of events of a stream after which it crashes.
+    pub crashes_after: Rc<Cell<Option<u64>>>,
     /// Whether it has crashed: it closes all connections and accepts no others.
     pub crashed: Rc<Cell<bool>>,
     crash: Rc<Notify>,
@@ -142,6 +144,7 @@
             arrivals: Rc::default(),
             crashes_on: Rc::default(),
             crashes_on_part: Rc::default(),
+            crashes_after: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
             crash_style: Rc::default(),
@@ -445,6 +448,10 @@
             return sent.is_ok();
         }
         for id in last + 1..=STREAM_EVENTS {
+            if self.crashes_after.get().is_some_and(|events| id > last + events) {
+                self.crash();
+                return false;
+            }
             if self.disconnect_after.get().is_some_and(|events| id > last + events) {
                 return false;
             }
--- a/crates/direct/tests/crashing_requests.rs
+++ b/crates/direct/tests/crashing_requests.rs
@@ -171,6 +171,23 @@
     assert_uncertain_crashes_count(CrashStyle::Silent, "/safe/x").await;
 }
 
+/// Engines that crash for another reason. The stream makes progress on each.
+#[test]
+async fn stream_that_loses_several_engines_midway_completes() {
+    const EVENTS_BEFORE_CRASH: u64 = 6;
+    let store = start_configured_store(LAYERS).await;
+    let engines = start_servers(&store, "model").await;
+    let entries = start_entries(&store).await;
+    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
+    sleep(Duration::from_millis(600)).await;
+    for engine in &engines {
+        engine.crashes_after.set(Some(EVENTS_BEFORE_CRASH));
+    }
+    let response = send_request(entries[0].callers, "POST", "/stream/x", "harmless").await;
+    assert!(response.complete, "{response:?}");
+    assert!(crashed(&engines) > MAX_CRASHES);
+}
+
 /// Copies that are in flight at the same moment each reach a server; later ones do not.
 #[test]
 async fn copies_in_flight_at_several_entries_stop_after_the_first_wave() {
