A response without an end is given up

Interim responses, sizes and extensions of chunks could come without end: the client read all 64 MB that the test server sends (memory stayed bounded, the request did not end before its deadline). At most 128 KiB that are neither head nor body are read now; heads and bodies had bounds, which the test covers as well.

--- a/crates/http1/src/client/conn.rs
+++ b/crates/http1/src/client/conn.rs
@@ -47,6 +47,10 @@
     CloseDelimited,
 }
 
+/// Maximum number of bytes that make up neither a head nor a part of a body: an
+/// incomplete head, interim responses, sizes and extensions of chunks.
+const MAX_OVERHEAD_BYTES: usize = 128 * 1024;
+
 /// A connection to a server that carries one request at a time.
 #[derive(Debug)]
 pub struct ClientConn {
@@ -57,6 +61,8 @@
     /// Encoded request bytes that have not been sent yet.
     output: BytesMut,
     framing: BodyFraming,
+    /// Bytes received since the last head or part of a body was complete.
+    overhead: usize,
     /// Whether the response has been read completely.
     complete: bool,
     keep_alive: bool,
@@ -84,6 +90,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             framing: BodyFraming::Delimited,
+            overhead: 0,
             complete: false,
             keep_alive: false,
             expects_body: true,
@@ -122,6 +129,7 @@
     pub async fn read_head(&mut self) -> Result<ResponseHead, ResponseError> {
         loop {
             if let Some(head) = self.decode_head()? {
+                self.overhead = 0;
                 return Ok(head);
             }
             self.drive_io().await?;
@@ -174,7 +182,10 @@
                 _ => return Err(ResponseError::Malformed),
             };
             match decoded {
-                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(Some(chunk)) => {
+                    self.overhead = 0;
+                    return Ok(Some(chunk));
+                }
                 Some(None) => self.end_body(),
                 None => match self.drive_io().await {
                     Err(ResponseError::ConnectionLost { source })
@@ -250,13 +261,16 @@
                 Err(_) => self.output.clear(),
             }
         }
+        if self.overhead > MAX_OVERHEAD_BYTES {
+            return Err(ResponseError::Malformed);
+        }
         if ready.is_readable() || ready.is_read_closed() {
             match self.io.try_read_buf(&mut self.input) {
                 Ok(0) => {
                     return Err(io::Error::from(io::ErrorKind::UnexpectedEof))
                         .context(ConnectionLostSnafu);
                 }
-                Ok(_) => {}
+                Ok(received) => self.overhead += received,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error).context(ConnectionLostSnafu),
             }
--- a/crates/http1/tests/answers.rs
+++ b/crates/http1/tests/answers.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
 /// What the server does with the connection after sending its bytes.
@@ -121,3 +121,65 @@
     assert!(!conn.is_reusable(), "the rest of the request body has not been sent");
     Ok(())
 }
+
+/// Bytes that a server without end sends at most, so that a client that reads them all
+/// does not exhaust the machine.
+const ENDLESS_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes that a client reads at most before it gives up, including those that the
+/// system buffers.
+const MAX_READ_BYTES: usize = 16 * 1024 * 1024;
+
+/// Starts a server that responds with `start` and then repeats `pattern` without end.
+/// Returns the number of bytes that it could send as well.
+async fn endless_server(
+    start: &'static [u8],
+    pattern: &'static [u8],
+) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a port");
+    let address = listener.local_addr().expect("the listener is bound");
+    let sent = spawn_local(async move {
+        let (mut io, _) = listener.accept().await.expect("failed to accept a connection");
+        let mut buf = [0; 1024];
+        assert!(io.read(&mut buf).await.expect("failed to read the request") > 0);
+        io.write_all(start).await.expect("failed to write the start");
+        let block = pattern.repeat(64 * 1024 / pattern.len());
+        let mut sent = 0;
+        while sent < ENDLESS_BYTES && io.write_all(&block).await.is_ok() {
+            sent += block.len();
+        }
+        sent
+    });
+    (address, sent)
+}
+
+/// Bytes of no response may come without end in each part of one.
+#[actix_rt::test]
+async fn response_without_an_end_is_given_up() {
+    const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    const EXTENSION: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
+    let cases: [(&str, &[u8], &[u8]); 8] = [
+        ("status line", b"", b"x"),
+        ("reason", b"HTTP/1.1 200 ", b"x"),
+        ("header", b"HTTP/1.1 200 OK\r\na: ", b"x"),
+        ("headers", b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+        ("interim responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ("chunk size", CHUNKED, b"0"),
+        ("chunk extension", EXTENSION, b"x"),
+        ("body", b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    ];
+    for (part, start, pattern) in cases {
+        let (address, sent) = endless_server(start, pattern).await;
+        let mut conn = connect_and_queue(address).await;
+        let read = match conn.read_head().await {
+            Ok(_) => conn.read_body(1024).await.map(|_| ()),
+            Err(error) => Err(error),
+        };
+        assert!(
+            matches!(read, Err(ResponseError::Malformed | ResponseError::TooLarge)),
+            "{part}: {read:?}"
+        );
+        drop(conn);
+        let sent = sent.await.expect("the server ends");
+        assert!(sent < MAX_READ_BYTES, "{part}: {sent} bytes");
+    }
+}
