A request whose chunk has no end is refused

Sizes and extensions of chunks of a caller's body were read without a bound: 64 MB in the test, which failed before. Their bound is that of a head now.

--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -102,21 +102,29 @@
                 Ok(None) if self.input.len() > limits.max_head_bytes => {
                     return Err(ReadError::HeadTooLarge);
                 }
-                Ok(None) => self.fill().await?,
+                Ok(None) => {
+                    self.fill().await?;
+                }
             }
         }
     }
 
     async fn read_body(&mut self, limits: &ReadLimits) -> Result<Bytes, ReadError> {
         let mut body = BytesMut::new();
+        // Bytes since the last part of the body: sizes and extensions of chunks.
+        let mut overhead = 0;
         while self.codec.message_type() != actix_http::h1::MessageType::None {
             match self.codec.decode(&mut self.input) {
-                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    overhead = 0;
+                    body.extend_from_slice(&chunk);
+                }
                 Ok(Some(Message::Chunk(None))) => break,
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(ReadError::Malformed),
+                Ok(None) if overhead > limits.max_head_bytes => return Err(ReadError::Malformed),
                 Ok(None) => {
                     let filled = timeout(limits.head_timeout, self.fill()).await;
-                    filled.map_err(|_| ReadError::TimedOut)??;
+                    overhead += filled.map_err(|_| ReadError::TimedOut)??;
                 }
             }
             if body.len() > limits.max_body_bytes {
@@ -126,12 +134,13 @@
         Ok(body.freeze())
     }
 
-    async fn fill(&mut self) -> Result<(), ReadError> {
+    /// Receives available bytes and returns their number.
+    async fn fill(&mut self) -> Result<usize, ReadError> {
         let read = self.io.read_buf(&mut self.input).await.context(ConnectionLostSnafu)?;
         if read == 0 {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof)).context(ConnectionLostSnafu);
         }
-        Ok(())
+        Ok(read)
     }
 
     /// Waits until the client closes the connection or it fails. Bytes received
