Events have a maximum size, and one piece of code splits streams

After 1 MiB the attempt is given up now like one that broke off. The agent's own splitter, which had no bound either, is gone: it uses that of `decide` (which also takes CR LF).

--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -12,11 +12,11 @@
 use actix_http::header::{HOST, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
 use bytes::Bytes;
+use clementine_decide::events::EventSplitter;
 use clementine_objects::Repeat;
 use clementine_wire::{HttpResponseHead, RunRequest, WorkOutcome};
 use futures::{SinkExt, StreamExt};
 
-use super::events::EventSplitter;
 use super::idle::{BackendConnection, IdleConnections};
 use super::{BackendAddress, headers};
 use crate::responses::ResponseBuffer;
@@ -140,18 +140,22 @@
         Self { events: streamed.then(EventSplitter::default), buffer }
     }
 
-    /// Returns false if the buffer accepts no more data.
+    /// Returns false if the buffer accepts no more data or an event has no end.
     async fn write(&mut self, bytes: Bytes) -> bool {
         let Some(events) = &mut self.events else {
             return self.buffer.push(bytes).await;
         };
         events.push(&bytes);
-        while let Some(event) = events.next_event() {
-            if !self.buffer.push(event).await {
+        loop {
+            let event = match events.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => return true,
+                Err(_) => return false,
+            };
+            if !self.buffer.push(event.bytes).await {
                 return false;
             }
         }
-        true
     }
 
     async fn finish(self) {
--- a/crates/agent/src/backend/mod.rs
+++ b/crates/agent/src/backend/mod.rs
@@ -2,7 +2,6 @@
 
 mod address;
 mod call;
-mod events;
 mod headers;
 mod idle;
 
--- a/crates/decide/src/events/mod.rs
+++ b/crates/decide/src/events/mod.rs
@@ -2,4 +2,4 @@
 
 mod splitter;
 
-pub use splitter::{Event, EventSplitter};
+pub use splitter::{Event, EventSplitter, EventTooLarge, MAX_EVENT_BYTES};
--- a/crates/decide/src/events/splitter.rs
+++ b/crates/decide/src/events/splitter.rs
@@ -1,6 +1,7 @@
 //! Incremental splitter for server-sent events.
 
 use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
 
 /// One complete event, including the empty line that terminates it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,8 +12,19 @@
     pub id: Option<u64>,
 }
 
+/// Maximum size of an event in bytes.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event has no end within [`MAX_EVENT_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("event of more than {MAX_EVENT_BYTES} bytes"))]
+pub struct EventTooLarge;
+
 /// Splits a body into events and buffers an incomplete event until the rest
 /// arrives.
+///
+/// Invariant: after [`Self::next_event`] has returned `Ok(None)`, at most
+/// [`MAX_EVENT_BYTES`] are buffered.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
@@ -27,22 +39,35 @@
     }
 
     /// Removes and returns the next complete event.
-    pub fn next_event(&mut self) -> Option<Event> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the buffered bytes exceed the maximum size of an event and
+    /// contain no end of one.
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLarge> {
         let Some(end) = event_end(&self.buffer, self.searched) else {
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLarge);
+            }
             // The last bytes of the buffer may be the start of a terminator.
             self.searched = self.buffer.len().saturating_sub(MAX_TERMINATOR_LEN - 1);
-            return None;
+            return Ok(None);
         };
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
-        Some(Event { bytes, id })
+        Ok(Some(Event { bytes, id }))
     }
 
     /// Number of buffered bytes of an incomplete event.
     pub fn pending(&self) -> usize {
         self.buffer.len()
     }
+
+    /// The buffered bytes of an incomplete event, if there are any.
+    pub fn into_remainder(self) -> Option<Bytes> {
+        (!self.buffer.is_empty()).then(|| self.buffer.freeze())
+    }
 }
 
 /// Length of the longest event terminator, `\r\n\r\n`, in bytes.
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -3,7 +3,7 @@
 
 mod engine_fixtures;
 
-use clementine_decide::events::EventSplitter;
+use clementine_decide::events::{EventSplitter, EventTooLarge, MAX_EVENT_BYTES};
 use clementine_decide::fleet::{BackendState, Fleet, ListUpdate};
 use clementine_decide::ids::Tick;
 use clementine_decide::retry::{WindowBudget, WindowLimits};
@@ -108,7 +108,7 @@
         let mut events = Vec::new();
         for chunk in body.chunks(size) {
             splitter.push(chunk);
-            events.extend(std::iter::from_fn(|| splitter.next_event()));
+            events.extend(std::iter::from_fn(|| splitter.next_event().expect("small events")));
         }
         let found: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
         assert_eq!(found, [Some(1), Some(2), None], "in chunks of {size}");
@@ -122,10 +122,22 @@
 fn an_incomplete_event_is_pending() {
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert!(splitter.next_event().is_some() && splitter.next_event().is_none());
+    assert!(splitter.next_event().is_ok_and(|event| event.is_some()));
+    assert_eq!(splitter.next_event(), Ok(None));
     assert!(splitter.pending() > 0);
 }
 
+#[test]
+fn an_event_without_an_end_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES]);
+    assert_eq!(splitter.next_event(), Ok(None));
+    splitter.push(b"\n\n");
+    assert!(splitter.next_event().is_ok_and(|event| event.is_some()), "its end arrives in time");
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]);
+    assert_eq!(splitter.next_event(), Err(EventTooLarge));
+}
+
 #[test]
 fn a_removed_server_may_still_run_requests_unless_it_was_down() {
     let mut fleet = Fleet::default();
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -108,7 +108,12 @@
                 Err(_) => return Ok(AttemptOutcome::Interrupted("stream-broke-off")),
             };
             splitter.push(&bytes);
-            while let Some(event) = splitter.next_event() {
+            loop {
+                let event = match splitter.next_event() {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(_) => return Ok(AttemptOutcome::Interrupted("event-too-large")),
+                };
                 if !self.progress.is_next(&event) {
                     return Ok(AttemptOutcome::Interrupted("event-out-of-order"));
                 }
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Response, StatusCode};
+use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::Bytes;
 use clementine_http1::{BufferedRequest, ReadLimits, ServerConn};
 use serde_json::{Value, json};
@@ -78,6 +78,15 @@
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
     /// Part of a prompt on which it crashes inside the first event of the response.
     pub crashes_on_part: Rc<Cell<Option<&'static str>>>,
+    /// Whether its streams have neither a length nor chunks.
+    pub close_delimited_streams: Rc<Cell<bool>>,
+    /// Number of events of a stream after which it closes the connection inside the
+    /// next one.
+    pub breaks_event_after: Rc<Cell<Option<u64>>>,
+    /// Number of events of a stream after which it sends one that has no end.
+    pub endless_after: Rc<Cell<Option<u64>>>,
+    /// Bytes of events without end that it could send.
+    pub endless_bytes: Rc<Cell<usize>>,
     /// Number of events of a stream after which it crashes.
     pub crashes_after: Rc<Cell<Option<u64>>>,
     /// Whether it has crashed: it closes all connections and accepts no others.
@@ -144,6 +153,10 @@
             arrivals: Rc::default(),
             crashes_on: Rc::default(),
             crashes_on_part: Rc::default(),
+            close_delimited_streams: Rc::default(),
+            breaks_event_after: Rc::default(),
+            endless_after: Rc::default(),
+            endless_bytes: Rc::default(),
             crashes_after: Rc::default(),
             crashed: Rc::default(),
             crash: Rc::default(),
@@ -430,6 +443,16 @@
         conn.send(res, &Bytes::new()).await.is_ok()
     }
 
+    /// Sends bytes without the end of an event, up to a bound that spares the machine.
+    async fn send_endless_event(&self, conn: &mut ServerConn) -> bool {
+        const MAX_BYTES: usize = 64 * 1024 * 1024;
+        let block = Bytes::from(vec![b'x'; 64 * 1024]);
+        while self.endless_bytes.get() < MAX_BYTES && conn.send_chunk(block.clone()).await.is_ok() {
+            self.endless_bytes.set(self.endless_bytes.get() + block.len());
+        }
+        false
+    }
+
     async fn handle_stream(&self, conn: &mut ServerConn, request: &BufferedRequest) -> bool {
         if self.refuses_streams.get() || self.draining.get() {
             self.refused_streams.set(self.refused_streams.get() + 1);
@@ -440,7 +463,16 @@
         self.last_stream_id.replace(id.unwrap_or_default().into());
         let last = request.head.headers().get("last-event-id");
         let last = last.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-        conn.start_stream(self.signed_response(200, request)).expect("stream starts");
+        let mut head = self.signed_response(200, request);
+        if self.close_delimited_streams.get() {
+            head.head_mut().no_chunking(true);
+            head.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        conn.start_stream(head).expect("stream starts");
+        if self.close_delimited_streams.get() {
+            // Sends the head. With chunks, this would be the end of the body.
+            conn.send_chunk(Bytes::new()).await.expect("head is sent");
+        }
         if self.crashes_on_part.get().is_some_and(|part| has_part(request, part)) {
             let sent = conn.send_chunk(Bytes::from_static(b"id: 1\nda")).await;
             self.crashed_by.borrow_mut().push(request.head.uri.path().into());
@@ -448,6 +480,14 @@
             return sent.is_ok();
         }
         for id in last + 1..=STREAM_EVENTS {
+            if self.breaks_event_after.get().is_some_and(|events| id > last + events) {
+                // The caller may have left.
+                let _ = conn.send_chunk(Bytes::from(format!("id: {id}\nda"))).await;
+                return false;
+            }
+            if self.endless_after.get().is_some_and(|events| id > last + events) {
+                return self.send_endless_event(conn).await;
+            }
             if self.crashes_after.get().is_some_and(|events| id > last + events) {
                 self.crash();
                 return false;
@@ -464,7 +504,7 @@
                 return false;
             }
         }
-        conn.finish_stream().await.is_ok()
+        !self.close_delimited_streams.get() && conn.finish_stream().await.is_ok()
     }
 }
 
