A stream that ends with its connection before any event is no complete answer

A close-delimited stream without an event was passed on as a complete, empty one. It cannot be told from a broken one, unless the caller has its events already. Test failed before: close_delimited_stream_without_events_is_sent_again.

--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -103,6 +103,9 @@
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
+                Ok(None) if self.ended_without_events(backend_conn) => {
+                    return Ok(AttemptOutcome::Interrupted("no-events"));
+                }
                 Ok(None) if splitter.pending() == 0 => return Ok(AttemptOutcome::Complete),
                 Ok(None) => return Ok(AttemptOutcome::Interrupted("event-cut-off")),
                 Err(_) => return Ok(AttemptOutcome::Interrupted("stream-broke-off")),
@@ -127,6 +130,14 @@
         }
     }
 
+    /// Whether a stream has ended with its connection before any event. It cannot be
+    /// told from one that was broken off, unless the caller has all events already.
+    fn ended_without_events(&self, backend_conn: &ClientConn) -> bool {
+        backend_conn.is_close_delimited()
+            && !self.progress.attempt_has_events()
+            && self.progress.last_event_id().is_none()
+    }
+
     /// Records an event as proof that all backend servers of the route are alive.
     fn record_backend_activity(&self) {
         let now = self.shared.now();
--- a/crates/direct/tests/broken_streams.rs
+++ b/crates/direct/tests/broken_streams.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// A server that ends the connection before any event has not answered.
+#[test]
+async fn close_delimited_stream_without_events_is_sent_again() {
+    let store = start_configured_store(LAYERS).await;
+    let (engines, entry) = start_engines(&store).await;
+    for engine in &engines {
+        engine.close_delimited_streams.set(true);
+        engine.disconnect_after.set(Some(0));
+    }
+    let response = send_request(entry.callers, "POST", "/stream/x", "prompt").await;
+    assert!(!response.complete, "{response:?}");
+    let runs: usize = engines.iter().map(|engine| engine.run_paths.borrow().len()).sum();
+    assert_eq!(runs, MAX_ATTEMPTS);
+}
+
 #[test]
 async fn event_without_an_end_is_given_up() {
     let store = start_configured_store(LAYERS).await;
