Soak: a crashing part of prompts, streams without a length, broken or without an end

The check of the part comes from the rule: at most three servers crash later than 3 s after the fifth.

--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -55,6 +55,15 @@
     Silent,
 }
 
+/// A request that crashed a backend server.
+#[derive(Debug, Clone)]
+pub struct RunCrash {
+    /// The request's URI path.
+    pub path: String,
+    /// When it did.
+    pub at: Instant,
+}
+
 /// Time in which entries hear of a removed row before the server is gone. Shorter than
 /// the shortest timeout of an attempt: a server that accepts connections after that
 /// cannot be told from one that leaves on purpose.
@@ -97,8 +106,8 @@
     drop_connections: Rc<Notify>,
     /// Notified when it stops to accept connections without refusing them.
     silence: Rc<Notify>,
-    /// URI paths of the requests that crashed it.
-    pub crashed_by: Rc<RefCell<Vec<String>>>,
+    /// Requests that crashed it.
+    pub crashed_by: Rc<RefCell<Vec<RunCrash>>>,
     /// Start time that it reports; higher after each restart.
     started: Rc<Cell<u64>>,
     /// Address of the engine that streams wait for after half of their events.
@@ -226,16 +235,19 @@
                 () = self.silence.notified() => return fill_backlog(&listener).await,
             };
             let Ok((io, _)) = accepted else { return };
+            let socket = SockRef::from(&io).try_clone().expect("socket handle");
             let conn = ServerConn::new(io, &ServerConn::codec_config()).expect("connection setup");
             let server = self.clone();
             spawn_local(async move {
                 let crashed = Rc::clone(&server.crash);
                 let dropped = Rc::clone(&server.drop_connections);
                 tokio::select! {
-                    () = server.serve(conn) => {}
+                    () = server.serve(conn) => return,
                     () = crashed.notified() => {}
                     () = dropped.notified() => {}
                 }
+                // The connections of a process that crashes are reset.
+                socket.set_linger(Some(Duration::ZERO)).expect("reset on close");
             });
         }
     }
@@ -266,6 +278,11 @@
         }
     }
 
+    fn record_crash_by(&self, request: &BufferedRequest) {
+        let crash = RunCrash { path: request.head.uri.path().into(), at: Instant::now() };
+        self.crashed_by.borrow_mut().push(crash);
+    }
+
     /// Closes the listener and all connections.
     pub fn crash(&self) {
         self.crashed.set(true);
@@ -305,7 +322,7 @@
             }
             if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
                 self.record_run(&request);
-                self.crashed_by.borrow_mut().push(request.head.uri.path().into());
+                self.record_crash_by(&request);
                 return self.crash_in_style().await;
             }
             let keep_alive = match request.head.uri.path() {
@@ -475,7 +492,7 @@
         }
         if self.crashes_on_part.get().is_some_and(|part| has_part(request, part)) {
             let sent = conn.send_chunk(Bytes::from_static(b"id: 1\nda")).await;
-            self.crashed_by.borrow_mut().push(request.head.uri.path().into());
+            self.record_crash_by(request);
             self.crash();
             return sent.is_ok();
         }
@@ -493,6 +510,10 @@
                 return false;
             }
             if self.disconnect_after.get().is_some_and(|events| id > last + events) {
+                if self.close_delimited_streams.get() && id > last + 1 {
+                    // A stream without a length that ends between events is complete.
+                    let _ = conn.send_chunk(Bytes::from_static(b"id: 1")).await;
+                }
                 return false;
             }
             while self.waiting_on.get().is_some() && id > STREAM_EVENTS / 2 {
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
-pub use backend::{Backend, Behaviour, CrashStyle};
+pub use backend::{Backend, Behaviour, CrashStyle, RunCrash};
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use caller::{CallerResponse, send_request, send_request_with_headers};
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
--- a/crates/direct/tests/soak/callers.rs
+++ b/crates/direct/tests/soak/callers.rs
@@ -18,6 +18,12 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Body of the requests that crash the server that begins to run them.
 pub const CRASHING: &str = "crash";
+/// Path of the streams with the part [`BAD_PART`].
+pub const BAD_PART_PATH: &str = "/stream/part";
+/// Part of a prompt on which engines crash that begin to answer.
+pub const BAD_PART: &str = "bad00001";
+/// Part of all prompts.
+const COMMON_PART: &str = "c0000001";
 /// Body that many requests share.
 const POPULAR: &str = "popular";
 /// Share of the callers' requests that have this body.
@@ -112,6 +118,24 @@
     }
 }
 
+/// Sends streams whose prompts have a part in common that crashes engines, no two
+/// alike, to random entries, until `stop_callers` is set.
+pub async fn run_bad_part_caller(soak: Rc<Soak>) {
+    let mut rng = SmallRng::seed_from_u64(soak.seed.wrapping_add(1));
+    let mut sent = 0;
+    while !soak.stop_callers.get() {
+        if let Some(mut conn) = get_connection(&soak, None, &mut rng).await {
+            sent += 1;
+            let id = format!("part-{sent:x}");
+            soak.checks.record_sent(RequestKind::Stream, &id);
+            let prompt = format!("{COMMON_PART}:40,{BAD_PART}:40,{sent:x}:20");
+            let response = send(&mut conn, BAD_PART_PATH, &id, &id, &prompt).await;
+            soak.checks.check_response(RequestKind::Stream, &id, &response);
+        }
+        sleep(Duration::from_millis(rng.random_range(50..500))).await;
+    }
+}
+
 /// Sends one request with a body of its own.
 pub async fn send_request(conn: &mut ClientConn, kind: RequestKind, id: &str) -> CallerResponse {
     send_body(conn, kind, id, id).await
@@ -122,15 +146,26 @@
     kind: RequestKind,
     id: &str,
     body: &str,
+) -> CallerResponse {
+    send(conn, kind.path(), id, body, &format!("{COMMON_PART}:40,5:60")).await
+}
+
+async fn send(
+    conn: &mut ClientConn,
+    path: &str,
+    id: &str,
+    body: &str,
+    prompt: &str,
 ) -> CallerResponse {
     let mut head = RequestHead::default();
     head.method = Method::POST;
-    head.uri = kind.path().parse().expect("valid path");
+    head.uri = path.parse().expect("valid path");
     let headers = [
         ("host", "h"),
         ("request-id", id),
         ("deadline-ms", "5000"),
         ("token-count", "100,40"),
+        ("prompt-prefix", prompt),
         ("x-api-key", "key"),
         ("tenant", "another"),
     ];
--- a/crates/direct/tests/soak/checks.rs
+++ b/crates/direct/tests/soak/checks.rs
@@ -3,13 +3,22 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
-use crate::callers::{CallerResponse, RequestKind};
+use tokio::time::Instant;
+
+use crate::callers::{BAD_PART_PATH, CallerResponse, RequestKind};
 use crate::common::Backend;
 use crate::harness::LAYERS;
 
 /// Servers that the requests of one content may crash: three, and three retries.
 const MAX_CRASHES: usize = 6;
+/// Number of servers after whose crash requests with one part of a prompt must stop.
+const PART_CRASHES: usize = 5;
+/// Time that entries have for that.
+const STOP_TIME: Duration = Duration::from_secs(3);
+/// Servers that such requests may crash later than that.
+const MAX_LATE_PART_CRASHES: usize = 3;
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 20;
 
@@ -85,14 +94,21 @@
         }
     }
 
-    /// Checks that the requests of one content stop crashing servers. Each route is a
-    /// content of its own.
+    /// Checks that the requests of one content, or with one part of a prompt, stop
+    /// crashing servers. Each path is a content or a part of its own.
     fn check_crashes(&self, backends: &[Backend]) {
-        let mut crashes: BTreeMap<String, usize> = BTreeMap::new();
-        for path in backends.iter().flat_map(|backend| backend.crashed_by.borrow().clone()) {
-            *crashes.entry(path).or_default() += 1;
+        let mut crashes: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
+        for crash in backends.iter().flat_map(|backend| backend.crashed_by.borrow().clone()) {
+            crashes.entry(crash.path).or_default().push(crash.at);
+        }
+        let part_crashes = crashes.remove(BAD_PART_PATH).unwrap_or_default();
+        let (all, late) = (part_crashes.len(), late_crashes(part_crashes));
+        println!("requests with the bad part crashed {all} servers, {late} of them late");
+        if late > MAX_LATE_PART_CRASHES {
+            self.record_violation(format!("requests with the bad part crashed {late} late"));
         }
-        for (path, crashes) in crashes.into_iter().filter(|(_, n)| *n > MAX_CRASHES) {
+        for (path, crashes) in crashes.iter().filter(|(_, crashes)| crashes.len() > MAX_CRASHES) {
+            let crashes = crashes.len();
             self.record_violation(format!("requests of {path} crashed {crashes} servers"));
         }
     }
@@ -139,6 +155,13 @@
     }
 }
 
+/// Number of crashes that are later than [`STOP_TIME`] after those that are allowed.
+fn late_crashes(mut crashes: Vec<Instant>) -> usize {
+    crashes.sort_unstable();
+    let Some(last_allowed) = crashes.get(PART_CRASHES - 1).copied() else { return 0 };
+    crashes.iter().filter(|at| **at > last_allowed + STOP_TIME).count()
+}
+
 /// Whether the stages `ADDRESS=FROM-TO` of a path cover all layers in order, each
 /// once.
 fn covers_each_layer_once(path: &str) -> bool {
--- a/crates/direct/tests/soak/faults.rs
+++ b/crates/direct/tests/soak/faults.rs
@@ -7,7 +7,7 @@
 use clementine_e2e::{Process, ProxyMode};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, SeedableRng};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
@@ -214,3 +214,24 @@
     let max_ms = if rng.random_bool(0.3) { 60 } else { 600 };
     Duration::from_millis(rng.random_range(0..max_ms))
 }
+
+/// Lets engines end streams with their connection, break off inside an event or send
+/// one that has no end, until the callers stop. Its random numbers are its own, so that
+/// the faults of a seed stay as they were.
+pub async fn break_streams(soak: Rc<Soak>) {
+    let mut rng = SmallRng::seed_from_u64(soak.seed.wrapping_add(2));
+    while !soak.stop_callers.get() {
+        let engine = soak.engines.choose(&mut rng).expect("nonempty list");
+        let events = rng.random_range(0..15);
+        engine.close_delimited_streams.set(rng.random());
+        match rng.random_range(0..3) {
+            0 => engine.breaks_event_after.set(Some(events)),
+            1 => engine.endless_after.set(Some(events)),
+            _ => {}
+        }
+        sleep(Duration::from_millis(rng.random_range(100..800))).await;
+        engine.close_delimited_streams.set(false);
+        engine.breaks_event_after.set(None);
+        engine.endless_after.set(None);
+    }
+}
--- a/crates/direct/tests/soak/harness.rs
+++ b/crates/direct/tests/soak/harness.rs
@@ -10,11 +10,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::callers::{CRASHING, RequestKind, run_caller, run_crashing_caller, send_request};
+use crate::callers::{
+    BAD_PART, CRASHING, RequestKind, run_bad_part_caller, run_caller, run_crashing_caller,
+    send_request,
+};
 use crate::checks::Checks;
 use crate::common::{Backend, Store, config, wait_until};
 use crate::entries::Entry;
-use crate::faults::{fault_interval, inject_fault, restart_crashed_servers};
+use crate::faults::{break_streams, fault_interval, inject_fault, restart_crashed_servers};
 
 /// Number of layers of the model.
 pub const LAYERS: u32 = 12;
@@ -57,6 +60,7 @@
             .await;
         for server in engines.iter().chain(&plain_servers) {
             server.crashes_on.set(Some(CRASHING));
+            server.crashes_on_part.set(Some(BAD_PART));
         }
         Self {
             seed,
@@ -76,6 +80,8 @@
         let mut callers: Vec<_> =
             (0..CALLERS).map(|number| spawn_local(run_caller(Rc::clone(&soak), number))).collect();
         callers.push(spawn_local(run_crashing_caller(Rc::clone(&soak))));
+        callers.push(spawn_local(run_bad_part_caller(Rc::clone(&soak))));
+        callers.push(spawn_local(break_streams(Rc::clone(&soak))));
         callers.push(spawn_local(restart_crashed_servers(Rc::clone(&soak))));
         let mut rng = SmallRng::seed_from_u64(soak.seed);
         let mut active_faults = Vec::new();
