--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -6,6 +6,7 @@
 use super::recent_answers::RecentAnswers;
 use super::records::CrashRecords;
 use super::suspect_record::SuspectRecord;
+use super::verdict::{Admission, RecordedCrash, SuspectChange};
 use super::{CrashReport, QuarantineLimits, RunSuspects, Suspect};
 use crate::fleet::BackendIncarnation;
 use crate::ids::{PromptPart, Tick};
@@ -19,54 +20,6 @@
 /// Number of crashes of an unanswered part from which on other entries are told of
 /// each at once.
 const MIN_URGENT_CRASHES: usize = 2;
-/// Whether a request may be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// Nothing speaks against it.
-    Admitted,
-    /// The suspect is refused, but this request is let through to learn whether it is
-    /// the cause.
-    Probe(Suspect),
-    /// The suspect is refused.
-    Refused {
-        /// The suspect.
-        suspect: Suspect,
-        /// Time after which trying again may help.
-        retry_delay: Millis,
-    },
-}
-
-/// A change that other entries are told at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SuspectChange {
-    /// The suspect is refused from now on.
-    Quarantined(Suspect),
-    /// There is more evidence against the suspect.
-    Advanced(Suspect),
-    /// The suspect was refused and has been answered now.
-    Cleared(Suspect),
-}
-
-impl SuspectChange {
-    /// The suspect that changed.
-    pub const fn suspect(self) -> Suspect {
-        match self {
-            Self::Quarantined(suspect) | Self::Advanced(suspect) | Self::Cleared(suspect) => {
-                suspect
-            }
-        }
-    }
-}
-
-/// What the crash of a server changed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordedCrash {
-    /// Whether the crash was not known for all suspects.
-    pub is_new: bool,
-    /// Changes of single suspects.
-    pub changes: Vec<SuspectChange>,
-}
-
 /// How well a suspect explains the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Explanation {
@@ -307,10 +260,9 @@
     }
 
     /// What to report to other entries in the next message: at most `max`
-    /// suspects, those first that were reported least often, parts before requests and
-    /// parts with many crashes before others. Those in
-    /// quarantine are reported for as long as they are recorded, so that an entry
-    /// that has just started learns of them.
+    /// suspects, in the order of [`SuspectRecord::report_rank`]. Those in quarantine are
+    /// reported for as long as they are recorded, so that an entry that has just
+    /// started learns of them.
     pub fn next_reports(&mut self, max: usize, now: Tick) -> Vec<CrashReport> {
         let limits = self.limits;
         let due = self.suspects.iter_mut(now).filter_map(|(suspect, record)| {
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -10,11 +10,13 @@
 mod suspect;
 mod suspect_gate;
 mod suspect_record;
+mod verdict;
 
 pub use crash_counts::{Quarantine, QuarantineLimits};
-pub use crash_log::{Admission, CrashLog, RecordedCrash, SuspectChange};
+pub use crash_log::CrashLog;
 pub use crash_report::CrashReport;
 pub use evidence::{CrashEvidence, Listing, LossKind, LossVerdict, SILENCE_TTL, judge_loss};
 pub use fingerprint::Fingerprint;
 pub use suspect::{RunSuspects, Suspect};
 pub use suspect_gate::SuspectGate;
+pub use verdict::{Admission, RecordedCrash, SuspectChange};
--- a/crates/decide/src/quarantine/suspect_record.rs
+++ b/crates/decide/src/quarantine/suspect_record.rs
@@ -68,15 +68,14 @@
         true
     }
 
-    /// Records an answer. Returns whether crashes counted until then.
-    pub(super) fn record_answer(&mut self, at: Tick) -> bool {
+    /// Records an answer, of which other entries are told if crashes counted until then.
+    pub(super) fn record_answer(&mut self, at: Tick) {
         let counted = self.counted(at).next().is_some();
         self.answered = self.answered.max(Some(at));
         if counted {
             self.reported = 0;
             self.contested = true;
         }
-        counted
     }
 
     /// The crashes since the last answer that still count.
--- a/crates/direct/src/streams/mod.rs
+++ b/crates/direct/src/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Requests whose response is a stream of server-sent events.
 
 mod open;
+mod outcomes;
 mod progress;
 mod recover;
 mod relay;
--- /dev/null
+++ b/crates/direct/src/streams/outcomes.rs
@@ -0,0 +1,107 @@
+//! What follows an attempt that has ended, and what it says about its backend server.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clementine_decide::ids::BackendId;
+use clementine_decide::quarantine::LossKind;
+use tokio::task::spawn_local;
+
+use super::relay::AttemptOutcome;
+use super::route::StreamRoute;
+use super::supervise::{NextStep, StreamOutcome, Supervisor};
+use crate::crashes::{Run, record_completion};
+use crate::engines::check_backend;
+
+impl Supervisor<'_> {
+    /// Decides what follows an attempt that has ended.
+    pub(super) async fn next_step(
+        &mut self,
+        route: &StreamRoute,
+        run: Option<Run>,
+        outcome: AttemptOutcome,
+    ) -> NextStep {
+        if !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotExecuted(_)) {
+            self.record_executed_on(&route.first);
+        }
+        match outcome {
+            AttemptOutcome::Complete => {
+                self.stats.attempts.executed += 1;
+                record_completion(self.shared, self.ctx);
+                NextStep::Finish(StreamOutcome::Complete)
+            }
+            AttemptOutcome::CallerLeft => {
+                self.record_silent_run(run.filter(|run| run.is_overdue(self.shared)));
+                NextStep::Finish(StreamOutcome::CallerLeft)
+            }
+            AttemptOutcome::DeadlinePassed => {
+                self.stats.attempts.executed += 1;
+                self.record_silent_run(run);
+                NextStep::Finish(self.give_up("out-of-time"))
+            }
+            AttemptOutcome::ErrorResponse(error) => {
+                self.stats.attempts.executed += 1;
+                if !self.progress.headers_sent() {
+                    self.last_error = Some(error);
+                }
+                NextStep::Retry("failed", None)
+            }
+            AttemptOutcome::NotSent => self.after_unexecuted(&route.first, "no-connection"),
+            AttemptOutcome::NotExecuted(failed_engine) => {
+                let id = self.backend_at(failed_engine).unwrap_or_else(|| route.first.clone());
+                self.after_unexecuted(&id, "refused")
+            }
+            AttemptOutcome::Interrupted(reason) => {
+                self.stats.attempts.executed += 1;
+                self.record_backend_failure(&route.first, reason);
+                if let Some(run) = run {
+                    self.record_lost_run(run).await;
+                }
+                NextStep::Retry(reason, None)
+            }
+        }
+    }
+
+    /// Records a run that broke off. One that made progress is not what brought the
+    /// server down.
+    async fn record_lost_run(&mut self, run: Run) {
+        if self.progress.attempt_has_events() {
+            let has_ended = run.server_refuses_connections(self.shared).await;
+            self.stats.attempts.lost_to_down_backend += u32::from(has_ended);
+            return;
+        }
+        let run = run.with_begun(self.progress.attempt_has_begun());
+        run.record_loss(self.shared, LossKind::BrokenOff).await;
+    }
+
+    /// Records a run that has ended without an event, because its server may have
+    /// fallen silent.
+    fn record_silent_run(&self, run: Option<Run>) {
+        if let Some(run) = run
+            && !self.progress.attempt_has_events()
+        {
+            let run = run.with_begun(self.progress.attempt_has_begun());
+            run.record_loss_later(self.shared, LossKind::NoResponse);
+        }
+    }
+
+    fn after_unexecuted(&mut self, failed: &BackendId, reason: &'static str) -> NextStep {
+        self.stats.attempts.not_executed += 1;
+        self.record_backend_failure(failed, reason);
+        NextStep::Retry(reason, None)
+    }
+
+    fn backend_at(&self, address: Option<SocketAddr>) -> Option<BackendId> {
+        self.shared.fleet.borrow().by_address(address?).cloned()
+    }
+
+    /// Starts the backoff of a backend server, avoids it in further attempts, and
+    /// starts a check if it is an engine.
+    fn record_backend_failure(&mut self, id: &BackendId, reason: &str) {
+        self.shared.record_failure(id, reason, &self.ctx.req.id);
+        self.avoid.push(id.clone());
+        if self.shared.has_layers(id) {
+            spawn_local(check_backend(Rc::clone(self.shared), id.clone()));
+        }
+    }
+}
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -2,30 +2,26 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::overload::{CAPACITY_POLL_INTERVAL, max_capacity_wait};
-use clementine_decide::quarantine::LossKind;
 use clementine_decide::retry::StreamAttempts;
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
 use spdlog::info;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use super::progress::Progress;
 use super::recover::Recovery;
-use super::relay::{Attempt, AttemptOutcome};
+use super::relay::Attempt;
 use super::route::{RouteRequirements, StreamRoute, format_path};
 use super::watchdog::{Problem, wait_for_problem};
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
-use crate::crashes::{Run, is_quarantined, late_quarantine_error, record_completion};
-use crate::engines::check_backend;
+use crate::crashes::{Run, is_quarantined, late_quarantine_error};
 use crate::shared::{RequestContext, RetryPriority, SharedState};
 
 /// Silence after which a stream is no longer resumed, because callers give up on
@@ -62,7 +58,7 @@
 }
 
 /// Next step after an attempt.
-enum NextStep {
+pub(super) enum NextStep {
     /// Make another attempt for the given reason. The route is `None` if it has
     /// not been chosen yet.
     Retry(&'static str, Option<StreamRoute>),
@@ -81,7 +77,7 @@
     /// Backend servers to avoid in further attempts.
     pub(super) avoid: Vec<BackendId>,
     /// Last error response of a backend server.
-    last_error: Option<BufferedResponse>,
+    pub(super) last_error: Option<BufferedResponse>,
 }
 
 impl<'a> Supervisor<'a> {
@@ -236,96 +232,6 @@
         }
     }
 
-    async fn next_step(
-        &mut self,
-        route: &StreamRoute,
-        run: Option<Run>,
-        outcome: AttemptOutcome,
-    ) -> NextStep {
-        if !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotExecuted(_)) {
-            self.record_executed_on(&route.first);
-        }
-        match outcome {
-            AttemptOutcome::Complete => {
-                self.stats.attempts.executed += 1;
-                record_completion(self.shared, self.ctx);
-                NextStep::Finish(StreamOutcome::Complete)
-            }
-            AttemptOutcome::CallerLeft => {
-                self.record_silent_run(run.filter(|run| run.is_overdue(self.shared)));
-                NextStep::Finish(StreamOutcome::CallerLeft)
-            }
-            AttemptOutcome::DeadlinePassed => {
-                self.stats.attempts.executed += 1;
-                self.record_silent_run(run);
-                NextStep::Finish(self.give_up("out-of-time"))
-            }
-            AttemptOutcome::ErrorResponse(error) => {
-                self.stats.attempts.executed += 1;
-                if !self.progress.headers_sent() {
-                    self.last_error = Some(error);
-                }
-                NextStep::Retry("failed", None)
-            }
-            AttemptOutcome::NotSent => self.after_unexecuted(&route.first, "no-connection"),
-            AttemptOutcome::NotExecuted(failed_engine) => {
-                let id = self.backend_at(failed_engine).unwrap_or_else(|| route.first.clone());
-                self.after_unexecuted(&id, "refused")
-            }
-            AttemptOutcome::Interrupted(reason) => {
-                self.stats.attempts.executed += 1;
-                self.record_backend_failure(&route.first, reason);
-                if let Some(run) = run {
-                    self.record_lost_run(run).await;
-                }
-                NextStep::Retry(reason, None)
-            }
-        }
-    }
-
-    /// Records a run that broke off. One that made progress is not what brought the
-    /// server down.
-    async fn record_lost_run(&mut self, run: Run) {
-        if self.progress.attempt_has_events() {
-            let has_ended = run.server_refuses_connections(self.shared).await;
-            self.stats.attempts.lost_to_down_backend += u32::from(has_ended);
-            return;
-        }
-        let run = run.with_begun(self.progress.attempt_has_begun());
-        run.record_loss(self.shared, LossKind::BrokenOff).await;
-    }
-
-    /// Records a run that has ended without an event, because its server may have
-    /// fallen silent.
-    fn record_silent_run(&self, run: Option<Run>) {
-        if let Some(run) = run
-            && !self.progress.attempt_has_events()
-        {
-            let run = run.with_begun(self.progress.attempt_has_begun());
-            run.record_loss_later(self.shared, LossKind::NoResponse);
-        }
-    }
-
-    fn after_unexecuted(&mut self, failed: &BackendId, reason: &'static str) -> NextStep {
-        self.stats.attempts.not_executed += 1;
-        self.record_backend_failure(failed, reason);
-        NextStep::Retry(reason, None)
-    }
-
-    fn backend_at(&self, address: Option<SocketAddr>) -> Option<BackendId> {
-        self.shared.fleet.borrow().by_address(address?).cloned()
-    }
-
-    /// Starts the backoff of a backend server, avoids it in further attempts, and
-    /// starts a check if it is an engine.
-    fn record_backend_failure(&mut self, id: &BackendId, reason: &str) {
-        self.shared.record_failure(id, reason, &self.ctx.req.id);
-        self.avoid.push(id.clone());
-        if self.shared.has_layers(id) {
-            spawn_local(check_backend(Rc::clone(self.shared), id.clone()));
-        }
-    }
-
     fn choose_route(&self) -> Option<StreamRoute> {
         self.choose_route_for(&self.progress)
     }
@@ -379,7 +285,7 @@
     }
 
     /// The outcome if no further attempt is made.
-    fn give_up(&mut self, reason: &'static str) -> StreamOutcome {
+    pub(super) fn give_up(&mut self, reason: &'static str) -> StreamOutcome {
         if self.progress.headers_sent() {
             return StreamOutcome::Truncated(reason);
         }
