--- a/crates/direct/tests/crashing_prompt_parts.rs
+++ b/crates/direct/tests/crashing_prompt_parts.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use clementine_direct::Running;
+use clementine_direct::{Running, start};
+use clementine_platform::settings::InstanceSettings;
 use common::{
-    Backend, CallerResponse, Store, send_request_with_headers, start_configured_store, start_entry,
-    wait_until,
+    Backend, CallerResponse, Store, send_request_with_headers, settings, start_configured_store,
+    start_entry, wait_until,
 };
 use tokio::time::sleep;
 
@@ -27,11 +28,13 @@
 const REPEATS: usize = 20;
 /// Time between two of them.
 const INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which an entry that starts has read what is saved in the store.
+const READ_TIME: Duration = Duration::from_secs(4);
 /// Time after the last crash by which sound requests are served.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
 struct Deployment {
-    _store: Store,
+    store: Store,
     engines: Vec<Backend>,
     entries: [Running; 2],
 }
@@ -49,7 +52,7 @@
         wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers))
             .await;
         sleep(Duration::from_millis(600)).await;
-        Self { _store: store, engines, entries }
+        Self { store, engines, entries }
     }
 
     /// Sends a stream whose prompt has these parts and one of its own.
@@ -104,3 +107,24 @@
     assert!(served >= 15, "{served} of 20 sound requests are served");
     assert!(deployment.crashed() <= MAX_CRASHES, "{} engines crashed", deployment.crashed());
 }
+
+/// An entry that has never heard of the others knows what they saved in the store.
+#[test]
+async fn refused_part_outlasts_a_restart_of_all_entries() {
+    let deployment = Deployment::start().await;
+    assert!(deployment.send(0, &[COMMON, SOUND]).await.complete);
+    for n in 0..REPEATS / 2 {
+        deployment.send(2 * n, &[COMMON, BAD]).await;
+        sleep(INTERVAL).await;
+    }
+    let crashed = deployment.crashed();
+    let unconnected =
+        InstanceSettings { internal_ports: None, ..settings("three", &deployment.store) };
+    let started = start(unconnected).expect("entry starts");
+    sleep(READ_TIME).await;
+    let headers = [("x-api-key", "key"), ("prompt-prefix", "bad00001:40,1:200")];
+    let to = started.callers;
+    let response = send_request_with_headers(to, "POST", "/stream/new", "prompt", &headers).await;
+    assert_eq!((response.status, deployment.crashed()), (503, crashed));
+    assert!(response.body.contains("suspected_crash"), "{response:?}");
+}
