--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -3,7 +3,7 @@
 use clementine_objects::Millis;
 
 use super::evidence::{Crash, CrashEvidence};
-use super::recent_answers::RecentAnswers;
+use super::recent_responses::RecentResponses;
 use super::records::CrashRecords;
 use super::suspect_record::SuspectRecord;
 use super::verdict::{Admission, RecordedCrash, SuspectChange};
@@ -17,7 +17,7 @@
 const MAX_PROBED_CRASHES: usize = 5;
 /// Retry delay of a request that is refused for a part that is being tried.
 const PROBED_RETRY_DELAY: Millis = Millis(2_000);
-/// Number of crashes of an unanswered part from which on other entries are told of
+/// Number of crashes of a part without a response from which on other entries are told of
 /// each at once.
 const MIN_URGENT_CRASHES: usize = 2;
 /// How well a suspect explains the crashes under it.
@@ -43,9 +43,9 @@
     limits: QuarantineLimits,
     suspects: CrashRecords<Suspect, SuspectRecord>,
     /// Requests that this entry has seen complete.
-    completed_requests: RecentAnswers,
-    /// Parts on which this entry has seen an answer begin.
-    answered_parts: RecentAnswers,
+    completed_requests: RecentResponses,
+    /// Parts for which this entry has seen a response begin.
+    parts_with_response: RecentResponses,
 }
 
 impl Default for CrashLog {
@@ -60,8 +60,8 @@
         Self {
             limits,
             suspects: CrashRecords::new(limits),
-            completed_requests: RecentAnswers::default(),
-            answered_parts: RecentAnswers::default(),
+            completed_requests: RecentResponses::default(),
+            parts_with_response: RecentResponses::default(),
         }
     }
 
@@ -107,24 +107,24 @@
     pub fn record_completion(&mut self, suspects: &RunSuspects, now: Tick) -> Vec<SuspectChange> {
         let request = Suspect::Request(suspects.request());
         self.completed_requests.record(request, now, self.limits.capacity);
-        self.record_answer(request, now).into_iter().collect()
+        self.record_response(request, now).into_iter().collect()
     }
 
-    /// Records that an answer has begun on parts of a prompt, before or after servers
+    /// Records that a response has begun for parts of a prompt, before or after servers
     /// crashed under them.
-    pub fn record_answer_begun(&mut self, parts: &[PromptPart], now: Tick) -> Vec<SuspectChange> {
+    pub fn record_response_begun(&mut self, parts: &[PromptPart], now: Tick) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         for part in parts {
             let part = Suspect::Part(*part);
-            self.answered_parts.record(part, now, self.limits.capacity);
-            changes.extend(self.record_answer(part, now));
+            self.parts_with_response.record(part, now, self.limits.capacity);
+            changes.extend(self.record_response(part, now));
         }
         changes
     }
 
-    fn record_answer(&mut self, suspect: Suspect, now: Tick) -> Option<SuspectChange> {
+    fn record_response(&mut self, suspect: Suspect, now: Tick) -> Option<SuspectChange> {
         let was_quarantined = self.is_at_limit(suspect, now);
-        self.suspects.get_mut(suspect)?.record_answer(now);
+        self.suspects.get_mut(suspect)?.record_response(now);
         was_quarantined.then_some(SuspectChange::Cleared(suspect))
     }
 
@@ -142,9 +142,9 @@
         for crash in crashes {
             record.add(crash);
         }
-        match report.answered(now) {
-            Some(answered) => record.answered = record.answered.max(Some(answered)),
-            None if record.answered.is_some() => {
+        match report.last_response(now) {
+            Some(at) => record.last_response = record.last_response.max(Some(at)),
+            None if record.last_response.is_some() => {
                 record.contested = true;
                 record.reported = 0;
             }
@@ -154,11 +154,11 @@
     }
 
     fn record(&mut self, suspect: Suspect, now: Tick) -> &mut SuspectRecord {
-        let answers = match suspect {
+        let responses = match suspect {
             Suspect::Request(_) => &self.completed_requests,
-            Suspect::Part(_) => &self.answered_parts,
+            Suspect::Part(_) => &self.parts_with_response,
         };
-        let empty = SuspectRecord::new(answers.last(suspect));
+        let empty = SuspectRecord::new(responses.last(suspect));
         self.suspects.get_or_insert(suspect, empty, now)
     }
 
@@ -235,7 +235,7 @@
         let record = self.suspects.get(suspect, now);
         matches!(suspect, Suspect::Part(_))
             && record.is_some_and(|record| {
-                record.answered.is_none() && record.counted(now).count() >= MIN_URGENT_CRASHES
+                record.last_response.is_none() && record.counted(now).count() >= MIN_URGENT_CRASHES
             })
     }
 
@@ -267,7 +267,7 @@
         let limits = self.limits;
         let due = self.suspects.iter_mut(now).filter_map(|(suspect, record)| {
             let is_refused = record.is_at_limit(suspect, limits, now);
-            let is_sound = record.answered.is_some() && record.counted(now).next().is_none();
+            let is_sound = record.last_response.is_some() && record.counted(now).next().is_none();
             let is_told = is_sound && !record.contested;
             let is_due = is_refused || (!is_told && record.reported < MIN_REPORTS);
             let rank = record.report_rank(suspect, now);
--- a/crates/decide/src/quarantine/crash_report.rs
+++ b/crates/decide/src/quarantine/crash_report.rs
@@ -14,8 +14,8 @@
     suspect: Suspect,
     /// Servers that crashed under it.
     servers: Vec<CrashedServer>,
-    /// Time since it was last answered, if it was.
-    answered: Option<Millis>,
+    /// Time since the last response to a request with it, if there was one.
+    last_response: Option<Millis>,
     /// Whether a run with it broke off between the head of its response and the first
     /// event.
     began: bool,
@@ -41,7 +41,7 @@
         Self {
             suspect,
             servers: servers.collect(),
-            answered: record.answered.map(|at| now.since(at)),
+            last_response: record.last_response.map(|at| now.since(at)),
             began: record.began,
         }
     }
@@ -55,7 +55,7 @@
     #[must_use]
     pub fn older_by(mut self, time: Millis) -> Self {
         let ages = self.servers.iter_mut().map(|crashed| &mut crashed.age);
-        for age in ages.chain(&mut self.answered) {
+        for age in ages.chain(&mut self.last_response) {
             *age = Millis(age.0.saturating_add(time.0));
         }
         self
@@ -77,9 +77,9 @@
         self.began
     }
 
-    /// When the suspect was last answered.
-    pub(super) fn answered(&self, now: Tick) -> Option<Tick> {
-        self.answered.map(|age| before(now, age))
+    /// When a request with the suspect last got a response.
+    pub(super) fn last_response(&self, now: Tick) -> Option<Tick> {
+        self.last_response.map(|age| before(now, age))
     }
 }
 
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -5,7 +5,7 @@
 mod crash_report;
 mod evidence;
 mod fingerprint;
-mod recent_answers;
+mod recent_responses;
 mod records;
 mod suspect;
 mod suspect_gate;
--- a/crates/decide/src/quarantine/suspect_record.rs
+++ b/crates/decide/src/quarantine/suspect_record.rs
@@ -7,12 +7,12 @@
 
 /// Maximum number of servers that are kept for one suspect.
 const MAX_SERVERS: usize = 16;
-/// Number of crashes at which a part of a prompt is refused that was never answered.
+/// Number of crashes at which a part of a prompt is refused that never got a response.
 /// One more than for a request: other requests with the part lose as well.
 const PART_CRASHES: usize = 3;
-/// Number of crashes since the last answer at which a part is refused that was
-/// answered before.
-const ANSWERED_PART_CRASHES: usize = 5;
+/// Number of crashes since the last response at which a part is refused that got one
+/// before.
+const PART_CRASHES_SINCE_RESPONSE: usize = 5;
 
 /// How much more often parts are reported than requests: there are fewer of them, and
 /// many requests have one in common.
@@ -25,15 +25,16 @@
 pub(super) struct SuspectRecord {
     /// Servers that crashed under it, each once, at most [`MAX_SERVERS`].
     pub(super) crashes: Vec<Crash>,
-    /// When it was last answered: a request completely, a part at least in part.
-    pub(super) answered: Option<Tick>,
+    /// When it last got a response: a complete one for a request, the beginning of one
+    /// for a part.
+    pub(super) last_response: Option<Tick>,
     pub(super) last_crash: Tick,
     /// Number of reports that included this suspect in its present state.
     pub(super) reported: u32,
     /// Whether a run with it broke off between the head of its response and the first
     /// event. The runs that wait for their turn when a server crashes have no head.
     pub(super) began: bool,
-    /// Whether another entry has reported it without knowing that it was answered.
+    /// Whether another entry has reported it without knowing of the response.
     pub(super) contested: bool,
     /// From when on the next request with it is let through, if it is refused.
     pub(super) next_probe: Option<Tick>,
@@ -41,10 +42,10 @@
 
 impl SuspectRecord {
     /// Record of a suspect under which no server has crashed yet.
-    pub(super) const fn new(answered: Option<Tick>) -> Self {
+    pub(super) const fn new(last_response: Option<Tick>) -> Self {
         Self {
             crashes: Vec::new(),
-            answered,
+            last_response,
             last_crash: Tick(0),
             reported: 0,
             began: false,
@@ -68,21 +69,21 @@
         true
     }
 
-    /// Records an answer, of which other entries are told if crashes counted until then.
-    pub(super) fn record_answer(&mut self, at: Tick) {
+    /// Records a response, of which other entries are told if crashes counted until then.
+    pub(super) fn record_response(&mut self, at: Tick) {
         let counted = self.counted(at).next().is_some();
-        self.answered = self.answered.max(Some(at));
+        self.last_response = self.last_response.max(Some(at));
         if counted {
             self.reported = 0;
             self.contested = true;
         }
     }
 
-    /// The crashes since the last answer that still count.
+    /// The crashes since the last response that still count.
     pub(super) fn counted(&self, now: Tick) -> impl Iterator<Item = &Crash> {
-        let since = self.answered;
-        let unanswered = move |crash: &&Crash| since.is_none_or(|answered| crash.at > answered);
-        self.crashes.iter().filter(unanswered).filter(move |crash| crash.counts(now))
+        let since = self.last_response;
+        let is_later = move |crash: &&Crash| since.is_none_or(|response| crash.at > response);
+        self.crashes.iter().filter(is_later).filter(move |crash| crash.counts(now))
     }
 
     /// Rank among the suspects that are due to be reported, the lowest first: parts
@@ -131,11 +132,11 @@
     /// request that has completed is not the cause, whatever crashed under it. A part
     /// is in many requests, so that later crashes may tell otherwise.
     fn limit(&self, suspect: Suspect, limits: QuarantineLimits) -> Option<usize> {
-        match (suspect, self.answered) {
+        match (suspect, self.last_response) {
             (Suspect::Request(_), None) => Some(limits.crashes as usize),
             (Suspect::Request(_), Some(_)) => None,
             (Suspect::Part(_), None) => Some(PART_CRASHES),
-            (Suspect::Part(_), Some(_)) => Some(ANSWERED_PART_CRASHES),
+            (Suspect::Part(_), Some(_)) => Some(PART_CRASHES_SINCE_RESPONSE),
         }
     }
 
--- a/crates/decide/src/quarantine/verdict.rs
+++ b/crates/decide/src/quarantine/verdict.rs
@@ -28,7 +28,7 @@
     Quarantined(Suspect),
     /// There is more evidence against the suspect.
     Advanced(Suspect),
-    /// The suspect was refused and has been answered now.
+    /// The suspect was refused, and a response to a request with it has begun now.
     Cleared(Suspect),
 }
 
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -37,7 +37,7 @@
 /// A log after this many crashes under requests with the common and the bad part.
 fn log_after(crashes: u64, answered: &[PromptPart]) -> CrashLog {
     let mut log = CrashLog::default();
-    log.record_answer_begun(answered, Tick(0));
+    log.record_response_begun(answered, Tick(0));
     for n in 1..=crashes {
         crash(&mut log, &run(n.into(), &[COMMON, BAD]), n, Tick(10 * n));
     }
@@ -58,12 +58,12 @@
 #[test]
 fn part_that_was_answered_once_is_refused_after_five_crashes_without_an_answer() {
     let mut log = CrashLog::default();
-    log.record_answer_begun(&[BAD], Tick(0));
+    log.record_response_begun(&[BAD], Tick(0));
     for n in 1..=4 {
         crash(&mut log, &run(n.into(), &[BAD]), n, Tick(10 * n));
     }
     assert!(is_admitted(&mut log, &[BAD], Tick(40)));
-    log.record_answer_begun(&[BAD], Tick(41));
+    log.record_response_begun(&[BAD], Tick(41));
     for n in 5..=8 {
         crash(&mut log, &run(n.into(), &[BAD]), n, Tick(10 * n));
     }
@@ -81,7 +81,7 @@
     let due = Tick(60).after(PROBE_INTERVAL);
     assert_eq!(log.admit(&probed, due, PROBE_INTERVAL), Admission::Probe(Suspect::Part(COMMON)));
     assert!(!is_admitted(&mut log, &[COMMON, SOUND], due), "one at a time");
-    let changes = log.record_answer_begun(&[COMMON, SOUND], due);
+    let changes = log.record_response_begun(&[COMMON, SOUND], due);
     assert_eq!(changes, [SuspectChange::Cleared(Suspect::Part(COMMON))]);
     assert!(is_admitted(&mut log, &[COMMON, SOUND], due));
     assert!(!is_admitted(&mut log, &[COMMON, BAD], due));
@@ -161,7 +161,7 @@
                 crash(entry(&mut domains, n + other), &bystander, crashes, now);
             }
         }
-        entry(&mut domains, n + 1).record_answer_begun(&[COMMON], now);
+        entry(&mut domains, n + 1).record_response_begun(&[COMMON], now);
         if tick >= round * interval.0 {
             exchange(&mut domains, round, now);
             round += 1;
@@ -199,8 +199,8 @@
             let parts = [PromptPart(u64::from(part % 3))];
             let log = &mut logs[usize::from(entry % 2)];
             if *answered && n % 2 == 0 {
-                log.record_answer_begun(&parts, now);
-                all.record_answer_begun(&parts, now);
+                log.record_response_begun(&parts, now);
+                all.record_response_begun(&parts, now);
             } else {
                 crash(log, &run(n as u128, &parts), n as u64, now);
                 crash(&mut all, &run(n as u128, &parts), n as u64, now);
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -18,7 +18,7 @@
 use super::attempt::{AttemptOutcome, BufferedResponse, send_request};
 use crate::callers::{RequestError, send_error};
 use crate::crashes::{
-    Run, is_quarantined, late_quarantine_error, record_answer_begun, record_completion,
+    Run, is_quarantined, late_quarantine_error, record_completion, record_response_begun,
 };
 use crate::shared::{RequestContext, Reservation, RetryPriority, SharedState};
 
@@ -196,7 +196,7 @@
                 self.record_response(id, started);
                 let failed = buffered.response.head.status.is_server_error();
                 if !failed {
-                    record_answer_begun(self.shared, self.ctx);
+                    record_response_begun(self.shared, self.ctx);
                     record_completion(self.shared, self.ctx);
                 }
                 if failed && self.ctx.rule.kind.is_repeatable() {
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -10,8 +10,8 @@
 mod watch;
 
 pub(crate) use quarantine::{
-    check_quarantine, is_quarantined, late_quarantine_error, merge_crashes, record_answer_begun,
-    record_completion,
+    check_quarantine, is_quarantined, late_quarantine_error, merge_crashes, record_completion,
+    record_response_begun,
 };
 pub(crate) use run::Run;
 pub(crate) use saved::load_saved_quarantine;
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -84,10 +84,10 @@
     tell_changes(shared, &changes);
 }
 
-/// Records that an answer to a request has begun.
-pub(crate) fn record_answer_begun(shared: &Rc<SharedState>, ctx: &RequestContext) {
+/// Records that the response to a request has begun.
+pub(crate) fn record_response_begun(shared: &Rc<SharedState>, ctx: &RequestContext) {
     let mut crash_log = shared.crash_log.borrow_mut();
-    let changes = crash_log.record_answer_begun(ctx.suspects.parts(), shared.now());
+    let changes = crash_log.record_response_begun(ctx.suspects.parts(), shared.now());
     drop(crash_log);
     tell_changes(shared, &changes);
 }
@@ -118,7 +118,7 @@
             }
             SuspectChange::Advanced(_) => shared.outbox.push(UrgentMessage::Crashes(report)),
             SuspectChange::Cleared(suspect) => {
-                info!("crashes: {} cleared, it has been answered", suspect);
+                info!("crashes: {} cleared, a response has begun", suspect);
                 shared.outbox.push(UrgentMessage::Crashes(report));
             }
         }
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -16,7 +16,7 @@
 use super::progress::Progress;
 use super::route::StreamRoute;
 use crate::buffered::BufferedResponse;
-use crate::crashes::record_answer_begun;
+use crate::crashes::record_response_begun;
 use crate::shared::{RequestContext, SharedState};
 
 /// Outcome of an attempt.
@@ -121,7 +121,7 @@
                     return Ok(AttemptOutcome::Interrupted("event-out-of-order"));
                 }
                 if !self.progress.attempt_has_events() {
-                    record_answer_begun(self.shared, self.ctx);
+                    record_response_begun(self.shared, self.ctx);
                 }
                 self.progress.record_event(&event);
                 self.record_backend_activity();
