--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -20,6 +20,7 @@
 /// Number of crashes of a part without a response from which on other entries are told of
 /// each at once.
 const MIN_URGENT_CRASHES: usize = 2;
+
 /// How well a suspect explains the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Explanation {
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -204,7 +204,8 @@
         let full_round = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
         for (from, to) in pairs.chain(full_round).chain(full_round) {
             let reports: Vec<_> = (0..4)
-                .filter_map(|request| logs[from].report_on(Suspect::Request(Fingerprint(request)), Tick(0)))
+                .map(|request| Suspect::Request(Fingerprint(request)))
+                .filter_map(|request| logs[from].report_on(request, Tick(0)))
                 .collect();
             for report in reports {
                 logs[to].merge(&report, Tick(0));
