Late refusal of an admitted request takes no turn of a probe

late_quarantine_error called CrashLog::admit again for a request that had been admitted and that no server ran. If a probe was due, the call took its turn without sending anything: the caller got `overloaded` instead of `suspected_crash`, and the request that should have been the probe was refused for another interval. CrashLog::refusal now answers without changing the log; admit uses it and takes the turn. Test: late_refusal_of_an_admitted_request_does_not_take_the_turn_of_a_probe (failed before: 503 overloaded), and the same decision in decide/tests/prompt_parts.

--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -6,7 +6,7 @@
 use super::recent_responses::RecentResponses;
 use super::records::CrashRecords;
 use super::suspect_record::SuspectRecord;
-use super::verdict::{Admission, RecordedCrash, SuspectChange};
+use super::verdict::{Admission, RecordedCrash, Refusal, SuspectChange};
 use super::{CrashReport, QuarantineLimits, RunSuspects, Suspect};
 use crate::fleet::BackendIncarnation;
 use crate::ids::{PromptPart, Tick};
@@ -163,32 +163,51 @@
         self.suspects.get_or_insert(suspect, empty, now)
     }
 
-    /// Decides whether a request may be sent. One that is let through for a part that
-    /// is refused is followed by the next one after `probe_interval`.
+    /// Decides whether a request that has just arrived may be sent. One that is let
+    /// through for a part that is refused is followed by the next one after
+    /// `probe_interval`.
     pub fn admit(
         &mut self,
         suspects: &RunSuspects,
         now: Tick,
         probe_interval: Millis,
     ) -> Admission {
-        let Some((suspect, explanation)) = self.blamed(suspects, now) else {
-            return Admission::Admitted;
-        };
-        let Some(record) = self.suspects.get_mut(suspect) else { return Admission::Admitted };
+        match self.refusal(suspects, now) {
+            None => Admission::Admitted,
+            Some(refusal) if refusal.is_probed => {
+                if self.take_probe_turn(refusal.suspect, now, probe_interval) {
+                    return Admission::Probe(refusal.suspect);
+                }
+                Admission::Refused(refusal)
+            }
+            Some(refusal) => Admission::Refused(refusal),
+        }
+    }
+
+    /// Why a request is refused, without regard to the turns of probes. For requests that
+    /// have been admitted before: they must not take the turn of one that is sent.
+    pub fn refusal(&self, suspects: &RunSuspects, now: Tick) -> Option<Refusal> {
+        let (suspect, explanation) = self.blamed(suspects, now)?;
+        let record = self.suspects.get(suspect, now)?;
         let is_probed = matches!(suspect, Suspect::Part(_))
             && (explanation == Explanation::Equal || record.certain(now) < MAX_PROBED_CRASHES);
-        if !is_probed {
-            let retry_delay = record.last_crash.after(self.limits.retention).since(now);
-            return Admission::Refused { suspect, retry_delay };
-        }
+        let retry_delay = if is_probed {
+            PROBED_RETRY_DELAY
+        } else {
+            record.last_crash.after(self.limits.retention).since(now)
+        };
+        Some(Refusal { suspect, is_probed, retry_delay })
+    }
+
+    /// Whether the next request with a suspect is due to be let through. The one after it
+    /// follows after `probe_interval`.
+    fn take_probe_turn(&mut self, suspect: Suspect, now: Tick, probe_interval: Millis) -> bool {
+        let Some(record) = self.suspects.get_mut(suspect) else { return false };
         let is_due = record.next_probe.is_some_and(|due| now >= due);
         if is_due || record.next_probe.is_none() {
             record.next_probe = Some(now.after(probe_interval));
         }
-        if is_due {
-            return Admission::Probe(suspect);
-        }
-        Admission::Refused { suspect, retry_delay: PROBED_RETRY_DELAY }
+        is_due
     }
 
     /// Whether a request is not sent again because of the servers that crashed under
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -19,4 +19,4 @@
 pub use fingerprint::Fingerprint;
 pub use suspect::{RunSuspects, Suspect};
 pub use suspect_gate::SuspectGate;
-pub use verdict::{Admission, RecordedCrash, SuspectChange};
+pub use verdict::{Admission, RecordedCrash, Refusal, SuspectChange};
--- a/crates/decide/src/quarantine/verdict.rs
+++ b/crates/decide/src/quarantine/verdict.rs
@@ -13,12 +13,18 @@
     /// the cause.
     Probe(Suspect),
     /// The suspect is refused.
-    Refused {
-        /// The suspect.
-        suspect: Suspect,
-        /// Time after which trying again may help.
-        retry_delay: Millis,
-    },
+    Refused(Refusal),
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// Whether some requests with the suspect are let through as probes.
+    pub is_probed: bool,
+    /// Time after which trying again may help.
+    pub retry_delay: Millis,
 }
 
 /// A change that other entries are told at once.
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -125,6 +125,22 @@
     assert_eq!(probes, 2, "three crashes and two probes are five");
 }
 
+/// A request that was admitted earlier is refused late without being sent. It must not
+/// use up the turn of the request that would tell whether the part is the cause.
+#[test]
+fn late_refusal_does_not_take_the_turn_of_a_probe() {
+    let mut log = log_after(3, &[COMMON]);
+    let suspects = run(20, &[COMMON, BAD]);
+    assert!(!is_admitted(&mut log, &[COMMON, BAD], Tick(100)), "starts the interval");
+    let due = Tick(100).after(PROBE_INTERVAL);
+    let refusal = log.refusal(&suspects, due).expect("the part is refused");
+    assert_eq!((refusal.suspect, refusal.is_probed), (Suspect::Part(BAD), true));
+    let probe = Admission::Probe(Suspect::Part(BAD));
+    assert_eq!(log.admit(&suspects, due, PROBE_INTERVAL), probe);
+    assert_eq!(log.refusal(&run(21, &[COMMON, SOUND]), due), None);
+    assert_eq!(log.admit(&suspects, due, PROBE_INTERVAL), Admission::Refused(refusal));
+}
+
 /// The log of an entry, which differs from one number to the next.
 fn entry(domains: &mut [Vec<CrashLog>], n: u64) -> &mut CrashLog {
     let domain = (n % domains.len() as u64) as usize;
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::quarantine::{Admission, CrashReport, RunSuspects, Suspect, SuspectChange};
+use clementine_decide::quarantine::{
+    Admission, CrashReport, Refusal, RunSuspects, Suspect, SuspectChange,
+};
 use clementine_objects::Millis;
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -44,28 +46,25 @@
             shared.metrics.count_quarantine_probe();
             Ok(())
         }
-        Admission::Refused { suspect, retry_delay } => {
-            info!("crashes: request={} refused for {}", id, suspect);
-            Err(quarantine_error(retry_delay))
+        Admission::Refused(refusal) => {
+            info!("crashes: request={} refused for {}", id, refusal.suspect);
+            Err(quarantine_error(&refusal))
         }
     }
 }
 
 /// The error for a request in quarantine that has been admitted before and has not been
-/// executed.
+/// executed. Takes no turn of a probe, because the request is not sent again.
 pub(crate) fn late_quarantine_error(
     shared: &SharedState,
     ctx: &RequestContext,
 ) -> Option<RequestError> {
-    let interval = probe_interval(shared);
-    match shared.crash_log.borrow_mut().admit(&ctx.suspects, shared.now(), interval) {
-        Admission::Admitted | Admission::Probe(_) => None,
-        Admission::Refused { retry_delay, .. } => Some(quarantine_error(retry_delay)),
-    }
+    let refusal = shared.crash_log.borrow().refusal(&ctx.suspects, shared.now())?;
+    Some(quarantine_error(&refusal))
 }
 
-fn quarantine_error(retry_delay: Millis) -> RequestError {
-    RequestError::with_retry_after(ErrorKind::SuspectedCrash, retry_delay.duration())
+fn quarantine_error(refusal: &Refusal) -> RequestError {
+    RequestError::with_retry_after(ErrorKind::SuspectedCrash, refusal.retry_delay.duration())
 }
 
 /// Interval between two probes of this entry. Random, so that the entries take turns
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -33,6 +33,8 @@
     ServeCloseDelimited,
     /// Responds that it did not run the request.
     Refuse,
+    /// Like `Refuse`, after this time.
+    RefuseAfter(Duration),
     /// Runs the request and closes the connection without a response.
     RunAndClose,
     /// Runs the request and responds with status 500.
@@ -79,6 +81,8 @@
     store: Store,
     pool: &'static str,
     pub behaviour: Rc<Cell<Behaviour>>,
+    /// Whether it holds a request that it will refuse, see [`Behaviour::RefuseAfter`].
+    pub holds_refused: Rc<Cell<bool>>,
     /// Headers that it adds to all responses.
     pub extra_headers: Rc<RefCell<Vec<(&'static str, &'static str)>>>,
     /// When it received requests of callers and health checks.
@@ -158,6 +162,7 @@
             store: store.clone(),
             pool,
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
+            holds_refused: Rc::default(),
             extra_headers: Rc::default(),
             arrivals: Rc::default(),
             crashes_on: Rc::default(),
@@ -429,6 +434,11 @@
         let body = Bytes::from(format!("response from {}", self.id));
         match self.behaviour.get() {
             Behaviour::Refuse => self.refuse(conn).await,
+            Behaviour::RefuseAfter(time) => {
+                self.holds_refused.set(true);
+                sleep(time).await;
+                self.refuse(conn).await
+            }
             Behaviour::Serve => {
                 self.record_run(request);
                 conn.send(self.signed_response(200, request), &body).await.is_ok()
--- a/crates/direct/tests/crashing_prompt_parts.rs
+++ b/crates/direct/tests/crashing_prompt_parts.rs
@@ -8,9 +8,10 @@
 use clementine_direct::{Running, start};
 use clementine_platform::settings::InstanceSettings;
 use common::{
-    Backend, CallerResponse, Store, send_request_with_headers, settings, start_configured_store,
-    start_entry, wait_until,
+    Backend, Behaviour, CallerResponse, Store, send_request_with_headers, settings,
+    start_configured_store, start_entry, wait_until,
 };
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 const LAYERS: u32 = 12;
@@ -128,3 +129,46 @@
     assert_eq!((response.status, deployment.crashed()), (503, crashed));
     assert!(response.body.contains("suspected_crash"), "{response:?}");
 }
+
+/// Body of the requests that crash plain servers.
+const CRASHING: &str = "crash";
+/// Time after which servers refuse the request that was admitted before its part was
+/// refused. Includes the longest interval between two probes of one entry, 2 s.
+const LATE_REFUSAL: Duration = Duration::from_millis(3_500);
+
+/// A request that was admitted before a part of its prompt was refused, and that no
+/// server ran, took the turn of the next probe although it was not sent again.
+#[test]
+async fn late_refusal_of_an_admitted_request_does_not_take_the_turn_of_a_probe() {
+    let store = start_configured_store(LAYERS).await;
+    let mut servers = Vec::new();
+    for n in 0..6 {
+        let server = Backend::start(&format!("plain-{n}"), "plain", &store).await;
+        server.crashes_on.set(Some(CRASHING));
+        server.behaviour.set(Behaviour::RefuseAfter(LATE_REFUSAL));
+        servers.push(server);
+    }
+    let entry = start_entry("one", &store).await;
+    let to = entry.callers;
+    let send = move |path: &'static str, body: &'static str| async move {
+        let headers = [("x-api-key", "key"), ("prompt-prefix", "bad00001:40,1:200")];
+        send_request_with_headers(to, "POST", path, body, &headers).await
+    };
+    let admitted = spawn_local(send("/once/admitted", "harmless"));
+    wait_until("the request has reached a server", async || {
+        servers.iter().any(|server| server.holds_refused.get())
+    })
+    .await;
+    for server in &servers {
+        server.behaviour.set(Behaviour::Serve);
+    }
+    for path in ["/once/1", "/once/2", "/once/3"] {
+        assert_eq!(send(path, CRASHING).await.status, 502);
+    }
+    let refused = send("/once/refused", "harmless").await;
+    assert_eq!(refused.status, 503, "three crashes refuse the part: {refused:?}");
+    let late = admitted.await.expect("the admitted request gets a response");
+    assert!(late.status == 503 && late.body.contains("suspected_crash"), "{late:?}");
+    let probe = send("/once/probe", "harmless").await;
+    assert_eq!(probe.status, 200, "the next request is a probe: {probe:?}");
+}
