Modules of crashes import each other in one direction

evidence, run and watch imported each other in a circle, and so did quarantine and saved. The methods of a run that judge its loss are in loss now, record_crash is in quarantine, and reading what is saved after a start is in restore. No change of behavior.

--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -4,7 +4,9 @@
 //! it and tells the other entries.
 
 mod evidence;
+mod loss;
 mod quarantine;
+mod restore;
 mod run;
 mod saved;
 mod watch;
@@ -13,5 +15,5 @@
     check_quarantine, is_quarantined, late_quarantine_error, merge_crashes, record_completion,
     record_response_begun,
 };
+pub(crate) use restore::load_saved_quarantine;
 pub(crate) use run::Run;
-pub(crate) use saved::load_saved_quarantine;
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -6,13 +6,14 @@
 
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::quarantine::{
-    Admission, CrashReport, Refusal, RunSuspects, Suspect, SuspectChange,
+    Admission, CrashEvidence, CrashReport, Refusal, RunSuspects, Suspect, SuspectChange,
 };
 use clementine_objects::Millis;
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::task::spawn_local;
 
+use super::run::Run;
 use super::saved::save;
 use crate::callers::RequestError;
 use crate::shared::{RequestContext, SharedState, UrgentMessage};
@@ -75,6 +76,22 @@
     Millis::from(mean.mul_f64(shared.rng.borrow_mut().random_range(0.0..2.0)))
 }
 
+/// Records that the server of a run crashed, or may have.
+pub(super) fn record_crash(shared: &Rc<SharedState>, run: &Run, evidence: CrashEvidence) {
+    let now = shared.now();
+    let recorded =
+        shared.crash_log.borrow_mut().record_crash(&run.suspects, run.server, evidence, now);
+    if !recorded.is_new {
+        return;
+    }
+    shared.metrics.count_crash();
+    info!(
+        "crashes: request={} {} backend={} crashed evidence={:?}",
+        run.request, run.suspects, run.backend, evidence
+    );
+    tell_changes(shared, &recorded.changes);
+}
+
 /// Records that a request completed.
 pub(crate) fn record_completion(shared: &Rc<SharedState>, ctx: &RequestContext) {
     let mut crash_log = shared.crash_log.borrow_mut();
@@ -106,7 +123,7 @@
 
 /// Tells the other entries what this entry has seen itself, and saves what is refused
 /// from now on.
-pub(super) fn tell_changes(shared: &Rc<SharedState>, changes: &[SuspectChange]) {
+fn tell_changes(shared: &Rc<SharedState>, changes: &[SuspectChange]) {
     for change in changes {
         let report = shared.crash_log.borrow().report_on(change.suspect(), shared.now());
         let Some(report) = report else { continue };
--- a/crates/direct/src/crashes/run.rs
+++ b/crates/direct/src/crashes/run.rs
@@ -1,19 +1,13 @@
 //! Runs of requests on backend servers, which may crash under them.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
-use clementine_decide::fleet::{BackendIncarnation, ProbeResult};
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{BackendId, Tick};
-use clementine_decide::quarantine::{CrashEvidence, LossKind, LossVerdict, RunSuspects};
+use clementine_decide::quarantine::RunSuspects;
 use clementine_objects::Millis;
 use compact_str::CompactString;
-use spdlog::info;
-use tokio::task::spawn_local;
 
-use super::evidence::{judge, probe};
-use super::quarantine::tell_changes;
-use super::watch::watch_lost;
 use crate::shared::{RequestContext, SharedState};
 
 /// Time without a response after which a run that its caller abandons is checked.
@@ -62,55 +56,4 @@
     pub(crate) fn is_overdue(&self, shared: &SharedState) -> bool {
         shared.now().since(self.sent_at) >= OVERDUE_TIME
     }
-
-    /// Records the crash of the server if that is why the run was lost. Waits for the
-    /// check only if the outcome decides whether the request may be sent again.
-    pub(crate) async fn record_loss(&self, shared: &Rc<SharedState>, loss: LossKind) {
-        let decisive = shared.crash_log.borrow().is_near_quarantine(&self.suspects, shared.now());
-        let check = self.clone().check(Rc::clone(shared), loss);
-        if decisive {
-            check.await;
-        } else {
-            spawn_local(check);
-        }
-    }
-
-    /// Like [`Self::record_loss`], without waiting.
-    pub(crate) fn record_loss_later(&self, shared: &Rc<SharedState>, loss: LossKind) {
-        spawn_local(self.clone().check(Rc::clone(shared), loss));
-    }
-
-    /// Whether no process listens on the server's address any more.
-    pub(crate) async fn server_refuses_connections(&self, shared: &SharedState) -> bool {
-        probe(shared, self, shared.now()).await == ProbeResult::Refused
-    }
-
-    async fn check(self, shared: Rc<SharedState>, loss: LossKind) {
-        let lost_at = shared.now();
-        let verdict = judge(&shared, &self, loss, lost_at).await;
-        match verdict {
-            LossVerdict::Crashed(evidence) => self.record_crash(&shared, evidence),
-            LossVerdict::NotCrashed | LossVerdict::Undecided => info!(
-                "crashes: request={} {} backend={} not counted verdict={:?}",
-                self.request, self.suspects, self.backend, verdict
-            ),
-        }
-        spawn_local(watch_lost(shared, self, loss, verdict, lost_at));
-    }
-
-    /// Records that the server crashed, or may have.
-    pub(super) fn record_crash(&self, shared: &Rc<SharedState>, evidence: CrashEvidence) {
-        let now = shared.now();
-        let recorded =
-            shared.crash_log.borrow_mut().record_crash(&self.suspects, self.server, evidence, now);
-        if !recorded.is_new {
-            return;
-        }
-        shared.metrics.count_crash();
-        info!(
-            "crashes: request={} {} backend={} crashed evidence={:?}",
-            self.request, self.suspects, self.backend, evidence
-        );
-        tell_changes(shared, &recorded.changes);
-    }
 }
--- a/crates/direct/src/crashes/saved.rs
+++ b/crates/direct/src/crashes/saved.rs
@@ -14,7 +14,6 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use super::quarantine::merge_crashes;
 use crate::shared::SharedState;
 
 /// Table of the suspects in quarantine. The key is the suspect's slot, the value a
@@ -23,9 +22,6 @@
 /// Number of rows of requests, and of rows of parts of prompts. A suspect replaces
 /// another one with the same slot, which bounds the table without anybody who cleans it up.
 const SLOTS: u128 = 64;
-/// Time after the start after which the table is read. By then the entry knows
-/// whether others of its failure domain do that.
-const READ_DELAY: Duration = Duration::from_secs(2);
 /// Delay, before jitter, after a call to the store failed.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of attempts to save a suspect.
@@ -65,20 +61,8 @@
     }
 }
 
-/// Reads the saved suspects once after the start, unless neighbors do and tell this
-/// entry.
-pub(crate) async fn load_saved_quarantine(shared: Rc<SharedState>) {
-    sleep(READ_DELAY).await;
-    while shared.must_follow_store() {
-        match read(&shared).await {
-            Ok(reports) => return merge_crashes(&shared, &reports),
-            Err(error) => warn!("crashes: saved suspects cannot be read: {}", error),
-        }
-        sleep(retry_delay(&shared)).await;
-    }
-}
-
-async fn read(shared: &SharedState) -> Result<Vec<CrashReport>, StoreError> {
+/// Reads the saved suspects.
+pub(super) async fn read_saved(shared: &SharedState) -> Result<Vec<CrashReport>, StoreError> {
     let now = unix_ms();
     let snapshot = shared.store.read(TABLE).await?;
     let mut reports = Vec::new();
@@ -94,6 +78,7 @@
     Ok(reports)
 }
 
-fn retry_delay(shared: &SharedState) -> Duration {
+/// Delay after a call to the store failed.
+pub(super) fn retry_delay(shared: &SharedState) -> Duration {
     RETRY_DELAY.mul_f64(shared.rng.borrow_mut().random_range(0.7..1.3))
 }
--- a/crates/direct/src/crashes/watch.rs
+++ b/crates/direct/src/crashes/watch.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::evidence::listing;
+use super::quarantine::record_crash;
 use super::run::Run;
 use crate::shared::SharedState;
 
@@ -34,10 +35,10 @@
     while shared.now().since(lost_at) < duration {
         sleep(POLL_INTERVAL).await;
         match (listing(&shared, &run, loss, lost_at), verdict) {
-            (Listing::Replaced, _) => return run.record_crash(&shared, CrashEvidence::Certain),
+            (Listing::Replaced, _) => return record_crash(&shared, &run, CrashEvidence::Certain),
             // Its row expired: it has been silent towards the store as well.
             (Listing::Unlisted, LossVerdict::Crashed(_)) => {
-                return run.record_crash(&shared, CrashEvidence::Gone);
+                return record_crash(&shared, &run, CrashEvidence::Gone);
             }
             (Listing::Draining | Listing::Responding, LossVerdict::Crashed(_)) => {
                 info!("crashes: request={} backend={} has not crashed", run.request, run.backend);
