Probes of a refused part come once a second again

live_count includes this entry, and the interval between two probes counted it once more: one entry alone let a request through every two seconds on average and waited up to four, two entries together every one and a half. late_refusal_of_an_admitted_request_does_not_take_the_ turn_of_a_probe relies on the longest interval of one entry, 2 s; with 4 s it would fail in one of eight runs.

--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -71,7 +71,8 @@
 /// Interval between two probes of this entry. Random, so that the entries take turns
 /// without agreeing on it.
 fn probe_interval(shared: &SharedState) -> Millis {
-    let entries = shared.peers.borrow().live_count() + 1;
+    // Includes this entry.
+    let entries = shared.peers.borrow().live_count();
     let mean = PROBE_INTERVAL * u32::try_from(entries).unwrap_or(u32::MAX);
     Millis::from(mean.mul_f64(shared.rng.borrow_mut().random_range(0.0..2.0)))
 }
