Urgent crash reports do not displace reports that engines are down

Since parts of prompts are suspects, the second loss of an engine is an urgent report for each part without a response: 200 runs that wait on two lost engines bring 200 at once. They shared a queue of 64 with the reports that engines are down and with passed-on changes, which were dropped or sent behind them. Crash reports now have a queue of their own and are sent last. Test: urgent_crash_reports_do_not_displace_reports_that_engines_are_down (failed with the one queue). Whether this made up the measured regression is not shown.

--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod schedule;
 mod sighting;
 mod totals;
+mod urgent;
 mod view;
 
 pub use feed::{ChangedRow, FeedPosition, FeedPositions, FollowedTable, TableChanges, must_follow};
@@ -22,4 +23,5 @@
 pub use schedule::{send_interval, summary_targets};
 pub use sighting::{Condition, Sighting, SightingStep, Sightings, recovery_check_interval};
 pub use totals::LoadTotals;
+pub use urgent::{UrgentMessage, UrgentMessages};
 pub use view::{PeerUpdate, PeerView};
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -4,7 +4,9 @@
 
 use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{PromptPart, Tick};
-use clementine_decide::peers::send_interval;
+use clementine_decide::peers::{
+    BackendHash, Condition, Sighting, UrgentMessage, UrgentMessages, send_interval,
+};
 use clementine_decide::quarantine::{
     Admission, CrashEvidence, CrashLog, Fingerprint, RunSuspects, Suspect, SuspectChange,
 };
@@ -141,6 +143,33 @@
     assert_eq!(log.admit(&suspects, due, PROBE_INTERVAL), Admission::Refused(refusal));
 }
 
+/// Two engines are lost under 200 runs without an event. Each run has a part without a
+/// response, so that the second loss is an urgent report for each. The queue was full of
+/// them, and the report that the next engine is down was dropped.
+#[test]
+fn urgent_crash_reports_do_not_displace_reports_that_engines_are_down() {
+    let mut log = CrashLog::default();
+    let mut queue = UrgentMessages::default();
+    for server in [1, 2] {
+        for n in 0..200 {
+            for change in crash(&mut log, &run(n, &[PromptPart(n as u64)]), server, Tick(server)) {
+                let report = log.report_on(change.suspect(), Tick(server)).expect("a report");
+                queue.push(UrgentMessage::Crashes(report));
+            }
+        }
+    }
+    let down = UrgentMessage::Sighting(Sighting {
+        backend: BackendHash(3),
+        condition: Condition::Down,
+        observer: "one".into(),
+        within_domain: true,
+    });
+    assert!(queue.push(down.clone()), "there is room for it");
+    assert_eq!(queue.pop(), Some(down), "it is sent first");
+    let crashes = std::iter::from_fn(|| queue.pop()).count();
+    assert_eq!(crashes, 64, "the queue is bounded");
+}
+
 /// The log of an entry, which differs from one number to the next.
 fn entry(domains: &mut [Vec<CrashLog>], n: u64) -> &mut CrashLog {
     let domain = (n % domains.len() as u64) as usize;
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -12,8 +12,9 @@
 mod store;
 mod table_sync;
 
+pub(crate) use clementine_decide::peers::UrgentMessage;
 pub(crate) use metrics::DirectMetrics;
-pub(crate) use outbox::{Outbox, UrgentMessage};
+pub(crate) use outbox::Outbox;
 pub(crate) use queue::BoundedQueue;
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
--- a/crates/direct/src/shared/outbox.rs
+++ b/crates/direct/src/shared/outbox.rs
@@ -1,20 +1,33 @@
 //! Messages that wait to be sent to other entries at once.
 
-use clementine_decide::peers::{Sighting, TableChanges};
-use clementine_decide::quarantine::CrashReport;
+use std::cell::RefCell;
 
-use super::BoundedQueue;
+use clementine_decide::peers::{UrgentMessage, UrgentMessages};
+use tokio::sync::Notify;
 
-/// A message that is sent at once instead of with the next status message.
-#[derive(Debug)]
-pub(crate) enum UrgentMessage {
-    /// Changes of a store table, for the neighbors.
-    Changes(TableChanges),
-    /// Condition of a backend server, for all entries.
-    Sighting(Sighting),
-    /// What is known of a suspect, for all entries.
-    Crashes(CrashReport),
+/// Messages that wait to be sent, for one reader.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    messages: RefCell<UrgentMessages>,
+    wakeup: Notify,
 }
 
-/// Messages that wait to be sent.
-pub(crate) type Outbox = BoundedQueue<UrgentMessage>;
+impl Outbox {
+    /// Adds a message if there is room.
+    pub(crate) fn push(&self, message: UrgentMessage) {
+        if self.messages.borrow_mut().push(message) {
+            self.wakeup.notify_one();
+        }
+    }
+
+    /// Waits for the next message.
+    pub(crate) async fn next(&self) -> UrgentMessage {
+        loop {
+            let next = self.messages.borrow_mut().pop();
+            match next {
+                Some(message) => return message,
+                None => self.wakeup.notified().await,
+            }
+        }
+    }
+}
