A lost run waits for the check of its server only if that can decide

record_loss waited whenever one more crash would reach the number in the limit, also for a server that was counted already and for a second loss beside one that is not certain. For a server that cannot be reached the check takes 180 ms, and a run without an event was moved to another path only after it. The crash log now answers for the server in question, as if its crash were certain. Test: loss_that_cannot_put_a_request_in_quarantine_is_not_waited_for (failed with the rule as it was).

--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -259,12 +259,18 @@
             })
     }
 
-    /// Whether one more crash would put a request in quarantine.
-    pub fn is_near_quarantine(&self, suspects: &RunSuspects, now: Tick) -> bool {
+    /// Whether the crash of a server, if it were certain, would put a request in
+    /// quarantine.
+    pub fn is_near_quarantine(
+        &self,
+        suspects: &RunSuspects,
+        server: BackendIncarnation,
+        now: Tick,
+    ) -> bool {
         suspects.iter().any(|suspect| {
             self.suspects
                 .get(suspect, now)
-                .is_some_and(|record| record.is_near_limit(suspect, self.limits, now))
+                .is_some_and(|record| record.is_near_limit(suspect, server, self.limits, now))
         })
     }
 
--- a/crates/decide/src/quarantine/suspect_record.rs
+++ b/crates/decide/src/quarantine/suspect_record.rs
@@ -3,6 +3,7 @@
 use super::evidence::{Crash, CrashEvidence};
 use super::records::CrashRecord;
 use super::{QuarantineLimits, Suspect};
+use crate::fleet::BackendIncarnation;
 use crate::ids::Tick;
 
 /// Maximum number of servers that are kept for one suspect.
@@ -117,15 +118,19 @@
         limit.is_some_and(|limit| self.certain(now) >= limit || self.counted(now).count() > limit)
     }
 
-    /// Whether one more crash would be as many as the limit says.
+    /// Whether the crash of a server, if it were certain, would reach the limit.
     pub(super) fn is_near_limit(
         &self,
         suspect: Suspect,
+        server: BackendIncarnation,
         limits: QuarantineLimits,
         now: Tick,
     ) -> bool {
         let limit = self.limit(suspect, limits);
-        limit.is_some_and(|limit| self.counted(now).count() + 1 >= limit)
+        let others = || self.counted(now).filter(|crash| crash.server != server);
+        let counted = others().count() + 1;
+        let certain = others().filter(|crash| crash.evidence == CrashEvidence::Certain).count() + 1;
+        limit.is_some_and(|limit| certain >= limit || counted > limit)
     }
 
     /// Number of crashes at which the suspect is refused; `None` if it never is. A
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -45,7 +45,7 @@
     assert!(!record_crash(&mut log, REQUEST, 1, Tick(5)));
     assert!(
         !log.is_quarantined(&run(REQUEST), Tick(5))
-            && log.is_near_quarantine(&run(REQUEST), Tick(5))
+            && log.is_near_quarantine(&run(REQUEST), server(2), Tick(5))
     );
     assert!(record_crash(&mut log, REQUEST, 2, Tick(10)));
     assert!(log.is_quarantined(&run(REQUEST), Tick(10)));
@@ -181,6 +181,24 @@
     assert!(log.is_quarantined(&run(REQUEST), Tick(5)), "two are certain now");
 }
 
+/// A run whose path had lost two engines without power waited 180 ms for two attempts to
+/// connect to the second one before it was moved, although no answer could have put it in
+/// quarantine.
+#[test]
+fn loss_that_cannot_put_a_request_in_quarantine_is_not_waited_for() {
+    let near = |log: &CrashLog, n| log.is_near_quarantine(&run(REQUEST), server(n), Tick(0));
+    let mut log = CrashLog::new(LIMITS);
+    assert!(!near(&log, 1));
+    log.record_crash(&run(REQUEST), server(1), CrashEvidence::Silent, Tick(0));
+    assert!(!near(&log, 2), "one that is certain beside one that is not");
+    log.record_crash(&run(REQUEST), server(2), CrashEvidence::Silent, Tick(0));
+    assert!(near(&log, 3), "three are enough, however certain");
+    assert!(!near(&log, 2), "at most one of the two becomes certain");
+    record_crash(&mut log, REQUEST, 1, Tick(0));
+    assert!(near(&log, 2), "the other one may become certain");
+    assert!(!near(&log, 1), "nothing new can be found out");
+}
+
 #[test]
 fn silence_counts_for_a_limited_time_unless_withdrawn() {
     let silent = |log: &mut CrashLog, n: u64, now: Tick| {
--- a/crates/direct/src/crashes/loss.rs
+++ b/crates/direct/src/crashes/loss.rs
@@ -17,15 +17,20 @@
     /// Records the crash of the server if that is why the run was lost. Waits for the
     /// check only if the outcome decides whether the request may be sent again.
     pub(crate) async fn record_loss(&self, shared: &Rc<SharedState>, loss: LossKind) {
-        let decisive = shared.crash_log.borrow().is_near_quarantine(&self.suspects, shared.now());
         let check = self.clone().check(Rc::clone(shared), loss);
-        if decisive {
+        if self.is_decisive(shared) {
             check.await;
         } else {
             spawn_local(check);
         }
     }
 
+    /// Whether the request is not sent again if the server has crashed.
+    fn is_decisive(&self, shared: &SharedState) -> bool {
+        let crash_log = shared.crash_log.borrow();
+        crash_log.is_near_quarantine(&self.suspects, self.server, shared.now())
+    }
+
     /// Like [`Self::record_loss`], without waiting.
     pub(crate) fn record_loss_later(&self, shared: &Rc<SharedState>, loss: LossKind) {
         spawn_local(self.clone().check(Rc::clone(shared), loss));
