--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -45,7 +45,7 @@
     assert!(!record_crash(&mut log, REQUEST, 1, Tick(5)));
     assert!(
         !log.is_quarantined(&run(REQUEST), Tick(5))
-            && log.is_near_quarantine(&run(REQUEST), Tick(5))
+            && log.is_near_quarantine(&run(REQUEST), server(2), Tick(5))
     );
     assert!(record_crash(&mut log, REQUEST, 2, Tick(10)));
     assert!(log.is_quarantined(&run(REQUEST), Tick(10)));
@@ -109,6 +109,35 @@
     assert!(!log.is_quarantined(&run(Fingerprint(0)), Tick(3)));
 }
 
+/// After the loss of several engines, each further suspect of a full log cost a pass over
+/// all records (119 us for a run with two parts, where 3 us are usual).
+#[test]
+fn full_log_drops_the_oldest_sixteenth_at_once() {
+    const CAPACITY: u128 = 64;
+    let mut log = CrashLog::new(QuarantineLimits { capacity: CAPACITY as usize, ..LIMITS });
+    let fill = |log: &mut CrashLog, n: u128| {
+        for crashed in [1, 2] {
+            record_crash(log, Fingerprint(n), crashed, Tick(n as u64));
+        }
+    };
+    (0..CAPACITY).for_each(|n| fill(&mut log, n));
+    let now = Tick(CAPACITY as u64);
+    assert_eq!(log.quarantined_counts(now), (64, 0));
+    fill(&mut log, CAPACITY);
+    assert_eq!(log.quarantined_counts(now), (61, 0), "four were dropped for one");
+    let quarantined = |n| log.is_quarantined(&run(Fingerprint(n)), now);
+    assert!(!(0..4).any(quarantined) && (4..=CAPACITY).all(quarantined));
+}
+
+/// A record that has expired does not count when its request crashes a server again.
+#[test]
+fn expired_record_is_replaced() {
+    let mut log = log_with(&[(7, 1)]);
+    let later = Tick(LIMITS.retention.0);
+    assert!(record_crash(&mut log, REQUEST, 2, later));
+    assert!(!log.is_quarantined(&run(REQUEST), later));
+}
+
 /// A request is in quarantine everywhere within one second, also while many others
 /// lost their server at the same time.
 #[test]
@@ -152,6 +181,24 @@
     assert!(log.is_quarantined(&run(REQUEST), Tick(5)), "two are certain now");
 }
 
+/// A run whose path had lost two engines without power waited 180 ms for two attempts to
+/// connect to the second one before it was moved, although no answer could have put it in
+/// quarantine.
+#[test]
+fn loss_that_cannot_put_a_request_in_quarantine_is_not_waited_for() {
+    let near = |log: &CrashLog, n| log.is_near_quarantine(&run(REQUEST), server(n), Tick(0));
+    let mut log = CrashLog::new(LIMITS);
+    assert!(!near(&log, 1));
+    log.record_crash(&run(REQUEST), server(1), CrashEvidence::Silent, Tick(0));
+    assert!(!near(&log, 2), "one that is certain beside one that is not");
+    log.record_crash(&run(REQUEST), server(2), CrashEvidence::Silent, Tick(0));
+    assert!(near(&log, 3), "three are enough, however certain");
+    assert!(!near(&log, 2), "at most one of the two becomes certain");
+    record_crash(&mut log, REQUEST, 1, Tick(0));
+    assert!(near(&log, 2), "the other one may become certain");
+    assert!(!near(&log, 1), "nothing new can be found out");
+}
+
 #[test]
 fn silence_counts_for_a_limited_time_unless_withdrawn() {
     let silent = |log: &mut CrashLog, n: u64, now: Tick| {
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::quarantine::{Admission, CrashReport, RunSuspects, Suspect, SuspectChange};
+use clementine_decide::quarantine::{
+    Admission, CrashEvidence, CrashReport, Refusal, RunSuspects, Suspect, SuspectChange,
+};
 use clementine_objects::Millis;
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::task::spawn_local;
 
+use super::run::Run;
 use super::saved::save;
 use crate::callers::RequestError;
 use crate::shared::{RequestContext, SharedState, UrgentMessage};
@@ -44,38 +47,52 @@
             shared.metrics.count_quarantine_probe();
             Ok(())
         }
-        Admission::Refused { suspect, retry_delay } => {
-            info!("crashes: request={} refused for {}", id, suspect);
-            Err(quarantine_error(retry_delay))
+        Admission::Refused(refusal) => {
+            info!("crashes: request={} refused for {}", id, refusal.suspect);
+            Err(quarantine_error(&refusal))
         }
     }
 }
 
 /// The error for a request in quarantine that has been admitted before and has not been
-/// executed.
+/// executed. Takes no turn of a probe, because the request is not sent again.
 pub(crate) fn late_quarantine_error(
     shared: &SharedState,
     ctx: &RequestContext,
 ) -> Option<RequestError> {
-    let interval = probe_interval(shared);
-    match shared.crash_log.borrow_mut().admit(&ctx.suspects, shared.now(), interval) {
-        Admission::Admitted | Admission::Probe(_) => None,
-        Admission::Refused { retry_delay, .. } => Some(quarantine_error(retry_delay)),
-    }
+    let refusal = shared.crash_log.borrow().refusal(&ctx.suspects, shared.now())?;
+    Some(quarantine_error(&refusal))
 }
 
-fn quarantine_error(retry_delay: Millis) -> RequestError {
-    RequestError::with_retry_after(ErrorKind::SuspectedCrash, retry_delay.duration())
+fn quarantine_error(refusal: &Refusal) -> RequestError {
+    RequestError::with_retry_after(ErrorKind::SuspectedCrash, refusal.retry_delay.duration())
 }
 
 /// Interval between two probes of this entry. Random, so that the entries take turns
 /// without agreeing on it.
 fn probe_interval(shared: &SharedState) -> Millis {
-    let entries = shared.peers.borrow().live_count() + 1;
+    // Includes this entry.
+    let entries = shared.peers.borrow().live_count();
     let mean = PROBE_INTERVAL * u32::try_from(entries).unwrap_or(u32::MAX);
     Millis::from(mean.mul_f64(shared.rng.borrow_mut().random_range(0.0..2.0)))
 }
 
+/// Records that the server of a run crashed, or may have.
+pub(super) fn record_crash(shared: &Rc<SharedState>, run: &Run, evidence: CrashEvidence) {
+    let now = shared.now();
+    let recorded =
+        shared.crash_log.borrow_mut().record_crash(&run.suspects, run.server, evidence, now);
+    if !recorded.is_new {
+        return;
+    }
+    shared.metrics.count_crash();
+    info!(
+        "crashes: request={} {} backend={} crashed evidence={:?}",
+        run.request, run.suspects, run.backend, evidence
+    );
+    tell_changes(shared, &recorded.changes);
+}
+
 /// Records that a request completed.
 pub(crate) fn record_completion(shared: &Rc<SharedState>, ctx: &RequestContext) {
     let mut crash_log = shared.crash_log.borrow_mut();
@@ -107,7 +124,7 @@
 
 /// Tells the other entries what this entry has seen itself, and saves what is refused
 /// from now on.
-pub(super) fn tell_changes(shared: &Rc<SharedState>, changes: &[SuspectChange]) {
+fn tell_changes(shared: &Rc<SharedState>, changes: &[SuspectChange]) {
     for change in changes {
         let report = shared.crash_log.borrow().report_on(change.suspect(), shared.now());
         let Some(report) = report else { continue };
