Repairs of paths spread over all engines with the layers

After the loss of an engine, the runs of all entries looked for another path at the same moment and with the same views, and the cheapest path sent all of them to one engine. The last of them waited 200 to 400 ms for the prefills of the others.

A search for a repair now minimizes the expected pause. It draws the engine with a probability in proportion to prefill speed and free KV cache, and counts the prefill work that was sent before, once for each serving entry. The search is split into costs, dynamic program and load of a path.

--- a/crates/decide/examples/path_search.rs
+++ b/crates/decide/examples/path_search.rs
@@ -9,8 +9,10 @@
 use std::time::{Duration, Instant};
 
 use clementine_decide::ids::Tick;
-use clementine_decide::paths::{Demand, LinkUsage, PathCandidate, PathSearch};
+use clementine_decide::paths::{Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch};
 use engine_fixtures::{LAYERS, candidate, range, spec};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 const SEARCHES: u32 = 2_000;
 const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
@@ -41,13 +43,16 @@
             candidates: &candidates,
             links: &links,
             demand: DEMAND,
+            purpose: PathPurpose::NewRequest,
+            entries: 28,
             allowed_first: &[],
             current_path: &[],
             now: Tick(0),
         };
+        let mut rng = SmallRng::seed_from_u64(1);
         let time = |_| {
             let started = Instant::now();
-            black_box(search.cheapest_path());
+            black_box(search.choose_path(&mut rng));
             started.elapsed()
         };
         println!("{count} engines: median {:?}", median((0..SEARCHES).map(time).collect()));
--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -4,7 +4,7 @@
 
 use super::{Backend, BackendIncarnation, BackendState, EngineSpec};
 use crate::ids::Tick;
-use crate::paths::PathCandidate;
+use crate::paths::{Backlog, PathCandidate};
 use crate::peers::BackendHash;
 use crate::signals::ServerSignals;
 
@@ -49,6 +49,8 @@
     pub remote_in_flight: u32,
     /// Context tokens reserved on the server by other entries, as last reported.
     pub remote_tokens: f64,
+    /// Prefill work that was sent to the engine and is not done yet.
+    prefill_backlog: Backlog,
     /// Last time that a response or an event was received from the server;
     /// initially the time at which it was listed.
     pub last_seen: Tick,
@@ -84,6 +86,7 @@
             used_tokens: 0.0,
             remote_in_flight: 0,
             remote_tokens: 0.0,
+            prefill_backlog: Backlog::default(),
             last_seen: now,
             slowdown: None,
             connected_at: None,
@@ -235,6 +238,11 @@
         self.latency_ms
     }
 
+    /// Records prefill work that is sent to the engine, in ms of its time.
+    pub fn record_prefill(&mut self, ms: f64, now: Tick) {
+        self.prefill_backlog.add(ms, now);
+    }
+
     /// Number of further requests that may be sent to the server.
     fn free_slots(&self, now: Tick) -> u32 {
         if !self.signals.may_send(now) {
@@ -265,6 +273,8 @@
             capacity_tokens: spec.context_capacity(accelerator, layers.count()),
             used_tokens: self.used_tokens + self.remote_tokens,
             free_slots: self.free_slots(now),
+            prefill_backlog_ms: self.prefill_backlog.at(now),
+            cached_prompt_tokens: 0.0,
         })
     }
 }
--- a/crates/decide/src/paths/candidate.rs
+++ b/crates/decide/src/paths/candidate.rs
@@ -30,6 +30,21 @@
     /// Number of further requests that the engine can accept as the first stage
     /// of their path. Requests beyond it would be queued.
     pub free_slots: u32,
+    /// Prefill work that was sent to the engine and is not done yet, in ms.
+    pub prefill_backlog_ms: f64,
+    /// Leading prompt tokens of the request whose KV cache the engine already has,
+    /// so that they need no prefill there.
+    pub cached_prompt_tokens: f64,
+}
+
+/// What a path is searched for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathPurpose {
+    /// A request that has not begun.
+    NewRequest,
+    /// A request that has lost an engine of its path. All requests with that engine
+    /// look for a path at the same moment, at all entries.
+    Repair,
 }
 
 /// Resources that a request needs.
--- a/crates/decide/src/paths/links.rs
+++ b/crates/decide/src/paths/links.rs
@@ -4,6 +4,7 @@
 
 use clementine_objects::Millis;
 
+use super::Backlog;
 use crate::ids::{DomainId, Tick};
 
 /// Time constant of the moving average of a link's usage.
@@ -51,9 +52,21 @@
 pub struct LinkUsage {
     local: HashMap<Link, AverageRate>,
     remote: HashMap<Link, f64>,
+    /// Contexts of repairs that are being transferred. At most one entry per link.
+    repairs: HashMap<Link, Backlog>,
 }
 
 impl LinkUsage {
+    /// Adds repairs whose contexts occupy the link for this time, in ms.
+    pub fn add_repair(&mut self, link: &Link, transfer_ms: f64, now: Tick) {
+        self.repairs.entry(link.clone()).or_default().add(transfer_ms, now);
+    }
+
+    /// Time in ms until the contexts of the repairs so far are transferred.
+    pub fn repair_backlog_ms(&self, link: &Link, now: Tick) -> f64 {
+        self.repairs.get(link).map_or(0.0, |backlog| backlog.at(now))
+    }
+
     /// Adds a transfer that starts now.
     pub fn add(&mut self, link: Link, bytes: f64, now: Tick) {
         self.local.entry(link).or_default().add(bytes, now);
--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -1,11 +1,18 @@
 //! Choice of the engines through which a request is routed.
 
+mod backlog;
 mod bottleneck;
 mod candidate;
+mod cost;
 mod links;
+mod load;
+mod program;
 mod search;
 
+pub use backlog::Backlog;
 pub use bottleneck::{Bottleneck, bottlenecks};
-pub use candidate::{Demand, PathCandidate, PathStage};
+pub use candidate::{Demand, PathCandidate, PathPurpose, PathStage};
+pub use cost::transfer_bytes;
 pub use links::{Link, LinkUsage};
-pub use search::{PathSearch, transfer_bytes};
+pub use load::{Crossing, PathLoad, PrefillWork};
+pub use search::PathSearch;
--- a/crates/decide/tests/engine_fixtures/mod.rs
+++ b/crates/decide/tests/engine_fixtures/mod.rs
@@ -97,6 +97,8 @@
         capacity_tokens: 60_000.0,
         used_tokens: 0.0,
         free_slots: 192,
+        prefill_backlog_ms: 0.0,
+        cached_prompt_tokens: 0.0,
     }
 }
 
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -5,7 +5,8 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
-    Demand, Link, LinkUsage, PathCandidate, PathSearch, PathStage, bottlenecks, transfer_bytes,
+    Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, bottlenecks,
+    transfer_bytes,
 };
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use quickcheck::quickcheck;
@@ -19,12 +20,15 @@
     current_path: &[PathStage],
 ) -> Option<Vec<PathStage>> {
     let first: Vec<_> = first.iter().map(|id| (*id).into()).collect();
+    let is_running = !current_path.is_empty();
     let spec = spec();
     let search = PathSearch {
         spec: &spec,
         candidates,
         links,
         demand: DEMAND,
+        purpose: if is_running { PathPurpose::Repair } else { PathPurpose::NewRequest },
+        entries: 1,
         allowed_first: &first,
         current_path,
         now: Tick(0),
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use clementine_decide::fleet::EngineSpec;
+use clementine_decide::fleet::{EngineSpec, Member};
 use clementine_decide::ids::{BackendId, DomainId, Tick};
 use clementine_decide::paths::{
-    Demand, Link, PathCandidate, PathSearch, PathStage, bottlenecks, transfer_bytes,
+    Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, bottlenecks,
 };
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -26,6 +26,20 @@
     pub(super) allowed_first: &'a [BackendId],
 }
 
+impl RouteRequirements<'_> {
+    /// What the path is for. The runs that lose an engine look for another path all
+    /// at once; a request that a server refused is not one of them.
+    fn purpose(&self, shared: &SharedState) -> PathPurpose {
+        let fleet = shared.fleet.borrow();
+        let mut avoided = self.avoid.iter().filter_map(|id| fleet.get(id));
+        if self.events_sent > 0 || avoided.any(Member::is_down) {
+            PathPurpose::Repair
+        } else {
+            PathPurpose::NewRequest
+        }
+    }
+}
+
 /// Backend servers chosen for an attempt. Not to be confused with the configured
 /// route, a [`RouteRule`](clementine_decide::routing::RouteRule).
 pub(super) struct StreamRoute {
@@ -64,7 +78,7 @@
             avoid: std::slice::from_ref(down),
             allowed_first: &[],
         };
-        engine_route(shared, ctx, &engine, requirements, &route.path)
+        engine_route(shared, ctx, &engine, requirements, PathPurpose::Repair, &route.path)
     }
 
     /// Chooses a route. Backend servers to avoid are used only if there is no
@@ -74,24 +88,36 @@
         ctx: &RequestContext,
         requirements: RouteRequirements<'_>,
     ) -> Option<Self> {
-        let table = shared.routing_table()?;
-        let engine = table.pools.get(&ctx.pool)?.engine.clone();
-        let route = match engine.filter(|engine| engine.layers > 0) {
-            Some(engine) => engine_route(shared, ctx, &engine, requirements, &[]),
-            None => single_server_route(shared, ctx, requirements.avoid),
-        };
+        let purpose = requirements.purpose(shared);
+        let route = choose_with(shared, ctx, requirements, purpose);
         if route.is_none() && !requirements.avoid.is_empty() {
-            return Self::choose(shared, ctx, RouteRequirements { avoid: &[], ..requirements });
+            let requirements = RouteRequirements { avoid: &[], ..requirements };
+            return choose_with(shared, ctx, requirements, purpose);
         }
         route
     }
 }
 
+fn choose_with(
+    shared: &Rc<SharedState>,
+    ctx: &RequestContext,
+    requirements: RouteRequirements<'_>,
+    purpose: PathPurpose,
+) -> Option<StreamRoute> {
+    let table = shared.routing_table()?;
+    let engine = table.pools.get(&ctx.pool)?.engine.clone();
+    match engine.filter(|engine| engine.layers > 0) {
+        Some(engine) => engine_route(shared, ctx, &engine, requirements, purpose, &[]),
+        None => single_server_route(shared, ctx, requirements.avoid),
+    }
+}
+
 fn engine_route(
     shared: &Rc<SharedState>,
     ctx: &RequestContext,
     engine: &Rc<EngineSpec>,
     requirements: RouteRequirements<'_>,
+    purpose: PathPurpose,
     current_path: &[PathStage],
 ) -> Option<StreamRoute> {
     let demand = demand(engine, ctx.req.prompt_size, requirements.events_sent);
@@ -103,16 +129,20 @@
         candidates: &candidates,
         links: &links,
         demand,
+        purpose,
+        entries: shared.peers.borrow().serving_count() as u32,
         allowed_first: requirements.allowed_first,
         current_path,
         now: shared.now(),
     };
-    let Some(path) = search.cheapest_path() else {
+    let Some(path) = search.choose_path(&mut *shared.rng.borrow_mut()) else {
         log_no_path(shared, ctx, engine, &candidates, demand);
         return None;
     };
+    let load = search.path_load(&path);
     drop(links);
-    let domain_crossings = record_link_usage(shared, engine, &candidates, &path, demand);
+    record_path_load(shared, &load);
+    let domain_crossings = load.crossings.len();
     let first = path.first()?;
     let (id, address) = (first.id.clone(), first.address);
     let backends = path.iter().map(|stage| stage.id.clone()).collect();
@@ -154,28 +184,20 @@
     );
 }
 
-/// Adds the request's traffic to the links between failure domains that the path
-/// uses. Returns the number of hops between failure domains.
-fn record_link_usage(
-    shared: &SharedState,
-    engine: &EngineSpec,
-    candidates: &[PathCandidate],
-    path: &[PathStage],
-    demand: Demand,
-) -> usize {
-    let domain = |stage: &PathStage| {
-        candidates.iter().find(|candidate| candidate.id == stage.id).map(|found| &found.domain)
-    };
+/// Adds the load of a path to its engines and links, before the request is sent.
+fn record_path_load(shared: &SharedState, load: &PathLoad) {
+    let now = shared.now();
     let mut links = shared.links.borrow_mut();
-    let mut crossings = 0;
-    for hop in path.windows(2) {
-        let (Some(a), Some(b)) = (domain(&hop[0]), domain(&hop[1])) else { continue };
-        if a != b {
-            links.add(Link::between(a, b), transfer_bytes(engine, demand), shared.now());
-            crossings += 1;
+    for crossing in &load.crossings {
+        links.add(crossing.link.clone(), crossing.bytes, now);
+        links.add_repair(&crossing.link, crossing.repair_ms, now);
+    }
+    let mut fleet = shared.fleet.borrow_mut();
+    for work in &load.prefills {
+        if let Some(member) = fleet.get_mut(&work.id) {
+            member.record_prefill(work.ms, now);
         }
     }
-    crossings
 }
 
 fn single_server_route(
