New requests choose among comparable engines and failure domains

Each request took the cheapest path, and all entries saw the same one for up to 600 ms. The fastest engines of one failure domain carried most streams; the loss of one interrupted nearly all of them.

The cost of a path now includes the wait for other prefills at each engine and what the request adds to the runs there.

--- a/crates/decide/examples/path_search.rs
+++ b/crates/decide/examples/path_search.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use clementine_decide::ids::Tick;
-use clementine_decide::paths::{Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch};
+use clementine_decide::paths::{
+    Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathTargets,
+};
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,6 +45,7 @@
             candidates: &candidates,
             links: &links,
             demand: DEMAND,
+            targets: PathTargets::default(),
             purpose: PathPurpose::NewRequest,
             entries: 28,
             allowed_first: &[],
--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -261,6 +261,7 @@
         let context = f64::from(spec.typical_prompt_tokens) / TOKENS_PER_KILOTOKEN;
         let per_request = spec.step_ms_per_request + spec.step_ms_per_kilotoken * context;
         let step = spec.step_ms + per_request * running;
+        let factor = accelerator.step_factor * self.slowdown(now);
         let slowdown = self.slowdown(now);
         let prefill_ms = slowdown / spec.prefill_tokens_per_ms;
         Some(PathCandidate {
@@ -268,7 +269,9 @@
             address: self.backend.address,
             domain: self.backend.domain.clone(),
             layers,
-            step_ms: step * accelerator.step_factor * slowdown,
+            step_ms: step * factor,
+            step_ms_per_request: per_request * factor,
+            running,
             prefill_ms_per_token: accelerator.prefill_factor * prefill_ms,
             capacity_tokens: spec.context_capacity(accelerator, layers.count()),
             used_tokens: self.used_tokens + self.remote_tokens,
--- a/crates/decide/src/paths/candidate.rs
+++ b/crates/decide/src/paths/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clementine_objects::LayerRange;
+use clementine_objects::{LayerRange, Millis};
 
 use crate::ids::{BackendId, DomainId};
 
@@ -20,6 +20,9 @@
     /// Duration of a decode step over all layers of the model under the current
     /// load, in ms.
     pub step_ms: f64,
+    /// Time that each further request adds to a decode step over all layers of the
+    /// model, in ms.
+    pub step_ms_per_request: f64,
     /// Prefill time per prompt token over all layers of the model at the current
     /// speed, in ms.
     pub prefill_ms_per_token: f64,
@@ -27,6 +30,8 @@
     pub capacity_tokens: f64,
     /// KV cache tokens that are reserved by requests.
     pub used_tokens: f64,
+    /// Number of requests that run on the engine.
+    pub running: f64,
     /// Number of further requests that the engine can accept as the first stage
     /// of their path. Requests beyond it would be queued.
     pub free_slots: u32,
@@ -47,6 +52,17 @@
     Repair,
 }
 
+/// What a caller expects of a request. `None` sets no limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PathTargets {
+    /// Time to the first event.
+    pub first_event: Option<Millis>,
+    /// Longest pause between two events.
+    pub gap: Option<Millis>,
+    /// Time that is left for the whole request.
+    pub time_left: Option<Millis>,
+}
+
 /// Resources that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -1,25 +1,23 @@
 //! Cost of the stages and hops of a path.
 
+use super::queue::{Queues, step_ms};
 use super::{Demand, Link, PathCandidate, PathPurpose, PathSearch};
 use crate::fleet::EngineSpec;
 use crate::ids::DomainId;
 
-/// Expected wait at a stage for the current batch step to finish, as a fraction
-/// of a step.
-const STEP_WAIT: f64 = 0.5;
 /// One-way network latency between two engines of a failure domain, in ms.
 const INTRA_DOMAIN_DELAY_MS: f64 = 0.2;
 /// Weight of the squared KV cache utilization in the cost of a stage: a full
 /// cache adds this multiple of the stage's time.
 const CACHE_UTILIZATION_WEIGHT: f64 = 3.0;
-/// Weight of the wait on a link between failure domains: a request waits for
-/// others, and others wait for it as long.
+/// Weight of the wait at an engine or on a link between failure domains: a request
+/// waits for others, and others wait for it as long.
 const SHARED_WAIT_WEIGHT: f64 = 2.0;
 /// Lower bound of the fraction of free KV cache that weighs an engine in a repair.
 const MIN_FREE_CACHE: f64 = 0.02;
 /// Largest number of tokens in one event. A pause ends when all of them are
 /// generated.
-const EVENT_TOKENS: f64 = 4.0;
+pub(super) const EVENT_TOKENS: f64 = 4.0;
 
 /// Cost of a stage as a linear function of its number of layers.
 #[derive(Debug, Clone, Copy)]
@@ -30,8 +28,8 @@
 
 /// Costs of one search.
 ///
-/// The cost of a new request's path is its expected processing time. That of a
-/// repair is the expected pause of the stream, at engines and links to which all
+/// The cost of a new request's path is its expected processing time and what it adds
+/// to the times of the requests that run on its engines. That of a repair is the expected pause of the stream, at engines and links to which all
 /// other entries send as many repairs as this one.
 #[derive(Debug)]
 pub(super) struct Costs<'a> {
@@ -58,8 +56,11 @@
             })
         });
         let domain_of = domain_of.collect();
+        let queues = Queues::new(search.spec, search.candidates);
         let stages = search.candidates.iter().zip(factors);
-        let stages = stages.map(|(candidate, factor)| search.stage_cost(candidate, *factor));
+        let stages = stages.map(|(candidate, factor)| {
+            search.stage_cost(candidate, queues.wait_ms(candidate), *factor)
+        });
         let pairs = domains.iter().flat_map(|a| domains.iter().map(move |b| (*a, *b)));
         Self {
             search,
@@ -135,31 +136,40 @@
         1.0 + CACHE_UTILIZATION_WEIGHT * utilization * utilization
     }
 
-    /// Cost of the decode phase in all layers of the model on an engine.
+    /// Cost of the decode phase in all layers of the model on an engine. A new
+    /// request makes each step of the requests that run there longer.
     fn decode_cost(&self, candidate: &PathCandidate) -> f64 {
-        let step = candidate.step_ms * (1.0 + STEP_WAIT);
+        let step = step_ms(candidate);
         match self.purpose {
             PathPurpose::NewRequest => {
-                self.demand.output_tokens * step * Self::cache_factor(candidate)
+                let added = candidate.running * candidate.step_ms_per_request;
+                self.demand.output_tokens * (step + added)
             }
             PathPurpose::Repair => EVENT_TOKENS * step,
         }
     }
 
-    /// Cost of a stage that has to prefill the request's context.
-    fn stage_cost(&self, candidate: &PathCandidate, factor: f64) -> StageCost {
+    /// Cost of a stage that has to prefill the request's context. `wait_ms` is the
+    /// expected wait for the prefills of other requests.
+    fn stage_cost(&self, candidate: &PathCandidate, wait_ms: f64, factor: f64) -> StageCost {
         let prefill = self.prefill_ms(candidate, 1);
         let decode = self.decode_cost(candidate) * self.spec.model_fraction(1);
         match self.purpose {
             PathPurpose::NewRequest => {
-                let prefill = prefill * Self::cache_factor(candidate);
-                StageCost { fixed: 0.0, per_layer: (prefill + decode) * factor }
+                // Each step waits, and the others wait for this request's prefill as
+                // long.
+                let waits = wait_ms * (1.0 + self.demand.output_tokens) * SHARED_WAIT_WEIGHT;
+                let weight = factor * Self::cache_factor(candidate);
+                StageCost {
+                    fixed: (candidate.prefill_backlog_ms + waits) * weight,
+                    per_layer: (prefill + decode) * weight,
+                }
             }
             PathPurpose::Repair => {
                 let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
                 let weight = factor / (1.0 - used).max(MIN_FREE_CACHE);
                 StageCost {
-                    fixed: candidate.prefill_backlog_ms * weight,
+                    fixed: (candidate.prefill_backlog_ms + wait_ms) * weight,
                     per_layer: self.repair_load() * prefill * weight + decode,
                 }
             }
@@ -209,7 +219,7 @@
     }
 
     /// One-way network latency between engines of two failure domains, in ms.
-    fn delay_ms(&self, a: &DomainId, b: &DomainId) -> f64 {
+    pub(super) fn delay_ms(&self, a: &DomainId, b: &DomainId) -> f64 {
         let between = if a == b { 0.0 } else { self.spec.delay_ms(a, b) };
         between.max(INTRA_DOMAIN_DELAY_MS)
     }
--- a/crates/decide/src/paths/load.rs
+++ b/crates/decide/src/paths/load.rs
@@ -71,7 +71,7 @@
         })
     }
 
-    fn candidate(&self, stage: &PathStage) -> Option<&PathCandidate> {
+    pub(super) fn candidate(&self, stage: &PathStage) -> Option<&PathCandidate> {
         self.candidates.iter().find(|candidate| candidate.id == stage.id)
     }
 }
--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -7,11 +7,14 @@
 mod links;
 mod load;
 mod program;
+mod queue;
 mod search;
+mod spread;
+mod targets;
 
 pub use backlog::Backlog;
 pub use bottleneck::{Bottleneck, bottlenecks};
-pub use candidate::{Demand, PathCandidate, PathPurpose, PathStage};
+pub use candidate::{Demand, PathCandidate, PathPurpose, PathStage, PathTargets};
 pub use cost::transfer_bytes;
 pub use links::{Link, LinkUsage};
 pub use load::{Crossing, PathLoad, PrefillWork};
--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -1,11 +1,12 @@
 //! Search for the path of one request.
 
 use clementine_objects::LayerRange;
-use rand::{Rng, RngExt};
+use rand::Rng;
 
 use super::cost::Costs;
 use super::program::PathProgram;
-use super::{Demand, LinkUsage, PathCandidate, PathPurpose, PathStage};
+use super::spread::Preference;
+use super::{Demand, LinkUsage, PathCandidate, PathPurpose, PathStage, PathTargets};
 use crate::fleet::EngineSpec;
 use crate::ids::{BackendId, Tick};
 
@@ -29,6 +30,20 @@
 /// [`MAX_TRANSFER_MS`], if no single domain has capacity.
 const LONG_TRANSFER_LINK_UTILIZATION: f64 = 0.1;
 
+/// Preference of a repair: in proportion to speed.
+const REPAIR_PREFERENCE: Preference = Preference { domain: f64::INFINITY, engine: 1.0 };
+/// Preferences of a new request, of which the first is used whose path meets the
+/// targets. Even the last one spreads requests over engines of nearly equal cost.
+///
+/// The first was chosen by the test `path_spread`: a weaker preference between
+/// engines makes streams longer, so that the loss of an engine meets more of them,
+/// and a stronger one between domains concentrates them on the fastest domain.
+const PREFERENCES: [Preference; 3] = [
+    Preference { domain: 1.0, engine: 4.0 },
+    Preference { domain: 3.0, engine: 6.0 },
+    Preference { domain: 10.0, engine: 10.0 },
+];
+
 /// Search for the path of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct PathSearch<'a> {
@@ -40,6 +55,8 @@
     pub links: &'a LinkUsage,
     /// Resources that the request needs.
     pub demand: Demand,
+    /// What the caller expects.
+    pub targets: PathTargets,
     /// What the path is for.
     pub purpose: PathPurpose,
     /// Number of entries that serve requests, including this one.
@@ -58,18 +75,31 @@
     /// Chooses a path through all layers, or returns `None` if no path has capacity
     /// for the request.
     ///
-    /// Handles the load after the loss of an engine, when all entries repair all of
-    /// its runs at the same moment with the same views. A repair takes one of
-    /// several engines with a probability in proportion to its prefill speed and
-    /// its free KV cache, and the work that was sent there before counts as wait.
+    /// Handles requests of all entries that see the same engines with views half a
+    /// second old, on engines of different speeds. A new request takes slower engines
+    /// too, as long as its path meets the targets, so that no engine carries most of
+    /// the requests.
+    ///
+    /// Handles also the load after the loss of an engine, when all entries repair all
+    /// of its runs at the same moment. A repair takes one of several engines with a
+    /// probability in proportion to its prefill speed and its free KV cache, and the
+    /// work that was sent there before counts as wait.
+    ///
+    /// The choice is the same for the same state of the generator.
     pub fn choose_path(&self, rng: &mut impl Rng) -> Option<Vec<PathStage>> {
-        match self.purpose {
-            PathPurpose::NewRequest => self.cheapest_path(),
-            PathPurpose::Repair => {
-                let factors = self.candidates.iter().map(|_| exponential(rng));
-                self.cheapest_by(&factors.collect::<Vec<_>>())
+        if self.purpose == PathPurpose::Repair {
+            return self.cheapest_by(&REPAIR_PREFERENCE.factors(self.candidates, rng));
+        }
+        let mut chosen = None;
+        for preference in PREFERENCES {
+            let preference = preference.scaled_by_use(self.candidates);
+            let path = self.cheapest_by(&preference.factors(self.candidates, rng))?;
+            if self.meets_targets(&path) {
+                return Some(path);
             }
+            chosen = Some(path);
         }
+        chosen
     }
 
     /// Returns the path through all layers with the lowest cost, or `None` if no
@@ -128,12 +158,6 @@
     }
 }
 
-/// Draws from the exponential distribution with mean 1. If costs are multiplied by
-/// such numbers, each is the lowest with a probability in inverse proportion to it.
-fn exponential(rng: &mut impl Rng) -> f64 {
-    -rng.random_range(f64::MIN_POSITIVE..1.0).ln()
-}
-
 fn stage(candidate: &PathCandidate, layers: LayerRange) -> PathStage {
     PathStage { id: candidate.id.clone(), address: candidate.address, layers }
 }
--- a/crates/decide/tests/engine_fixtures/mod.rs
+++ b/crates/decide/tests/engine_fixtures/mod.rs
@@ -93,6 +93,8 @@
         domain: domain.into(),
         layers,
         step_ms: 10.0,
+        step_ms_per_request: 0.0,
+        running: 0.0,
         prefill_ms_per_token: 0.02,
         capacity_tokens: 60_000.0,
         used_tokens: 0.0,
--- a/crates/decide/tests/path_repairs.rs
+++ b/crates/decide/tests/path_repairs.rs
@@ -7,7 +7,7 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
-    Backlog, Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage,
+    Backlog, Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, PathTargets,
 };
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use rand::SeedableRng;
@@ -40,6 +40,7 @@
             candidates: &self.candidates,
             links: &self.links,
             demand: DEMAND,
+            targets: PathTargets::default(),
             purpose: PathPurpose::Repair,
             entries: ENTRIES,
             allowed_first: &[],
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -5,8 +5,8 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
-    Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, bottlenecks,
-    transfer_bytes,
+    Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, PathTargets,
+    bottlenecks, transfer_bytes,
 };
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use quickcheck::quickcheck;
@@ -27,6 +27,7 @@
         candidates,
         links,
         demand: DEMAND,
+        targets: PathTargets::default(),
         purpose: if is_running { PathPurpose::Repair } else { PathPurpose::NewRequest },
         entries: 1,
         allowed_first: &first,
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -6,7 +6,7 @@
 use clementine_decide::fleet::{EngineSpec, Member};
 use clementine_decide::ids::{BackendId, DomainId, Tick};
 use clementine_decide::paths::{
-    Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, bottlenecks,
+    Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, PathTargets, bottlenecks,
 };
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -129,6 +129,7 @@
         candidates: &candidates,
         links: &links,
         demand,
+        targets: targets(ctx),
         purpose,
         entries: shared.peers.borrow().serving_count() as u32,
         allowed_first: requirements.allowed_first,
@@ -151,6 +152,16 @@
     Some(StreamRoute { first: id, address, path, domain_crossings, _reservation: reservation })
 }
 
+/// What the caller still expects. Time that the request has waited is gone.
+fn targets(ctx: &RequestContext) -> PathTargets {
+    let waited = Millis::from(ctx.arrived.elapsed());
+    PathTargets {
+        first_event: Some(Millis(ctx.rule.target_latency.0.saturating_sub(waited.0))),
+        gap: ctx.rule.target_gap,
+        time_left: Some(Millis::from(ctx.time_left())),
+    }
+}
+
 /// Minimum interval between log lines that explain why no path was found. The
 /// reasons change slowly.
 const NO_PATH_LOG_INTERVAL: Millis = Millis(500);
