--- a/crates/decide/src/paths/candidate.rs
+++ b/crates/decide/src/paths/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clementine_objects::LayerRange;
+use clementine_objects::{LayerRange, Millis};
 
 use crate::ids::{BackendId, DomainId};
 
@@ -20,6 +20,9 @@
     /// Duration of a decode step over all layers of the model under the current
     /// load, in ms.
     pub step_ms: f64,
+    /// Time that each further request adds to a decode step over all layers of the
+    /// model, in ms.
+    pub step_ms_per_request: f64,
     /// Prefill time per prompt token over all layers of the model at the current
     /// speed, in ms.
     pub prefill_ms_per_token: f64,
@@ -27,9 +30,37 @@
     pub capacity_tokens: f64,
     /// KV cache tokens that are reserved by requests.
     pub used_tokens: f64,
+    /// Number of requests that run on the engine.
+    pub running: f64,
     /// Number of further requests that the engine can accept as the first stage
     /// of their path. Requests beyond it would be queued.
     pub free_slots: u32,
+    /// Prefill work that was sent to the engine and is not done yet, in ms.
+    pub prefill_backlog_ms: f64,
+    /// Leading prompt tokens of the request whose KV cache the engine already has,
+    /// so that they need no prefill there.
+    pub cached_prompt_tokens: f64,
+}
+
+/// What a path is searched for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathPurpose {
+    /// A request that has not begun.
+    NewRequest,
+    /// A request that has lost an engine of its path. All requests with that engine
+    /// look for a path at the same moment, at all entries.
+    Repair,
+}
+
+/// What a caller expects of a request. `None` sets no limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PathTargets {
+    /// Time to the first event.
+    pub first_event: Option<Millis>,
+    /// Longest pause between two events.
+    pub gap: Option<Millis>,
+    /// Time that is left for the whole request.
+    pub time_left: Option<Millis>,
 }
 
 /// Resources that a request needs.
