Tests: late and repeated responses (red: agent, http1 client)

Red on this commit: e2e late_responses copy_in_the_same_segment_reaches_no_other_caller and late_copy_reaches_no_other_caller (the agent gives the second copy of a response to the next request on a kept connection), http1 answers bytes_received_before_the_request_is_sent_are_not_its_response. The tests of crates/direct pass: each attempt uses its own connection.

--- a/crates/direct/tests/common/caller.rs
+++ b/crates/direct/tests/common/caller.rs
@@ -50,15 +50,7 @@
     let Ok(mut conn) = ClientConn::connect(to, limit, &ServerConn::codec_config()).await else {
         return no_response;
     };
-    let mut head = RequestHead::default();
-    head.method = Method::from_bytes(method.as_bytes()).expect("valid method");
-    head.uri = path.parse().expect("valid path");
-    let default_headers =
-        [("host", "h"), ("request-id", "r-1"), ("deadline-ms", "8000"), ("token-count", "100,40")];
-    for (name, value) in default_headers.iter().chain(headers) {
-        let value = HeaderValue::from_str(value).expect("valid header value");
-        head.headers.insert(HeaderName::from_static(name), value);
-    }
+    let head = request_head(method, path, headers);
     conn.queue(head, Bytes::from_static(body.as_bytes())).expect("request is queued");
     let Ok(head) = conn.read_head().await else { return no_response };
     let retry_after = head.headers().get("retry-after").and_then(|value| value.to_str().ok());
@@ -79,3 +71,24 @@
         retry_after,
     }
 }
+
+/// Queues a request with the default headers, an ID and a valid API key on a
+/// connection that may have been used before.
+pub fn queue_request(conn: &mut ClientConn, path: &str, id: &str, body: &'static str) {
+    let head = request_head("POST", path, &[("x-api-key", "key"), ("request-id", id)]);
+    conn.queue(head, Bytes::from_static(body.as_bytes())).expect("request is queued");
+}
+
+/// Head of a request with the default headers and `headers`.
+pub fn request_head(method: &str, path: &str, headers: &[(&'static str, &str)]) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = Method::from_bytes(method.as_bytes()).expect("valid method");
+    head.uri = path.parse().expect("valid path");
+    let default_headers =
+        [("host", "h"), ("request-id", "r-1"), ("deadline-ms", "8000"), ("token-count", "100,40")];
+    for (name, value) in default_headers.iter().chain(headers) {
+        let value = HeaderValue::from_str(value).expect("valid header value");
+        head.headers.insert(HeaderName::from_static(name), value);
+    }
+    head
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod caller;
+mod scripted;
 mod store;
 
 use std::net::{Ipv4Addr, SocketAddr};
@@ -18,7 +19,11 @@
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use backend::{Backend, Behaviour, CrashStyle, RunCrash};
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
-pub use caller::{CallerResponse, send_request, send_request_with_headers};
+pub use caller::{
+    CallerResponse, queue_request, request_head, send_request, send_request_with_headers,
+};
+#[allow(unused_imports, reason = "each test file uses only some of the helpers")]
+pub use scripted::{list_server, signed, signed_head};
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use store::{PollMode, Store, StoreCopy};
 
--- a/crates/e2e/src/cluster/backend.rs
+++ b/crates/e2e/src/cluster/backend.rs
@@ -25,7 +25,8 @@
 impl Backend {
     /// Starts a backend server, its agent and the proxy.
     pub(super) async fn start(spec: &BackendSpec, index: usize) -> Self {
-        let (server, server_address) = start_server(spec, "127.0.0.1:0");
+        let (server, standin_address) = start_server(spec, "127.0.0.1:0");
+        let server_address = spec.server.unwrap_or(standin_address);
         // The agent's address is known only once it runs, and the agent needs the
         // address of the proxy to start, so the proxy gets its real target later.
         let proxy = Proxy::start(server_address).await;
--- a/crates/e2e/src/cluster/spec.rs
+++ b/crates/e2e/src/cluster/spec.rs
@@ -1,5 +1,7 @@
 //! Configuration of a test cluster.
 
+use std::net::SocketAddr;
+
 /// Processes of a test cluster and their flags.
 #[derive(Debug, Clone, Default)]
 pub struct ClusterSpec {
@@ -14,6 +16,8 @@
     pub(super) pool: String,
     pub(super) standin_args: Vec<String>,
     pub(super) agent_args: Vec<String>,
+    /// Server to which the agent sends requests instead of the stand-in.
+    pub(super) server: Option<SocketAddr>,
 }
 
 impl ClusterSpec {
@@ -60,6 +64,7 @@
             pool: pool.to_owned(),
             standin_args: standin_args.iter().map(|arg| (*arg).to_owned()).collect(),
             agent_args: Vec::new(),
+            server: None,
         };
         self.backends.extend(std::iter::repeat_n(spec, count));
         self
@@ -73,4 +78,16 @@
         }
         self
     }
+
+    /// Adds a backend server to a pool whose agent sends all requests to a server of
+    /// the test.
+    #[must_use]
+    pub fn backend_at(mut self, pool: &str, server: SocketAddr) -> Self {
+        // The stand-in that runs in addition receives nothing.
+        self = self.backends(pool, 1, &["engine"]);
+        if let Some(backend) = self.backends.last_mut() {
+            backend.server = Some(server);
+        }
+        self
+    }
 }
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -12,6 +12,7 @@
 mod process;
 mod proxy;
 mod record;
+mod scripted;
 
 pub use client::{ApiClient, ApiResponse, StreamedResponse};
 pub use cluster::{API_TOKEN, Backend, Cluster, ClusterSpec, EntryProcess};
@@ -19,6 +20,7 @@
 pub use process::Process;
 pub use proxy::{Proxy, ProxyMode};
 pub use record::RecordFile;
+pub use scripted::{ScriptedRequest, ScriptedServer, Step};
 
 use std::time::Duration;
 
--- a/crates/http1/tests/answers.rs
+++ b/crates/http1/tests/answers.rs
@@ -103,6 +103,36 @@
     }
 }
 
+/// Guards against a second copy of a response that arrives after the connection was
+/// taken for reuse: it is there before the next request and is not its response.
+#[actix_rt::test]
+async fn bytes_received_before_the_request_is_sent_are_not_its_response() -> io::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    spawn_local(async move {
+        let (mut io, _) = listener.accept().await.expect("failed to accept a connection");
+        let mut buf = [0; 1024];
+        for pause in [Duration::ZERO, Duration::from_millis(50)] {
+            if pause.is_zero() {
+                assert!(io.read(&mut buf).await.expect("failed to read the request") > 0);
+            }
+            sleep(pause).await;
+            let response = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+            io.write_all(response).await.expect("failed to write the response");
+        }
+        sleep(Duration::from_secs(5)).await;
+    });
+    let mut conn = connect_and_queue(address).await;
+    conn.read_head().await.expect("failed to read the head");
+    assert_eq!(conn.read_body(1024).await.expect("the body is incomplete"), "first");
+    assert!(conn.is_reusable());
+    sleep(Duration::from_millis(150)).await;
+    conn.queue(RequestHead::default(), Bytes::new())?;
+    let read = conn.read_head().await;
+    assert!(matches!(read, Err(ResponseError::Malformed)), "{read:?}");
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn interim_responses_are_skipped() {
     let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
