Connections with late copies of responses answer no other request

The agent kept a connection although the second copy of a response was already in its read buffer, and the next request was given that copy. Calls of the agent now use ClientConn of crates/http1, which keeps no connection with unread bytes. A response whose x-request-id names another request is skipped on a connection that was used before, and never delivered. ClientConn also refuses bytes that were received before the first byte of the request was sent.

--- a/crates/agent/src/backend/address.rs
+++ b/crates/agent/src/backend/address.rs
@@ -4,6 +4,8 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use actix_http::ServiceConfig;
+use clementine_http1::ClientConn;
 use compact_str::CompactString;
 use snafu::Snafu;
 use tokio::net::TcpStream;
@@ -40,17 +42,16 @@
 }
 
 impl BackendAddress {
-    /// Opens a connection. Returns `None` if that fails or times out.
-    pub(crate) async fn connect(self) -> Option<TcpStream> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.0)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some(stream)
+    /// Opens a connection for requests. Returns `None` if that fails or times out.
+    pub(super) async fn connect(self, config: &ServiceConfig) -> Option<ClientConn> {
+        ClientConn::connect(self.0, CONNECT_TIMEOUT, config).await.ok()
     }
 
     /// Whether a new connection is accepted and not closed by the server within
     /// `time`.
     pub(crate) async fn stays_connected(self, time: Duration) -> bool {
-        let Some(stream) = self.connect().await else { return false };
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.0)).await;
+        let Ok(Ok(stream)) = connected else { return false };
         // Readable without a request: closed, reset, or not an HTTP server.
         timeout(time, stream.readable()).await.is_err()
     }
--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -2,25 +2,29 @@
 //!
 //! Non-repeatable requests use a new connection each: the server may close an
 //! idle connection while a request is being written to it, which would leave the
-//! outcome unknown. Connections are driven by the client codec of `actix-http`,
-//! because `awc` does not distinguish a truncated chunked body from a complete
-//! one.
+//! outcome unknown. `awc` is not used, because it does not distinguish a truncated
+//! chunked body from a complete one.
 
-use actix_codec::Framed;
-use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{HOST, HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
+use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use bytes::Bytes;
 use clementine_decide::events::EventSplitter;
+use clementine_http1::ClientConn;
 use clementine_objects::Repeat;
 use clementine_wire::{HttpResponseHead, RunRequest, WorkOutcome};
-use futures::{SinkExt, StreamExt};
 
-use super::idle::{BackendConnection, IdleConnections};
+use super::idle::IdleConnections;
 use super::{BackendAddress, headers};
 use crate::responses::ResponseBuffer;
 
+/// Maximum number of late copies of earlier responses that are skipped on a connection
+/// that was used before. The response to the request follows them, so it needn't be
+/// sent again.
+const MAX_LATE_COPIES: u32 = 2;
+
+/// Maximum size of the body of a late copy, in bytes.
+const MAX_LATE_COPY_BYTES: usize = 4 * 1024 * 1024;
+
 /// Outcome of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallOutcome {
@@ -30,16 +34,8 @@
     Sent(WorkOutcome),
 }
 
-/// How the end of a response body is determined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BodyFraming {
-    /// The response has no body.
-    NoBody,
-    /// By `Content-Length` or the last chunk.
-    Delimited,
-    /// By the server closing the connection.
-    CloseDelimited,
-}
+/// Header with the id of the request, which a server may repeat in its response.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// Sends a request to the backend server and writes the response to `buffer`. The
 /// caller records the outcome in the buffer.
@@ -51,79 +47,62 @@
 ) -> CallOutcome {
     let Some(head) = request_head(backend, request) else { return CallOutcome::NotSent };
     let reusable = request.repeat == Repeat::Safe;
-    let pooled = if reusable { idle.take() } else { None };
-    let connection = match pooled {
-        Some(connection) => connection,
-        None => match backend.connect().await {
-            Some(stream) => Framed::new(stream, ClientCodec::default()),
-            None => return CallOutcome::NotSent,
-        },
-    };
-    match round_trip(connection, head, request.body.clone(), buffer).await {
-        Some((outcome, connection)) => {
-            if let Some(connection) = connection.filter(|_| reusable) {
-                idle.put(connection);
-            }
-            CallOutcome::Sent(outcome)
+    if let Some(mut conn) = reusable.then(|| idle.take()).flatten() {
+        let outcome = round_trip(&mut conn, head.clone(), request, buffer, MAX_LATE_COPIES).await;
+        if conn.has_begun_request() {
+            idle.put(conn);
+            return CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost));
         }
-        None => CallOutcome::Sent(WorkOutcome::BackendLost),
     }
+    let Some(mut conn) = backend.connect(idle.config()).await else { return CallOutcome::NotSent };
+    let outcome = round_trip(&mut conn, head, request, buffer, 0).await;
+    if reusable {
+        idle.put(conn);
+    }
+    CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost))
 }
 
-/// Writes the request and reads the response. Returns the connection as well if
-/// it can be reused, and `None` if the connection failed or the body was
-/// truncated.
+/// Sends the request and reads the response. Returns `None` if the connection failed,
+/// the body was truncated or the response names another request. Up to `late_copies`
+/// such responses are skipped before.
 async fn round_trip(
-    mut framed: BackendConnection,
+    conn: &mut ClientConn,
     head: RequestHead,
-    body: Bytes,
+    request: &RunRequest,
     buffer: &ResponseBuffer,
-) -> Option<(WorkOutcome, Option<BackendConnection>)> {
-    let size = if body.is_empty() { BodySize::None } else { BodySize::Sized(body.len() as u64) };
-    framed.feed(Message::Item((RequestHeadType::Owned(head), size))).await.ok()?;
-    if !body.is_empty() {
-        framed.feed(Message::Chunk(Some(body))).await.ok()?;
-        framed.feed(Message::Chunk(None)).await.ok()?;
+    late_copies: u32,
+) -> Option<WorkOutcome> {
+    conn.queue(head, request.body.clone()).ok()?;
+    let mut response_head = conn.read_head().await.ok()?;
+    for _ in 0..late_copies {
+        if is_response_to(&response_head, request) {
+            break;
+        }
+        conn.read_body(MAX_LATE_COPY_BYTES).await.ok()?;
+        response_head = conn.read_head().await.ok()?;
+    }
+    if !is_response_to(&response_head, request) {
+        return None;
     }
-    SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut framed).await.ok()?;
-    let response_head = framed.next().await?.ok()?;
-    let body_framing = body_framing(&response_head, framed.codec_ref().message_type());
     let mut body = BodyWriter::new(&response_head, buffer);
     buffer.set_head(HttpResponseHead {
         status: response_head.status.as_u16(),
-        headers: headers::forwarded(&response_head.headers),
+        headers: headers::forwarded(response_head.headers()),
     });
-    if body_framing == BodyFraming::NoBody {
-        let reusable = framed.codec_ref().keep_alive();
-        return Some((WorkOutcome::Complete, reusable.then_some(framed)));
-    }
-    let mut framed = framed.into_map_codec(ClientCodec::into_payload_codec);
-    loop {
-        match framed.next().await {
-            Some(Ok(Some(bytes))) => {
-                if !body.write(bytes).await {
-                    return Some((WorkOutcome::TooLarge, None));
-                }
-            }
-            Some(Ok(None)) => break,
-            None if body_framing == BodyFraming::CloseDelimited => break,
-            Some(Err(_)) | None => return None,
+    while let Some(bytes) = conn.read_chunk().await.ok()? {
+        if !body.write(bytes).await {
+            return Some(WorkOutcome::TooLarge);
         }
     }
     body.finish().await;
-    let reusable = body_framing == BodyFraming::Delimited && framed.codec_ref().keep_alive();
-    let framed = framed.into_map_codec(ClientPayloadCodec::into_message_codec);
-    Some((WorkOutcome::Complete, reusable.then_some(framed)))
+    Some(WorkOutcome::Complete)
 }
 
-fn body_framing(response_head: &ResponseHead, message: MessageType) -> BodyFraming {
-    let delimited = response_head.headers.contains_key("content-length")
-        || response_head.headers.contains_key("transfer-encoding");
-    match message {
-        MessageType::None => BodyFraming::NoBody,
-        MessageType::Payload | MessageType::Stream if delimited => BodyFraming::Delimited,
-        MessageType::Payload | MessageType::Stream => BodyFraming::CloseDelimited,
-    }
+/// Whether a response may belong to a request. One that names another request is a
+/// late copy on a connection that was used before.
+fn is_response_to(head: &ResponseHead, request: &RunRequest) -> bool {
+    let named = head.headers().get(REQUEST_ID);
+    named.is_none_or(|id| id.as_bytes() == request.request.to_string().as_bytes())
 }
 
 /// Writes a response body to the buffer: an event stream one event per chunk, any
@@ -135,7 +114,8 @@
 
 impl<'a> BodyWriter<'a> {
     fn new(response_head: &ResponseHead, buffer: &'a ResponseBuffer) -> Self {
-        let content_type = response_head.headers.get("content-type").and_then(|v| v.to_str().ok());
+        let content_type =
+            response_head.headers().get("content-type").and_then(|v| v.to_str().ok());
         let streamed = content_type.is_some_and(|value| value.starts_with("text/event-stream"));
         Self { events: streamed.then(EventSplitter::default), buffer }
     }
@@ -177,6 +157,6 @@
     }
     head.headers.insert(HOST, HeaderValue::from_str(&backend.host()).ok()?);
     let id = HeaderValue::from_str(&request.request.to_string()).ok()?;
-    head.headers.insert(HeaderName::from_static("x-request-id"), id);
+    head.headers.insert(REQUEST_ID, id);
     Some(head)
 }
--- a/crates/http1/src/client/conn.rs
+++ b/crates/http1/src/client/conn.rs
@@ -47,6 +47,15 @@
     CloseDelimited,
 }
 
+/// How far the last queued request has been sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendState {
+    /// No byte of it has been sent.
+    NotBegun,
+    /// Some or all of it may have been sent.
+    Begun,
+}
+
 /// Maximum number of bytes that make up neither a head nor a part of a body: an
 /// incomplete head, interim responses, sizes and extensions of chunks.
 const MAX_OVERHEAD_BYTES: usize = 128 * 1024;
@@ -60,6 +69,7 @@
     input: BytesMut,
     /// Encoded request bytes that have not been sent yet.
     output: BytesMut,
+    sending: SendState,
     framing: BodyFraming,
     /// Bytes received since the last head or part of a body was complete.
     overhead: usize,
@@ -89,6 +99,7 @@
             state: Some(ReadState::Head(ClientCodec::new(config.clone()))),
             input: BytesMut::new(),
             output: BytesMut::new(),
+            sending: SendState::NotBegun,
             framing: BodyFraming::Delimited,
             overhead: 0,
             complete: false,
@@ -106,6 +117,7 @@
     /// the request cannot be encoded.
     pub fn queue(&mut self, head: RequestHead, body: Bytes) -> io::Result<()> {
         self.complete = false;
+        self.sending = SendState::NotBegun;
         self.expects_body = head.method != Method::HEAD;
         let Some(ReadState::Head(codec)) = &mut self.state else {
             return Err(io::Error::other("the previous response has not been read completely"));
@@ -121,12 +133,16 @@
     }
 
     /// Sends the queued request and reads the response head. The server may
-    /// respond before it has read the complete request.
+    /// respond before it has read the complete request, but not before its first
+    /// byte: such bytes belong to an earlier request.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection is lost or the response is invalid.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ResponseError> {
+        if !self.has_begun_request() && self.has_unread_input() {
+            return Err(ResponseError::Malformed);
+        }
         loop {
             if let Some(head) = self.decode_head()? {
                 self.overhead = 0;
@@ -149,6 +165,7 @@
         };
         self.keep_alive = codec.keep_alive() && head.keep_alive();
         self.framing = body_framing(&head);
+        self.complete = false;
         if codec.message_type() == MessageType::None {
             if self.framing == BodyFraming::CloseDelimited
                 && self.expects_body
@@ -236,13 +253,21 @@
     /// request was sent and its response read completely, the server keeps the
     /// connection alive, and no bytes followed the response.
     pub fn is_reusable(&self) -> bool {
-        let buffers_empty = self.input.is_empty() && self.output.is_empty();
-        let mut probe = [0; 1];
-        let nothing_received = matches!(
-            self.io.try_read(&mut probe),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock
-        );
-        self.complete && self.keep_alive && buffers_empty && nothing_received
+        let idle = self.complete && self.output.is_empty();
+        idle && self.keep_alive && !self.has_unread_input()
+    }
+
+    /// Returns whether any byte of the last queued request may have been sent. If
+    /// not, the request can be sent on another connection.
+    pub fn has_begun_request(&self) -> bool {
+        self.sending == SendState::Begun
+    }
+
+    /// Returns whether bytes that have not been read, the end of the connection or an
+    /// error is waiting.
+    fn has_unread_input(&self) -> bool {
+        let blocked = |read: io::Result<usize>| matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        !self.input.is_empty() || !blocked(self.io.try_read(&mut [0; 1]))
     }
 
     /// Waits until the socket is ready, then sends queued bytes and receives
@@ -253,6 +278,7 @@
             if sending { Interest::READABLE.add(Interest::WRITABLE) } else { Interest::READABLE };
         let ready = self.io.ready(interest).await.context(ConnectionLostSnafu)?;
         if sending && ready.is_writable() {
+            self.sending = SendState::Begun;
             match self.io.try_write(&self.output) {
                 Ok(sent) => self.output.advance(sent),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
