Shutdown answers every request that was accepted

Direct: the listener stayed open until the process exited, and connections in its backlog or just accepted were reset with their requests. When the process is about to exit, the listener is now closed after its backlog has been accepted, connections wait for their last request, and requests still in progress at the end of the grace period get 504 instead of a closed connection. An idle connection whose request has arrived is served before it is closed, and unread bytes no longer reset a connection after its last response.

--- a/crates/direct/src/accept.rs
+++ b/crates/direct/src/accept.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use clementine_http1::ServerConn;
+use clementine_process::http::close_listener;
 use spdlog::{debug, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -15,8 +16,8 @@
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections until the process ends and serves each of them in its
-/// own task. `component` is the prefix of log lines.
+/// Accepts connections until the process is about to exit and serves each of them in
+/// its own task. `component` is the prefix of log lines.
 pub(crate) async fn accept_connections<F>(
     listener: TcpListener,
     shared: Rc<SharedState>,
@@ -25,12 +26,19 @@
 ) where
     F: Future<Output = ()> + 'static,
 {
+    let _listening = shared.closing.track();
+    let serve_connection = |io: TcpStream| {
+        let conn = ServerConn::new(io, &shared.codec)?;
+        spawn_local(serve(conn, Rc::clone(&shared)));
+        Ok(())
+    };
     loop {
-        let accepted = listener.accept().await;
-        match accepted.and_then(|(io, _)| ServerConn::new(io, &shared.codec)) {
-            Ok(conn) => {
-                spawn_local(serve(conn, Rc::clone(&shared)));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.closing.wait_started() => break,
+        };
+        match accepted.and_then(|(io, _)| serve_connection(io)) {
+            Ok(()) => {}
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => {
                 debug!("{}: connection reset before it was accepted: {}", component, error);
             }
@@ -40,4 +48,9 @@
             }
         }
     }
+    for (io, _) in close_listener(listener) {
+        if let Err(error) = serve_connection(io) {
+            debug!("{}: connection lost before it was served: {}", component, error);
+        }
+    }
 }
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -34,16 +34,39 @@
 ) -> io::Result<()> {
     let req = CallerRequest::new(message);
     let id = req.id.clone();
-    match admit(shared, req) {
-        Ok(ctx) if matches!(ctx.rule.kind, RequestKind::Stream { .. }) => {
-            streams::serve(conn, shared, &ctx).await
-        }
-        Ok(ctx) => buffered::serve(conn, shared, &ctx).await,
+    let ctx = match admit(shared, req) {
+        Ok(ctx) => ctx,
         Err(error) => {
             info!("request: id={} refused={}", id, error.kind.code());
-            send_error(conn, &id, error, shared.drain.is_draining()).await
+            return send_error(conn, &id, error, shared.drain.is_draining()).await;
         }
+    };
+    tokio::select! {
+        served = serve(conn, shared, &ctx) => served,
+        () = shared.closing.wait_started() => cut_short(conn, &id).await,
+    }
+}
+
+async fn serve(
+    conn: &mut ServerConn,
+    shared: &Rc<SharedState>,
+    ctx: &RequestContext,
+) -> io::Result<()> {
+    match ctx.rule.kind {
+        RequestKind::Stream { .. } => streams::serve(conn, shared, ctx).await,
+        _ => buffered::serve(conn, shared, ctx).await,
+    }
+}
+
+/// Ends a request that is in progress when the process is about to exit. It may have
+/// been executed. A response that has begun is aborted, so that it does not look
+/// complete.
+async fn cut_short(conn: &mut ServerConn, id: &str) -> io::Result<()> {
+    info!("request: id={} cut short by the exit", id);
+    if conn.has_begun_response() {
+        return Err(io::ErrorKind::ConnectionAborted.into());
     }
+    send_error(conn, id, RequestError::new(ErrorKind::DeadlineWhileRunning), true).await
 }
 
 /// Finds the route, workspace, pool and deadline of a request.
@@ -52,7 +75,8 @@
     let Some(table) = shared.routing_table() else {
         return Err(RequestError::with_retry_after(ErrorKind::NoBackend, RETRY_AFTER));
     };
-    if shared.shutdown_elapsed().is_some_and(|since| since > SHUTDOWN_ACCEPT_PERIOD) {
+    let too_late = shared.shutdown_elapsed().is_some_and(|since| since > SHUTDOWN_ACCEPT_PERIOD);
+    if too_late || shared.closing.is_draining() {
         return Err(RequestError::with_retry_after(ErrorKind::ShuttingDown, RETRY_AFTER));
     }
     let path = req.head.uri.path();
--- a/crates/direct/src/callers/connection.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -18,8 +18,13 @@
 /// time to send new requests to other instances.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time between the closing of the listeners and the closing of idle connections. A
+/// caller that has just connected sends its request in this time.
+const LAST_REQUEST_DELAY: Duration = Duration::from_millis(100);
+
 /// Serves a caller's connection until it is closed.
 pub(crate) async fn serve_caller(mut conn: ServerConn, shared: Rc<SharedState>) {
+    let _open = shared.closing.track();
     match serve_requests(&mut conn, &shared).await {
         Ok(()) => conn.close().await,
         Err(error) => debug!("callers: connection lost: {}", error),
@@ -27,12 +32,16 @@
 }
 
 async fn serve_requests(conn: &mut ServerConn, shared: &Rc<SharedState>) -> io::Result<()> {
+    let mut is_new = true;
     loop {
         let limits = shared.read_limits();
         tokio::select! {
+            // A request that has been received is answered.
+            biased;
             waited = conn.wait_request(&limits) => if waited.is_err() { return Ok(()) },
-            () = idle_close_due(shared) => return Ok(()),
+            () = idle_close_due(shared, is_new) => return Ok(()),
         }
+        is_new = false;
         let _in_progress = shared.drain.track();
         let message = match conn.read_request(&limits).await {
             Ok(message) => message,
@@ -45,11 +54,19 @@
     }
 }
 
-/// Waits until the shutdown has progressed so far that idle connections are
-/// closed.
-async fn idle_close_due(shared: &SharedState) {
+/// Waits until the shutdown has progressed so far that idle connections are closed. One
+/// that has not carried a request yet may have been opened just now, and is closed only
+/// when the process is about to exit.
+async fn idle_close_due(shared: &SharedState, is_new: bool) {
     shared.drain.wait_started().await;
-    sleep(IDLE_CLOSE_DELAY).await;
+    let exit_due = async {
+        shared.closing.wait_started().await;
+        sleep(LAST_REQUEST_DELAY).await;
+    };
+    tokio::select! {
+        () = exit_due => {}
+        () = sleep(IDLE_CLOSE_DELAY), if !is_new => {}
+    }
 }
 
 async fn send_read_error(conn: &mut ServerConn, error: &ReadError) -> io::Result<()> {
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -16,7 +16,7 @@
 use spdlog::{Level, info};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::accept::accept_connections;
 use crate::callers::serve_caller;
@@ -34,6 +34,9 @@
 /// Part of the grace period that is left for the exit of the process, before
 /// the platform kills it.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Maximum time for the last responses and the closing of connections. Part of
+/// [`EXIT_MARGIN`].
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Error that prevents the process from running.
 #[derive(Debug, Snafu)]
@@ -133,18 +136,23 @@
 
     /// Waits until the shutdown has started and the entry has drained: the load
     /// balancer has had time to stop sending callers, and no request is in
-    /// progress or the grace period is about to end.
+    /// progress or the grace period is about to end. Then the listeners are closed,
+    /// and the connections once their last requests have been answered.
     pub async fn stopped(&self) {
         self.shared.drain.wait_started().await;
         self.shared.record_shutdown_start();
         let started = Instant::now();
         let grace = self.shared.bounds.get().grace.duration();
         let deadline = started + grace.saturating_sub(EXIT_MARGIN);
-        sleep(MIN_SHUTDOWN_TIME.min(grace)).await;
+        sleep(MIN_SHUTDOWN_TIME.min(grace.saturating_sub(EXIT_MARGIN))).await;
         tokio::select! {
             () = self.shared.drain.wait_idle() => {}
             () = sleep_until(deadline) => {}
         }
         info!("process: stopped in_progress={}", self.shared.drain.in_progress());
+        self.shared.closing.start();
+        if timeout(CLOSE_TIMEOUT, self.shared.closing.wait_idle()).await.is_err() {
+            info!("process: connections left={}", self.shared.closing.in_progress());
+        }
     }
 }
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -68,6 +68,9 @@
     pub(crate) backend_down: Notify,
     /// Number of requests in progress, and whether the process is shutting down.
     pub(crate) drain: Drain,
+    /// Starts when the process is about to exit, and counts open listeners and
+    /// connections of callers.
+    pub(crate) closing: Drain,
     pub(crate) rng: RefCell<SmallRng>,
     /// Share of recent requests that were refused for lack of capacity.
     pub(crate) refusal_rate: RefCell<RefusalRate>,
@@ -116,6 +119,7 @@
             connection_probes: RefCell::default(),
             backend_down: Notify::new(),
             drain: Drain::default(),
+            closing: Drain::default(),
             rng: RefCell::new(rng),
             refusal_rate: RefCell::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -5,7 +5,7 @@
 
 use clementine_net::{Acceptor, Dialer, watch_certificates};
 use clementine_process::admin::serve_admin;
-use clementine_process::http::{HttpLimits, bind_reusable, serve_http};
+use clementine_process::http::{CLOSE_DELAY, HttpLimits, bind_reusable, serve_http};
 use clementine_process::logging::{LogTarget, start_logging};
 use clementine_process::metrics::Metrics;
 use clementine_process::shutdown::{Drain, watch_signals};
@@ -76,6 +76,8 @@
     entry.leaving.set(true);
     sleep(settings.leave_notice.duration()).await;
     stop_accepting.start();
+    // Requests of the connections accepted last arrive until idle ones are closed.
+    sleep(CLOSE_DELAY).await;
     let limit = settings.process.drain_limit.duration();
     if timeout(limit, entry.drain.wait_idle()).await.is_err() {
         warn!("entry: drain limit reached with {} requests in progress", entry.drain.in_progress());
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -2,6 +2,7 @@
 
 use std::future::pending;
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -29,6 +30,8 @@
     codec: Codec,
     input: BytesMut,
     output: BytesMut,
+    /// Whether a response to the last request has begun.
+    response_begun: bool,
 }
 
 impl ServerConn {
@@ -40,7 +43,8 @@
     pub fn new(io: TcpStream, config: &ServiceConfig) -> io::Result<Self> {
         socket::configure(&io)?;
         let codec = Codec::new(config.clone());
-        Ok(Self { io, codec, input: BytesMut::new(), output: BytesMut::new() })
+        let (input, output) = (BytesMut::new(), BytesMut::new());
+        Ok(Self { io, codec, input, output, response_begun: false })
     }
 
     /// Returns the codec configuration, which all connections can share.
@@ -77,6 +81,7 @@
         &mut self,
         limits: &ReadLimits,
     ) -> Result<BufferedRequest, ReadError> {
+        self.response_begun = false;
         let head = timeout(limits.head_timeout, self.read_head(limits)).await;
         let head = head.map_err(|_| ReadError::TimedOut)??;
         if expects_continue(&head) {
@@ -206,7 +211,14 @@
         self.start(res, BodySize::Stream)
     }
 
+    /// Returns whether a response to the last request has begun. If so, no other
+    /// response may be sent.
+    pub const fn has_begun_response(&self) -> bool {
+        self.response_begun
+    }
+
     fn start(&mut self, res: Response<()>, size: BodySize) -> io::Result<()> {
+        self.response_begun = true;
         self.codec.encode(Message::Item((res, size)), &mut self.output)
     }
 
@@ -239,11 +251,20 @@
         Ok(())
     }
 
-    /// Shuts down the write side of the connection and drops it.
+    /// Shuts down the write side of the connection, and drops it once the client has
+    /// closed it too. If unread bytes were left, the system would reset the connection,
+    /// and the client might lose the last response.
     pub async fn close(mut self) {
+        /// Maximum time for which the client is waited for.
+        const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
         // Shutdown fails if the client has already closed the connection, which
         // has the same effect.
         let _ = self.io.shutdown().await;
+        let mut discarded = [0; 4096];
+        let closed = async {
+            while self.io.read(&mut discarded).await.is_ok_and(|received| received > 0) {}
+        };
+        let _ = timeout(LINGER_TIMEOUT, closed).await;
     }
 }
 
--- a/crates/process/src/http/listener.rs
+++ b/crates/process/src/http/listener.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 4_096;
@@ -20,3 +20,16 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Closes a listening socket. Returns the connections that wait in its backlog, which
+/// the system would otherwise reset with their requests.
+pub fn close_listener(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    // The runtime may not have noticed the last connections yet, so the system is asked.
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    let accept = || {
+        let (stream, peer) = listener.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    };
+    std::iter::from_fn(accept).collect()
+}
