Slow callers keep their streams, stalled servers do not

Direct: TCP_USER_TIMEOUT on callers' connections reset those that read nothing for 2.5 s; writes now have their own limit of 30 s without progress. While a caller takes an event, its server is not read, so its silence is no reason for another run; the deadline also ends a write. Comments in a stream no longer count as events, so a run that sends only comments is resumed elsewhere. A request body has to arrive at 1 KiB/s on average after the header time-out. Entry: the body is read no longer than to the deadline of the request.

--- a/crates/decide/src/events/splitter.rs
+++ b/crates/decide/src/events/splitter.rs
@@ -12,6 +12,15 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether the event carries anything but comments, which servers send to keep a
+    /// connection open while they have nothing to say.
+    pub fn has_content(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+}
+
 /// Maximum size of an event in bytes.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
--- a/crates/direct/src/streams/progress.rs
+++ b/crates/direct/src/streams/progress.rs
@@ -25,6 +25,9 @@
     /// When the last event was relayed or the current attempt began, whichever is
     /// later.
     last_activity: Cell<Instant>,
+    /// Whether an event is being written to the caller. Until it is, the backend server
+    /// is not read, and its silence says nothing.
+    delivering: Cell<bool>,
     longest_pause: Cell<Duration>,
     /// Exponential moving average of the pauses between events.
     mean_pause: Cell<Duration>,
@@ -42,6 +45,7 @@
             events_sent: Cell::new(0),
             first_event_at: Cell::new(None),
             last_activity: Cell::new(Instant::now()),
+            delivering: Cell::new(false),
             longest_pause: Cell::new(Duration::ZERO),
             mean_pause: Cell::new(INITIAL_MEAN_PAUSE),
             attempt_has_begun: Cell::new(false),
@@ -51,6 +55,7 @@
 
     /// Records the start of another attempt.
     pub(super) fn begin_attempt(&self) {
+        self.delivering.set(false);
         self.attempt_has_begun.set(false);
         self.attempt_has_events.set(false);
         self.last_activity.set(Instant::now());
@@ -85,6 +90,12 @@
         self.last_event_id.set(event.id.or(self.last_event_id.get()));
     }
 
+    /// Records the begin or end of writing an event to the caller.
+    pub(super) fn set_delivering(&self, delivering: bool) {
+        self.delivering.set(delivering);
+        self.last_activity.set(Instant::now());
+    }
+
     /// Whether an event directly follows the last one that was relayed. Events
     /// without an id are assumed to.
     pub(super) fn is_next(&self, event: &Event) -> bool {
@@ -114,8 +125,10 @@
         self.events_sent.get()
     }
 
+    /// When the current attempt was last seen to be active. Now while an event is being
+    /// written to the caller.
     pub(super) fn last_activity(&self) -> Instant {
-        self.last_activity.get()
+        if self.delivering.get() { Instant::now() } else { self.last_activity.get() }
     }
 
     pub(super) fn first_event_at(&self) -> Option<Instant> {
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 
 use actix_http::ConnectionType;
-use clementine_decide::events::EventSplitter;
+use clementine_decide::events::{Event, EventSplitter};
 use clementine_http1::{ClientConn, ServerConn};
 use clementine_platform::requests::{BackendResponse, relayed_response};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use super::open::{OpenOutcome, open};
 use super::progress::Progress;
@@ -120,16 +120,35 @@
                 if !self.progress.is_next(&event) {
                     return Ok(AttemptOutcome::Interrupted("event-out-of-order"));
                 }
-                if !self.progress.attempt_has_events() {
-                    record_response_begun(self.shared, self.ctx);
+                // Comments come from stalled runs as well.
+                if event.has_content() {
+                    if !self.progress.attempt_has_events() {
+                        record_response_begun(self.shared, self.ctx);
+                    }
+                    self.progress.record_event(&event);
+                    self.record_backend_activity();
+                }
+                if !self.deliver(conn, event).await? {
+                    return Ok(AttemptOutcome::DeadlinePassed);
                 }
-                self.progress.record_event(&event);
-                self.record_backend_activity();
-                conn.send_chunk(event.bytes).await?;
             }
         }
     }
 
+    /// Writes an event to the caller. Returns `false` if the deadline passes before the
+    /// caller has taken it.
+    async fn deliver(&self, conn: &mut ServerConn, event: Event) -> io::Result<bool> {
+        let counts = event.has_content();
+        if counts {
+            self.progress.set_delivering(true);
+        }
+        let sent = timeout_at(self.ctx.deadline, conn.send_chunk(event.bytes)).await;
+        if counts {
+            self.progress.set_delivering(false);
+        }
+        sent.map_or(Ok(false), |sent| sent.map(|()| true))
+    }
+
     /// Whether a stream has ended with its connection before any event. It cannot be
     /// told from one that was broken off, unless the caller has all events already.
     fn ended_without_events(&self, backend_conn: &ClientConn) -> bool {
--- a/crates/entry/src/callers/authorize.rs
+++ b/crates/entry/src/callers/authorize.rs
@@ -8,6 +8,7 @@
 use clementine_decide::outcome::ErrorKind;
 use clementine_objects::{Catalog, Millis, PriorityName, TokenDigest, Workspace};
 use clementine_process::http::{BodyError, read_body};
+use tokio::time::timeout;
 
 use super::request::forwarded_headers;
 use super::{CallerRequest, RequestError};
@@ -32,7 +33,7 @@
         let workspace = self.workspace(req)?;
         let level = priority_level(&snapshot.catalog, &workspace, req)?;
         let deadline = self.deadline(&workspace, req)?;
-        let body = self.body(req).await?;
+        let body = self.body(req, deadline).await?;
         Ok(CallerRequest {
             id,
             workspace,
@@ -88,8 +89,14 @@
         Ok(self.clock.now().after(allowed))
     }
 
-    async fn body(&self, req: &mut Request) -> Result<Bytes, RequestError> {
-        let read = read_body(req, self.settings.limits.body_bytes).await;
+    /// Reads the body. A body that comes byte by byte ends at the request's deadline.
+    async fn body(&self, req: &mut Request, deadline: Tick) -> Result<Bytes, RequestError> {
+        let time_left = deadline.since(self.clock.now()).duration();
+        let read = timeout(time_left, read_body(req, self.settings.limits.body_bytes)).await;
+        let read = read.map_err(|_| {
+            let message = "the deadline passed before the body was received";
+            RequestError::new(ErrorKind::DeadlineBeforeRun, message)
+        })?;
         read.map_err(|error| {
             let kind = match error {
                 BodyError::TooLarge { .. } => ErrorKind::TooLarge,
--- a/crates/http1/src/client/conn.rs
+++ b/crates/http1/src/client/conn.rs
@@ -93,7 +93,7 @@
     ) -> Result<Self, ConnectError> {
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
         let io = connected.map_err(|_| ConnectError::TimedOut)?.context(RefusedSnafu)?;
-        socket::configure(&io).context(RefusedSnafu)?;
+        socket::configure_client(&io).context(RefusedSnafu)?;
         Ok(Self {
             io,
             state: Some(ReadState::Head(ClientCodec::new(config.clone()))),
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -13,7 +13,7 @@
 use snafu::ResultExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::error::{ConnectionLostSnafu, ReadError};
@@ -23,6 +23,10 @@
 /// Interim response to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Maximum time for which a client may take no byte of a response. Bounds the life of
+/// connections whose client is gone or never reads; a slow client takes some bytes.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A connection from a client that carries one request at a time.
 #[derive(Debug)]
 pub struct ServerConn {
@@ -41,7 +45,7 @@
     ///
     /// Returns an error if the socket options cannot be set.
     pub fn new(io: TcpStream, config: &ServiceConfig) -> io::Result<Self> {
-        socket::configure(&io)?;
+        socket::configure_server(&io)?;
         let codec = Codec::new(config.clone());
         let (input, output) = (BytesMut::new(), BytesMut::new());
         Ok(Self { io, codec, input, output, response_begun: false })
@@ -115,6 +119,7 @@
     }
 
     async fn read_body(&mut self, limits: &ReadLimits) -> Result<Bytes, ReadError> {
+        let started = Instant::now();
         let mut body = BytesMut::new();
         // Bytes since the last part of the body: sizes and extensions of chunks.
         let mut overhead = 0;
@@ -128,7 +133,9 @@
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(ReadError::Malformed),
                 Ok(None) if overhead > limits.max_head_bytes => return Err(ReadError::Malformed),
                 Ok(None) => {
-                    let filled = timeout(limits.head_timeout, self.fill()).await;
+                    let last_wait = Instant::now() + limits.head_timeout;
+                    let until = last_wait.min(started + limits.body_time(body.len()));
+                    let filled = timeout_at(until, self.fill()).await;
                     overhead += filled.map_err(|_| ReadError::TimedOut)??;
                 }
             }
@@ -246,7 +253,8 @@
     /// been sent remain queued for the next flush.
     async fn flush(&mut self) -> io::Result<()> {
         while !self.output.is_empty() {
-            self.io.write_buf(&mut self.output).await?;
+            let written = timeout(WRITE_STALL_TIMEOUT, self.io.write_buf(&mut self.output)).await;
+            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         }
         Ok(())
     }
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -22,12 +22,24 @@
     /// Maximum size of the body.
     pub max_body_bytes: usize,
     /// Maximum time from the first byte of a request to the end of its headers.
-    /// Also the maximum wait for more bytes of its body.
+    /// Also the maximum wait for more bytes of its body, which has to arrive at 1 KiB/s
+    /// on average after this time.
     pub head_timeout: Duration,
     /// Maximum time that a connection waits for a request.
     pub idle_timeout: Duration,
 }
 
+/// Minimum average rate of a body after the first `head_timeout`, in bytes per second.
+/// Far below that of slow links, so that it ends only bodies that come byte by byte.
+const MIN_BODY_RATE: u32 = 1024;
+
+impl ReadLimits {
+    /// Maximum time since the start of a body of which `received` bytes have been read.
+    pub(super) fn body_time(&self, received: usize) -> Duration {
+        self.head_timeout + Duration::from_secs_f64(received as f64 / f64::from(MIN_BODY_RATE))
+    }
+}
+
 impl Default for ReadLimits {
     fn default() -> Self {
         Self {
