--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -2,6 +2,7 @@
 
 use std::future::pending;
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -12,7 +13,7 @@
 use snafu::ResultExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::error::{ConnectionLostSnafu, ReadError};
@@ -22,6 +23,10 @@
 /// Interim response to `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Maximum time for which a client may take no byte of a response. Bounds the life of
+/// connections whose client is gone or never reads; a slow client takes some bytes.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A connection from a client that carries one request at a time.
 #[derive(Debug)]
 pub struct ServerConn {
@@ -29,6 +34,8 @@
     codec: Codec,
     input: BytesMut,
     output: BytesMut,
+    /// Whether a response to the last request has begun.
+    response_begun: bool,
 }
 
 impl ServerConn {
@@ -38,9 +45,10 @@
     ///
     /// Returns an error if the socket options cannot be set.
     pub fn new(io: TcpStream, config: &ServiceConfig) -> io::Result<Self> {
-        socket::configure(&io)?;
+        socket::configure_server(&io)?;
         let codec = Codec::new(config.clone());
-        Ok(Self { io, codec, input: BytesMut::new(), output: BytesMut::new() })
+        let (input, output) = (BytesMut::new(), BytesMut::new());
+        Ok(Self { io, codec, input, output, response_begun: false })
     }
 
     /// Returns the codec configuration, which all connections can share.
@@ -77,6 +85,7 @@
         &mut self,
         limits: &ReadLimits,
     ) -> Result<BufferedRequest, ReadError> {
+        self.response_begun = false;
         let head = timeout(limits.head_timeout, self.read_head(limits)).await;
         let head = head.map_err(|_| ReadError::TimedOut)??;
         if expects_continue(&head) {
@@ -110,6 +119,7 @@
     }
 
     async fn read_body(&mut self, limits: &ReadLimits) -> Result<Bytes, ReadError> {
+        let started = Instant::now();
         let mut body = BytesMut::new();
         // Bytes since the last part of the body: sizes and extensions of chunks.
         let mut overhead = 0;
@@ -123,7 +133,9 @@
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(ReadError::Malformed),
                 Ok(None) if overhead > limits.max_head_bytes => return Err(ReadError::Malformed),
                 Ok(None) => {
-                    let filled = timeout(limits.head_timeout, self.fill()).await;
+                    let last_wait = Instant::now() + limits.head_timeout;
+                    let until = last_wait.min(started + limits.body_time(body.len()));
+                    let filled = timeout_at(until, self.fill()).await;
                     overhead += filled.map_err(|_| ReadError::TimedOut)??;
                 }
             }
@@ -206,7 +218,14 @@
         self.start(res, BodySize::Stream)
     }
 
+    /// Returns whether a response to the last request has begun. If so, no other
+    /// response may be sent.
+    pub const fn has_begun_response(&self) -> bool {
+        self.response_begun
+    }
+
     fn start(&mut self, res: Response<()>, size: BodySize) -> io::Result<()> {
+        self.response_begun = true;
         self.codec.encode(Message::Item((res, size)), &mut self.output)
     }
 
@@ -234,16 +253,26 @@
     /// been sent remain queued for the next flush.
     async fn flush(&mut self) -> io::Result<()> {
         while !self.output.is_empty() {
-            self.io.write_buf(&mut self.output).await?;
+            let written = timeout(WRITE_STALL_TIMEOUT, self.io.write_buf(&mut self.output)).await;
+            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         }
         Ok(())
     }
 
-    /// Shuts down the write side of the connection and drops it.
+    /// Shuts down the write side of the connection, and drops it once the client has
+    /// closed it too. If unread bytes were left, the system would reset the connection,
+    /// and the client might lose the last response.
     pub async fn close(mut self) {
+        /// Maximum time for which the client is waited for.
+        const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
         // Shutdown fails if the client has already closed the connection, which
         // has the same effect.
         let _ = self.io.shutdown().await;
+        let mut discarded = [0; 4096];
+        let closed = async {
+            while self.io.read(&mut discarded).await.is_ok_and(|received| received > 0) {}
+        };
+        let _ = timeout(LINGER_TIMEOUT, closed).await;
     }
 }
 
