Requests without capacity wait in an ordered queue of their pool

An entry without capacity polled every 15 ms for each request on its own, so that the request that polled at the right moment got the slot, whatever its priority and target. Buffered requests were refused although a server would accept requests again in time.

PoolQueue orders the requests of an entry for each pool, is woken where capacity grows, and refuses at once what cannot be served within its target latency. With an unknown wait, requests wait an eighth of the target as before; while nothing waits, a request looks for a route directly.

--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -1,10 +1,18 @@
-//! Admission control for one backend server: concurrency slots, a bounded
-//! queue and refusal.
+//! Admission control: concurrency slots, a bounded queue and refusal, for one
+//! backend server and for a pool that several entries use.
 
 mod decision;
+mod pool_capacity;
+mod pool_queue;
+mod pool_request;
 mod queue;
 mod service_time;
+mod share_standing;
 
 pub use decision::{AdmissionDecision, Refusal};
+pub use pool_capacity::{PoolLoad, ReturningSlots};
+pub use pool_queue::{MAX_WAITING, PoolDecision, PoolQueue, QueueTicket, RefusalReason};
+pub use pool_request::PoolRequest;
 pub use queue::{AdmissionLimits, AdmissionQueue, Urgency};
 pub use service_time::ServiceTime;
+pub use share_standing::{NoShares, ShareStanding};
--- /dev/null
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -0,0 +1,267 @@
+//! The queue of requests that wait for capacity of a pool.
+
+use clementine_objects::Millis;
+
+use super::pool_capacity::PoolCapacity;
+use super::pool_request::QueueOrder;
+use super::{PoolLoad, PoolRequest};
+use crate::ids::Tick;
+use crate::overload::max_capacity_wait;
+
+/// Maximum number of requests that wait for a pool at one entry.
+pub const MAX_WAITING: usize = 256;
+/// Number of consecutive waiting requests that may fail to use a freed slot before
+/// the search is given up. A large request at the head must not keep the slot from
+/// smaller ones, and each try costs a path search.
+const MAX_FAILED_TRIES: u32 = 8;
+
+/// Identifies a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueTicket(u64);
+
+/// Why a request is refused before it waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Capacity is not expected in time for the request.
+    TooLate,
+    /// The queue is full of requests that go before this one.
+    QueueFull,
+}
+
+/// Decision on a request that finds no capacity.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PoolDecision<T> {
+    /// The request waits.
+    Queued {
+        /// Its place in the queue.
+        ticket: QueueTicket,
+        /// When it is refused at the latest.
+        until: Tick,
+        /// A request that has to leave the full queue for it, and is refused.
+        displaced: Option<T>,
+    },
+    /// The request is refused at once.
+    Refused(RefusalReason),
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    ticket: u64,
+    request: PoolRequest,
+    latest_start: Tick,
+    /// Number of the last change of the capacity with which it was tried.
+    tried: u64,
+    item: T,
+}
+
+impl<T> Waiting<T> {
+    fn order(&self, now: Tick) -> QueueOrder {
+        self.request.order(self.latest_start, self.ticket, now)
+    }
+}
+
+/// Queue of the requests of one entry that wait for capacity of a pool.
+///
+/// Handles bursts that exceed the capacity for less than the target latency, and
+/// overload in which most requests have to be refused. Whether a request fits can
+/// only be found out by trying: `next_ready` names one request at a time, and
+/// `record_try` says what came of it. A freed slot is thus offered to the waiting
+/// requests in order, and each of them tries at most once per change of the
+/// capacity.
+///
+/// Invariants: at most [`MAX_WAITING`] requests wait (about 100 bytes each); at most
+/// one try is in progress.
+#[derive(Debug)]
+pub struct PoolQueue<T> {
+    waiting: Vec<Waiting<T>>,
+    next_ticket: u64,
+    /// Number of times that the capacity has grown.
+    changes: u64,
+    /// Tries that may still fail before the search for a request that can use the
+    /// capacity is given up.
+    tries_left: u32,
+    /// The request that is trying.
+    trying: Option<QueueTicket>,
+    capacity: PoolCapacity,
+}
+
+impl<T> Default for PoolQueue<T> {
+    fn default() -> Self {
+        Self {
+            waiting: Vec::new(),
+            next_ticket: 0,
+            changes: 1,
+            tries_left: 0,
+            trying: None,
+            capacity: PoolCapacity::default(),
+        }
+    }
+}
+
+impl<T> PoolQueue<T> {
+    /// Whether no request waits.
+    pub const fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Number of waiting requests.
+    pub const fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of runs of this entry in the pool.
+    pub const fn running(&self) -> u32 {
+        self.capacity.running()
+    }
+
+    /// Mean service time of the runs, `None` before the first one has ended.
+    pub fn service_time(&self) -> Option<Millis> {
+        self.capacity.service_time()
+    }
+
+    /// Records that a run begins on a number of servers.
+    pub fn record_start(&mut self, servers: usize) {
+        self.capacity.record_start(servers);
+    }
+
+    /// Records that a run has ended, with its duration if the request was served.
+    /// The slot is offered to waiting requests only with [`Self::record_freed`].
+    pub fn record_end(&mut self, duration: Option<Millis>, now: Tick) {
+        self.capacity.record_end(duration, now);
+    }
+
+    /// Records the time from the start of an attempt to its first event or response.
+    pub fn record_first_response(&mut self, duration: Millis) {
+        self.capacity.record_first_response(duration);
+    }
+
+    /// Records that the capacity has grown.
+    pub const fn record_freed(&mut self) {
+        self.changes += 1;
+        self.tries_left = MAX_FAILED_TRIES;
+    }
+
+    /// Whether a new request may try to use the capacity before it is queued: all
+    /// requests that go before it have tried in vain.
+    pub fn may_try(&self, request: &PoolRequest, now: Tick) -> bool {
+        let order = self.order_of_new(request, now);
+        let untried = self.waiting.iter().filter(|waiting| waiting.tried < self.changes);
+        untried.map(|waiting| waiting.order(now)).all(|waiting| order < waiting)
+    }
+
+    /// Decides on a request that finds no capacity, or may not try yet.
+    pub fn offer(
+        &mut self,
+        request: PoolRequest,
+        item: T,
+        load: &PoolLoad,
+        now: Tick,
+    ) -> PoolDecision<T> {
+        let Some(until) = self.wait_until(&request, load, now) else {
+            return PoolDecision::Refused(RefusalReason::TooLate);
+        };
+        let displaced = match self.make_room(&request, now) {
+            Ok(displaced) => displaced,
+            Err(reason) => return PoolDecision::Refused(reason),
+        };
+        let tried = if self.may_try(&request, now) { self.changes } else { 0 };
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let latest_start = request.latest_start(self.capacity.first_response());
+        self.waiting.push(Waiting { ticket, request, latest_start, tried, item });
+        if tried == 0 {
+            self.tries_left = self.tries_left.max(1);
+        }
+        PoolDecision::Queued { ticket: QueueTicket(ticket), until, displaced }
+    }
+
+    /// The next request that should try to use the capacity, if the capacity has
+    /// grown since it tried and no other one is trying.
+    pub fn next_ready(&mut self, now: Tick) -> Option<&T> {
+        if self.trying.is_some() || self.tries_left == 0 {
+            return None;
+        }
+        let untried = self.waiting.iter().filter(|waiting| waiting.tried < self.changes);
+        let next = untried.min_by_key(|waiting| waiting.order(now))?;
+        self.trying = Some(QueueTicket(next.ticket));
+        Some(&next.item)
+    }
+
+    /// Records whether a waiting request has found capacity. One that has leaves
+    /// the queue.
+    pub fn record_try(&mut self, ticket: QueueTicket, found: bool) {
+        if found {
+            self.leave(ticket);
+            self.tries_left = MAX_FAILED_TRIES;
+            return;
+        }
+        self.end_try(ticket);
+        self.tries_left = self.tries_left.saturating_sub(1);
+        if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.ticket == ticket.0) {
+            waiting.tried = self.changes;
+        }
+    }
+
+    /// Removes a request from the queue. Returns `None` if it does not wait any more.
+    pub fn leave(&mut self, ticket: QueueTicket) -> Option<T> {
+        self.end_try(ticket);
+        let at = self.waiting.iter().position(|waiting| waiting.ticket == ticket.0)?;
+        Some(self.waiting.swap_remove(at).item)
+    }
+
+    /// Whether a request still waits.
+    pub fn is_waiting(&self, ticket: QueueTicket) -> bool {
+        self.waiting.iter().any(|waiting| waiting.ticket == ticket.0)
+    }
+
+    /// Expected time until a new request finds capacity; `None` if nothing is
+    /// known. Each entry is assumed to have as many requests waiting as go before
+    /// this one here.
+    pub fn expected_wait(
+        &self,
+        request: &PoolRequest,
+        load: &PoolLoad,
+        now: Tick,
+    ) -> Option<Millis> {
+        let order = self.order_of_new(request, now);
+        let ahead = self.waiting.iter().filter(|waiting| waiting.order(now) < order).count();
+        let slots = ahead as f64 * f64::from(load.entries.max(1)) + 1.0;
+        self.capacity.time_until(slots, load, now)
+    }
+
+    /// How long a request may wait, or `None` if it cannot be served in time.
+    fn wait_until(&self, request: &PoolRequest, load: &PoolLoad, now: Tick) -> Option<Tick> {
+        if request.begun {
+            return Some(request.deadline);
+        }
+        let usual = request.arrived.after(max_capacity_wait(request.target)).min(request.deadline);
+        let latest_start = request.latest_start(self.capacity.first_response());
+        match self.expected_wait(request, load, now) {
+            None => Some(usual),
+            Some(wait) if now.after(wait) <= latest_start => Some(latest_start.max(usual)),
+            Some(_) if self.is_empty() && load.is_half_free() => Some(usual),
+            Some(_) => None,
+        }
+    }
+
+    /// Makes room for a request in a full queue by removing the last one.
+    fn make_room(&mut self, request: &PoolRequest, now: Tick) -> Result<Option<T>, RefusalReason> {
+        if self.waiting.len() < MAX_WAITING {
+            return Ok(None);
+        }
+        let order = self.order_of_new(request, now);
+        let last = self.waiting.iter().max_by_key(|waiting| waiting.order(now));
+        let last = last.filter(|last| order < last.order(now)).map(|last| last.ticket);
+        let last = last.ok_or(RefusalReason::QueueFull)?;
+        Ok(self.leave(QueueTicket(last)))
+    }
+
+    fn order_of_new(&self, request: &PoolRequest, now: Tick) -> QueueOrder {
+        let latest_start = request.latest_start(self.capacity.first_response());
+        request.order(latest_start, self.next_ticket, now)
+    }
+
+    fn end_try(&mut self, ticket: QueueTicket) {
+        self.trying.take_if(|trying| *trying == ticket);
+    }
+}
--- a/crates/decide/src/admission/service_time.rs
+++ b/crates/decide/src/admission/service_time.rs
@@ -19,6 +19,11 @@
         self.mean_ms = Some(mean + SMOOTHING_FACTOR * (duration - mean));
     }
 
+    /// Whether any service time has been observed.
+    pub const fn is_known(&self) -> bool {
+        self.mean_ms.is_some()
+    }
+
     /// The average, zero before the first observation.
     pub fn mean(&self) -> Millis {
         Millis(self.mean_ms.unwrap_or(0.0).round() as u64)
--- a/crates/decide/src/circuit/token_bucket.rs
+++ b/crates/decide/src/circuit/token_bucket.rs
@@ -1,5 +1,7 @@
 //! Rate limit of calls.
 
+use clementine_objects::Millis;
+
 use crate::ids::Tick;
 
 /// A token bucket; each call takes one token.
@@ -33,6 +35,16 @@
         self.tokens_at(now) >= 1.0
     }
 
+    /// Time until there is a token, or `None` if there will be none at this rate.
+    pub fn time_to_token(&self, now: Tick) -> Option<Millis> {
+        let missing = 1.0 - self.tokens_at(now);
+        if missing <= 0.0 {
+            return Some(Millis(0));
+        }
+        let possible = self.per_second > 0.0 && self.burst >= 1.0;
+        possible.then(|| Millis((missing * 1_000.0 / self.per_second).ceil() as u64))
+    }
+
     /// Takes a token, also if there is none. Later calls make up for it.
     pub fn take(&mut self, now: Tick) {
         self.refill(now);
--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -102,6 +102,13 @@
         self.can_host_layers() && now >= self.backoff_until && !self.signals.is_paused(now)
     }
 
+    /// Time until new requests may be sent to a server that is up; zero if they may
+    /// now, `None` if that is not known.
+    pub fn accepts_in(&self, now: Tick) -> Option<Millis> {
+        let accepts = self.signals.accepts_in(now).filter(|_| self.can_host_layers())?;
+        Some(accepts.max(self.backoff_until.since(now)))
+    }
+
     /// Whether the layer placement may include the server. Unlike
     /// [`Self::is_usable`], this ignores the backoff after failures.
     pub fn can_host_layers(&self) -> bool {
@@ -160,10 +167,13 @@
     }
 
     /// Records that data was received from the server, which resets the backoff.
-    pub fn record_activity(&mut self, now: Tick) {
+    /// Returns whether that ended a backoff.
+    pub fn record_activity(&mut self, now: Tick) -> bool {
+        let backed_off = now < self.backoff_until;
         self.last_seen = now;
         self.failures = 0;
         self.backoff_until = Tick(0);
+        backed_off
     }
 
     /// Records a failure and starts the backoff.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod incarnation;
 mod member;
 mod members;
+mod pool_load;
 mod probe;
 
 pub use backend::{Backend, BackendState};
--- a/crates/decide/src/overload/mod.rs
+++ b/crates/decide/src/overload/mod.rs
@@ -3,4 +3,4 @@
 
 mod refusal_rate;
 
-pub use refusal_rate::{CAPACITY_POLL_INTERVAL, RefusalRate, max_capacity_wait};
+pub use refusal_rate::{RefusalRate, max_capacity_wait};
--- a/crates/decide/src/overload/refusal_rate.rs
+++ b/crates/decide/src/overload/refusal_rate.rs
@@ -10,8 +10,6 @@
 /// After a longer wait, a refused caller has no time left to be served on time
 /// elsewhere.
 const TARGET_TO_WAIT_DIVISOR: u64 = 8;
-/// Interval at which a waiting request checks for capacity.
-pub const CAPACITY_POLL_INTERVAL: Millis = Millis(15);
 /// Time constant of the exponential decay of the counts.
 const DECAY_TIME: Millis = Millis(2_000);
 /// Retry delay in ms when almost no request is refused: capacity becomes free
@@ -24,7 +22,8 @@
 /// simultaneously.
 const JITTER: f64 = 0.35;
 
-/// Maximum time for which a request waits for capacity.
+/// Maximum time for which a request waits for capacity if it is not known when there
+/// will be some.
 pub const fn max_capacity_wait(target: Millis) -> Millis {
     Millis(target.0 / TARGET_TO_WAIT_DIVISOR)
 }
--- a/crates/decide/src/signals/server.rs
+++ b/crates/decide/src/signals/server.rs
@@ -149,6 +149,14 @@
         limited.is_none_or(|limit| limit.allowance.has_token(now))
     }
 
+    /// Time until the server accepts a request of this entry by what it says; zero
+    /// if it does now, `None` if that is not known.
+    pub fn accepts_in(&self, now: Tick) -> Option<Millis> {
+        let limited = self.limit.as_ref().filter(|limit| limit.rate.is_some());
+        let token = limited.map_or(Some(Millis(0)), |limit| limit.allowance.time_to_token(now))?;
+        Some(token.max(self.pause_left(now)))
+    }
+
     /// Records that this entry sends a request to the server.
     pub fn record_send(&mut self, now: Tick) {
         if let Some(limit) = self.limit.as_mut().filter(|limit| limit.rate.is_some()) {
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -20,7 +20,9 @@
 use crate::crashes::{
     Run, is_quarantined, late_quarantine_error, record_completion, record_response_begun,
 };
-use crate::shared::{RequestContext, Reservation, RetryPriority, SharedState};
+use crate::shared::{
+    PoolRun, RequestContext, Reservation, RetryPriority, SharedState, wait_for_capacity,
+};
 
 /// `Retry-After` of the error if no backend server accepted the request.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -151,8 +153,10 @@
 
 impl RequestAttempts<'_> {
     async fn run(&mut self) -> FinalResponse {
+        let mut chosen =
+            wait_for_capacity(self.shared, self.ctx, None, || self.choose_backend()).await.ok();
         loop {
-            let Some((id, address, latency_ms)) = self.choose_backend() else {
+            let Some((id, address, latency_ms)) = chosen.take() else {
                 return self.final_failure();
             };
             if let Some(response) = self.attempt(&id, address, latency_ms).await {
@@ -162,6 +166,7 @@
             if self.ctx.time_left().is_zero() || !self.try_retry() {
                 return self.final_failure();
             }
+            chosen = self.choose_backend();
         }
     }
 
@@ -185,6 +190,7 @@
         let started = Instant::now();
         self.shared.record_send(id);
         let _reservation = Reservation::new(self.shared, vec![id.clone()], 0.0);
+        let mut pool_run = PoolRun::start(self.shared, &self.ctx.pool, 1);
         let deadline = self.attempt_deadline(latency_ms);
         self.running = Run::start(self.shared, self.ctx, id);
         let request_id = &self.ctx.req.id;
@@ -193,6 +199,7 @@
         match outcome {
             AttemptOutcome::Response(buffered) => {
                 self.executed += 1;
+                pool_run.set_served();
                 self.record_response(id, started);
                 let failed = buffered.response.head.status.is_server_error();
                 if !failed {
@@ -244,9 +251,11 @@
     }
 
     fn record_response(&self, id: &BackendId, started: Instant) {
+        let elapsed = started.elapsed();
         if let Some(member) = self.shared.fleet.borrow_mut().get_mut(id) {
-            member.record_response(Millis::from(started.elapsed()), self.shared.now());
+            member.record_response(Millis::from(elapsed), self.shared.now());
         }
+        self.shared.record_first_response(&self.ctx.pool, elapsed);
     }
 
     /// Deadline of the next attempt. An idempotent request that can still be sent
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -164,8 +164,8 @@
 }
 
 pub(super) fn record_report(shared: &SharedState, id: &BackendId, report: &EngineReport) {
+    shared.record_layers(id, report.layers, report.orders_started);
     if let Some(member) = shared.fleet.borrow_mut().get_mut(id) {
-        member.apply_report(report.layers, report.orders_started);
         member.record_slowdown(report.slowdown_factor, shared.now());
     }
 }
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -43,8 +43,11 @@
         let is_server = |response: &HealthResponse| response.server.as_ref() == Some(&id);
         if response.as_ref().is_some_and(is_server) {
             let mut fleet = shared.fleet.borrow_mut();
-            if fleet.get_mut(&id).is_some_and(Member::confirm_identity) {
+            let confirmed = fleet.get_mut(&id).is_some_and(Member::confirm_identity);
+            drop(fleet);
+            if confirmed {
                 info!("fleet: backend={} up, it responds under its id", id);
+                shared.places_freed();
             }
             return;
         }
--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -117,6 +117,7 @@
         drop(fleet);
         if update != ListUpdate::Unchanged {
             log_update(&backend, update, row.version);
+            self.shared.place_freed(&backend.pool);
         }
         match source {
             RowSource::List => self.confirm(&id),
@@ -136,6 +137,7 @@
     fn confirm(&self, id: &BackendId) {
         if self.shared.fleet.borrow_mut().get_mut(id).is_some_and(Member::confirm_identity) {
             info!("fleet: backend={} up, it has written its row again", id);
+            self.shared.places_freed();
         }
     }
 
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -219,8 +219,6 @@
     }
 
     fn record(&self, report: &EngineReport) {
-        if let Some(member) = self.shared.fleet.borrow_mut().get_mut(&self.assignment.id) {
-            member.apply_report(report.layers, report.orders_started);
-        }
+        self.shared.record_layers(&self.assignment.id, report.layers, report.orders_started);
     }
 }
--- /dev/null
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -0,0 +1,204 @@
+//! The wait of a request for capacity of its pool.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use clementine_decide::admission::{
+    PoolDecision, PoolQueue, PoolRequest, QueueTicket, RefusalReason,
+};
+use clementine_decide::ids::Tick;
+use clementine_objects::Millis;
+use spdlog::info;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+use super::{RequestContext, SharedState};
+
+/// A request has been refused for lack of capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NoCapacity;
+
+/// Finds a route or a server for a request with `find`, and waits for capacity in
+/// the queue of the request's pool if there is none. Dropping the future leaves the
+/// queue.
+///
+/// # Errors
+///
+/// Returns an error if the request is refused.
+pub(crate) async fn wait_for_capacity<R>(
+    shared: &Rc<SharedState>,
+    ctx: &RequestContext,
+    resume_until: Option<Instant>,
+    find: impl Fn() -> Option<R>,
+) -> Result<R, NoCapacity> {
+    let has_waiting = shared.queues.has_waiting(&ctx.pool);
+    if !has_waiting && let Some(found) = find() {
+        return Ok(found);
+    }
+    let request = pool_request(shared, ctx, resume_until);
+    let may_try =
+        has_waiting && shared.queues.with(&ctx.pool, |queue| queue.may_try(&request, shared.now()));
+    if may_try && let Some(found) = find() {
+        return Ok(found);
+    }
+    let mut place = Place::join(shared, ctx, request)?;
+    loop {
+        let is_last = place.wait().await;
+        if !place.is_waiting() {
+            place.finish("displaced");
+            return Err(NoCapacity);
+        }
+        let found = find();
+        place.record_try(found.is_some());
+        match found {
+            Some(found) => {
+                place.finish("served");
+                return Ok(found);
+            }
+            None if is_last => {
+                place.finish("waited-in-vain");
+                return Err(NoCapacity);
+            }
+            None => {}
+        }
+    }
+}
+
+/// The request as the queue sees it. `resume_until` is given for a stream of which
+/// the caller has received events.
+fn pool_request(
+    shared: &SharedState,
+    ctx: &RequestContext,
+    resume_until: Option<Instant>,
+) -> PoolRequest {
+    let now = shared.now();
+    let time_of = |at: Instant| now.after(at.saturating_duration_since(Instant::now()).into());
+    let deadline = resume_until.map_or(ctx.deadline, |until| until.min(ctx.deadline));
+    let workspace = ctx.workspace.as_ref().map(|workspace| &workspace.id);
+    PoolRequest {
+        begun: resume_until.is_some(),
+        level: ctx.priority(),
+        over_share: shared.queues.shares.is_over_share(workspace, now),
+        arrived: Tick(now.0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0)),
+        target: ctx.rule.target_latency,
+        deadline: time_of(deadline),
+    }
+}
+
+/// A request's place in the queue. Dropping it leaves the queue.
+struct Place<'a> {
+    shared: &'a Rc<SharedState>,
+    ctx: &'a RequestContext,
+    ticket: QueueTicket,
+    turn: Rc<Notify>,
+    joined: Instant,
+    wait: Duration,
+    expected: Option<Millis>,
+    finished: bool,
+}
+
+impl<'a> Place<'a> {
+    fn join(
+        shared: &'a Rc<SharedState>,
+        ctx: &'a RequestContext,
+        request: PoolRequest,
+    ) -> Result<Self, NoCapacity> {
+        let now = shared.now();
+        let load = shared.pool_load(&ctx.pool);
+        let turn = Rc::new(Notify::new());
+        let (expected, decision) = shared.queues.with(&ctx.pool, |queue| {
+            let expected = queue.expected_wait(&request, &load, now);
+            (expected, queue.offer(request, Rc::clone(&turn), &load, now))
+        });
+        let (ticket, until, displaced) = match decision {
+            PoolDecision::Queued { ticket, until, displaced } => (ticket, until, displaced),
+            PoolDecision::Refused(reason) => {
+                log_decision(shared, ctx, refusal_name(reason), Duration::ZERO, expected);
+                return Err(NoCapacity);
+            }
+        };
+        let wait = until.since(now);
+        let joined = Instant::now();
+        let wait_time = wait.duration();
+        let mut place =
+            Self { shared, ctx, ticket, turn, joined, wait: wait_time, expected, finished: false };
+        if let Some(displaced) = displaced {
+            displaced.notify_one();
+        }
+        // Waiting is pointless if all servers have asked to be left alone for longer.
+        let pause = shared.fleet.borrow().pool_pause(&ctx.pool, now);
+        if pause.is_some_and(|pause| pause > wait) {
+            place.finish("pool-paused");
+            return Err(NoCapacity);
+        }
+        shared.arm_pool_timer(&ctx.pool, &load);
+        shared.queues.wake_next(&ctx.pool, now);
+        Ok(place)
+    }
+
+    /// Waits for the request's turn or the end of its wait. Returns whether its wait
+    /// has ended.
+    async fn wait(&self) -> bool {
+        let left = self.wait.saturating_sub(self.joined.elapsed());
+        tokio::select! {
+            () = self.turn.notified() => false,
+            () = sleep(left) => true,
+        }
+    }
+
+    fn with_queue<R>(&self, act: impl FnOnce(&mut PoolQueue<Rc<Notify>>) -> R) -> R {
+        self.shared.queues.with(&self.ctx.pool, act)
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.with_queue(|queue| queue.is_waiting(self.ticket))
+    }
+
+    fn record_try(&self, found: bool) {
+        self.with_queue(|queue| queue.record_try(self.ticket, found));
+        self.shared.queues.wake_next(&self.ctx.pool, self.shared.now());
+    }
+
+    fn finish(&mut self, decision: &'static str) {
+        self.finished = true;
+        let waited = self.joined.elapsed();
+        self.shared.metrics.record_capacity_wait(waited);
+        log_decision(self.shared, self.ctx, decision, waited, self.expected);
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.with_queue(|queue| queue.leave(self.ticket));
+        self.shared.queues.wake_next(&self.ctx.pool, self.shared.now());
+        if !self.finished {
+            self.finish("caller-left");
+        }
+    }
+}
+
+const fn refusal_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::TooLate => "too-late",
+        RefusalReason::QueueFull => "queue-full",
+    }
+}
+
+fn log_decision(
+    shared: &SharedState,
+    ctx: &RequestContext,
+    decision: &'static str,
+    waited: Duration,
+    expected: Option<Millis>,
+) {
+    shared.metrics.count_admission(decision);
+    info!(
+        "admission: id={} pool={} decision={} waited_ms={} expected_ms={} waiting={}",
+        ctx.req.id,
+        ctx.pool,
+        decision,
+        waited.as_millis(),
+        expected.map_or_else(|| "unknown".into(), |expected| expected.0.to_string()),
+        shared.queues.with(&ctx.pool, |queue| queue.len())
+    );
+}
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -15,6 +15,8 @@
     first_event: Histogram<f64>,
     longest_pause: Histogram<f64>,
     buffered_response: Histogram<f64>,
+    admissions: Counter<u64>,
+    capacity_wait: Histogram<f64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
@@ -46,6 +48,11 @@
                 "direct_whole_answer",
                 "Time to an answer that is read whole",
             ),
+            admissions: counter(
+                "direct_admissions",
+                "Requests that found no capacity when they arrived, by decision",
+            ),
+            capacity_wait: seconds("direct_capacity_wait", "Time in the queue for capacity"),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
@@ -99,6 +106,16 @@
         self.buffered_response.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Counts a decision on a request that found no capacity when it arrived.
+    pub(crate) fn count_admission(&self, decision: &'static str) {
+        self.admissions.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
+    /// Records the time that a request waited for capacity.
+    pub(crate) fn record_capacity_wait(&self, waited: Duration) {
+        self.capacity_wait.record(waited.as_secs_f64(), &[]);
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -1,8 +1,11 @@
 //! State shared by all tasks of the process.
 
+mod capacity_wait;
 mod dump;
 mod metrics;
 mod outbox;
+mod pool_queues;
+mod pool_run;
 mod queue;
 mod request_context;
 mod reservation;
@@ -12,8 +15,10 @@
 mod store;
 mod table_sync;
 
+pub(crate) use capacity_wait::wait_for_capacity;
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::{Outbox, UrgentMessage};
+pub(crate) use pool_run::PoolRun;
 pub(crate) use queue::BoundedQueue;
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
--- a/crates/direct/src/shared/reservation.rs
+++ b/crates/direct/src/shared/reservation.rs
@@ -2,31 +2,36 @@
 
 use std::rc::Rc;
 
-use clementine_decide::ids::BackendId;
+use clementine_decide::ids::{BackendId, PoolId};
 
 use super::SharedState;
 
 /// A request's load on the backend servers that handle it. Dropping the
-/// reservation releases the load.
+/// reservation releases the load, and offers it to the requests that wait for the
+/// pool.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     shared: Rc<SharedState>,
     backends: Vec<BackendId>,
     tokens: f64,
+    /// Pool of the servers; `None` if they are not listed any more.
+    pool: Option<PoolId>,
 }
 
 impl Reservation {
     /// Adds one request with its context tokens to the load of each backend server.
     pub(crate) fn new(shared: &Rc<SharedState>, backends: Vec<BackendId>, tokens: f64) -> Self {
         let mut fleet = shared.fleet.borrow_mut();
+        let mut pool = None;
         for id in &backends {
             if let Some(member) = fleet.get_mut(id) {
                 member.in_flight += 1;
                 member.used_tokens += tokens;
+                pool.get_or_insert_with(|| member.backend.pool.clone());
             }
         }
         drop(fleet);
-        Self { shared: Rc::clone(shared), backends, tokens }
+        Self { shared: Rc::clone(shared), backends, tokens, pool }
     }
 }
 
@@ -41,5 +46,9 @@
                 member.used_tokens = (member.used_tokens - self.tokens).max(0.0);
             }
         }
+        drop(fleet);
+        if let Some(pool) = &self.pool {
+            self.shared.place_freed(pool);
+        }
     }
 }
--- a/crates/direct/src/shared/signals.rs
+++ b/crates/direct/src/shared/signals.rs
@@ -36,6 +36,7 @@
         }
         if self.fleet.borrow_mut().apply_signals(id, signals, source, self.now()) {
             self.update_limit_shares();
+            self.places_freed();
             if let Some(member) = self.fleet.borrow().get(id) {
                 log_signals(member, self.now(), "response");
             }
@@ -61,6 +62,7 @@
         }
         if changed {
             self.update_limit_shares();
+            self.places_freed();
         }
     }
 
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -16,6 +16,7 @@
 use clementine_decide::quarantine::CrashLog;
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
+use clementine_objects::LayerRange;
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
 use clementine_process::clock::Clock;
@@ -26,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::pool_queues::PoolQueues;
 use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
@@ -71,6 +73,8 @@
     pub(crate) rng: RefCell<SmallRng>,
     /// Share of recent requests that were refused for lack of capacity.
     pub(crate) refusal_rate: RefCell<RefusalRate>,
+    /// Requests that wait for capacity.
+    pub(super) queues: PoolQueues,
     pub(crate) retry_budgets: RefCell<RetryBudgets>,
     /// When the last "no path" line was logged, and how many have been suppressed
     /// since.
@@ -118,6 +122,7 @@
             drain: Drain::default(),
             rng: RefCell::new(rng),
             refusal_rate: RefCell::default(),
+            queues: PoolQueues::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
             no_path_logged_at: Cell::default(),
             no_path_lines_suppressed: Cell::default(),
@@ -193,8 +198,10 @@
         }
         let (version, routes) = (table.version, table.route_count());
         info!("config: version {} in force, {} routes, was {:?}", version, routes, previous);
+        self.queues.retain_pools(|pool| table.pools.contains_key(pool));
         self.routing_table.replace(Some(Rc::new(table)));
         self.config_document.replace(Some(document));
+        self.places_freed();
     }
 
     /// The document of the current configuration.
@@ -242,6 +249,23 @@
         self.retry_budgets.borrow_mut().apply_bounds(bounds);
     }
 
+    /// Applies an engine's report of its layers and of the orders that it has started.
+    pub(crate) fn record_layers(
+        &self,
+        id: &BackendId,
+        layers: Option<LayerRange>,
+        orders_started: u64,
+    ) {
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(member) = fleet.get_mut(id) else { return };
+        let changed = member.backend.layers != layers;
+        member.apply_report(layers, orders_started);
+        drop(fleet);
+        if changed {
+            self.places_freed();
+        }
+    }
+
     /// Marks a backend server as down. Returns whether it was up before.
     pub(crate) fn set_down(&self, id: &BackendId, reason: &'static str) -> bool {
         let mut fleet = self.fleet.borrow_mut();
@@ -257,13 +281,25 @@
 
     /// Marks a backend server as up again. Returns whether it was down before.
     pub(crate) fn set_up(&self, id: &BackendId) -> bool {
-        self.fleet.borrow_mut().get_mut(id).is_some_and(|member| member.set_down(false))
+        let mut fleet = self.fleet.borrow_mut();
+        let changed = fleet.get_mut(id).is_some_and(|member| member.set_down(false));
+        drop(fleet);
+        if changed {
+            self.places_freed();
+        }
+        changed
     }
 
     /// Sets whether a backend server is draining and gets no new runs. Returns
     /// whether the value changed.
     pub(crate) fn set_leaving(&self, id: &BackendId, leaving: bool) -> bool {
-        self.fleet.borrow_mut().get_mut(id).is_some_and(|member| member.set_leaving(leaving))
+        let mut fleet = self.fleet.borrow_mut();
+        let changed = fleet.get_mut(id).is_some_and(|member| member.set_leaving(leaving));
+        drop(fleet);
+        if changed && !leaving {
+            self.places_freed();
+        }
+        changed
     }
 
     /// Applies the number of entries and the load that the other entries reported.
@@ -275,6 +311,7 @@
         self.links.borrow_mut().set_remote(totals.links);
         drop(peers);
         self.update_limit_shares();
+        self.places_freed();
     }
 
     /// Records that a backend server failed a request, which starts its backoff.
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -122,6 +122,8 @@
                 }
                 if !self.progress.attempt_has_events() {
                     record_response_begun(self.shared, self.ctx);
+                    let since_start = self.progress.last_activity().elapsed();
+                    self.shared.record_first_response(&self.ctx.pool, since_start);
                 }
                 self.progress.record_event(&event);
                 self.record_backend_activity();
@@ -141,11 +143,16 @@
     /// Records an event as proof that all backend servers of the route are alive.
     fn record_backend_activity(&self) {
         let now = self.shared.now();
+        let mut ended_backoff = false;
         let mut fleet = self.shared.fleet.borrow_mut();
         for id in self.route.borrow().backends() {
             if let Some(member) = fleet.get_mut(id) {
-                member.record_activity(now);
+                ended_backoff |= member.record_activity(now);
             }
         }
+        drop(fleet);
+        if ended_backoff {
+            self.shared.place_freed(&self.ctx.pool);
+        }
     }
 }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -7,7 +7,6 @@
 
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::overload::{CAPACITY_POLL_INTERVAL, max_capacity_wait};
 use clementine_decide::retry::StreamAttempts;
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
@@ -22,13 +21,13 @@
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
 use crate::crashes::{Run, is_quarantined, late_quarantine_error};
-use crate::shared::{RequestContext, RetryPriority, SharedState};
+use crate::shared::{PoolRun, RequestContext, RetryPriority, SharedState, wait_for_capacity};
 
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
 const MAX_RESUMABLE_SILENCE: Duration = Duration::from_secs(2);
-/// Interval between tries to recover a stream for which there is no other route
-/// or no retry budget.
+/// Interval between tries to recover a stream that has no retry budget, or an attempt
+/// that has a problem and no other route.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Outcome of a stream for the caller.
@@ -99,13 +98,17 @@
     ///
     /// Returns an error if writing to the caller's connection fails.
     pub(super) async fn run(&mut self, conn: &mut ServerConn) -> io::Result<StreamOutcome> {
-        let mut chosen = self.first_route(conn).await;
+        let mut chosen = match self.first_route(conn).await {
+            Ok(route) => Some(route),
+            Err(outcome) => return Ok(outcome),
+        };
         loop {
-            let Some(route) = chosen.take().or_else(|| self.choose_route()) else {
-                match self.wait_before_resume(conn, "no-path").await {
-                    Some(outcome) => return Ok(outcome),
-                    None => continue,
-                }
+            let route = match chosen.take() {
+                Some(route) => route,
+                None => match self.next_route(conn).await {
+                    Ok(route) => route,
+                    Err(outcome) => return Ok(outcome),
+                },
             };
             let (reason, next) = match self.attempt(conn, route).await? {
                 NextStep::Finish(outcome) => return Ok(outcome),
@@ -120,26 +123,36 @@
         }
     }
 
-    /// Chooses the route of the first attempt. Waits for capacity for a limited
-    /// time if there is none.
-    async fn first_route(&self, conn: &mut ServerConn) -> Option<StreamRoute> {
-        let latest = self.ctx.arrived + max_capacity_wait(self.ctx.rule.target_latency).duration();
-        let mut route = self.choose_route();
-        while route.is_none() && Instant::now() < latest && !self.is_pool_paused(latest) {
-            tokio::select! {
-                () = conn.wait_closed() => break,
-                () = sleep(CAPACITY_POLL_INTERVAL.duration()) => route = self.choose_route(),
-            }
-        }
-        self.shared.refusal_rate.borrow_mut().record(route.is_some(), self.shared.now());
-        route
+    /// Chooses the route of the first attempt. Waits for capacity if there is none.
+    /// Returns the outcome if the request is refused.
+    async fn first_route(&mut self, conn: &mut ServerConn) -> Result<StreamRoute, StreamOutcome> {
+        let found = tokio::select! {
+            biased;
+            found = wait_for_capacity(self.shared, self.ctx, None, || self.choose_route()) => found,
+            () = conn.wait_closed() => return Err(StreamOutcome::CallerLeft),
+        };
+        self.shared.refusal_rate.borrow_mut().record(found.is_ok(), self.shared.now());
+        found.map_err(|_| self.give_up("no-path"))
     }
 
-    /// Whether all backend servers have asked to be left alone until after `latest`,
-    /// so that waiting is pointless.
-    fn is_pool_paused(&self, latest: Instant) -> bool {
-        let pause = self.shared.fleet.borrow().pool_pause(&self.ctx.pool, self.shared.now());
-        pause.is_some_and(|pause| Instant::now() + pause.duration() > latest)
+    /// Chooses the route of another attempt. A stream that the caller is already
+    /// receiving waits for capacity if there is none. Returns the outcome if waiting
+    /// is pointless.
+    async fn next_route(&mut self, conn: &mut ServerConn) -> Result<StreamRoute, StreamOutcome> {
+        if let Some(route) = self.choose_route() {
+            return Ok(route);
+        }
+        if !self.can_wait_to_resume() {
+            return Err(self.give_up("no-path"));
+        }
+        let until = self.progress.last_activity() + MAX_RESUMABLE_SILENCE;
+        let find = || if self.is_quarantined() { None } else { self.choose_route() };
+        let found = tokio::select! {
+            biased;
+            found = wait_for_capacity(self.shared, self.ctx, Some(until), find) => found,
+            () = conn.wait_closed() => return Err(StreamOutcome::CallerLeft),
+        };
+        found.map_err(|_| self.give_up("no-path"))
     }
 
     /// Retry delay to send with an error response for lack of capacity.
@@ -157,12 +170,7 @@
         conn: &mut ServerConn,
         reason: &'static str,
     ) -> Option<StreamOutcome> {
-        let silence = self.progress.last_activity().elapsed();
-        let can_resume = self.progress.headers_sent()
-            && silence < MAX_RESUMABLE_SILENCE
-            && self.is_resumable()
-            && !self.is_quarantined();
-        if !can_resume || self.ctx.time_left().is_zero() {
+        if !self.can_wait_to_resume() {
             return Some(self.give_up(reason));
         }
         tokio::select! {
@@ -171,6 +179,16 @@
         }
     }
 
+    /// Whether the caller is already receiving the stream and waits for its next
+    /// event.
+    fn can_wait_to_resume(&self) -> bool {
+        self.progress.headers_sent()
+            && self.progress.last_activity().elapsed() < MAX_RESUMABLE_SILENCE
+            && self.is_resumable()
+            && !self.is_quarantined()
+            && !self.ctx.time_left().is_zero()
+    }
+
     /// Makes one attempt and recovers it from problems while it runs.
     async fn attempt(&mut self, conn: &mut ServerConn, route: StreamRoute) -> io::Result<NextStep> {
         (self.stats.stages, self.stats.domain_crossings) =
@@ -178,6 +196,7 @@
         self.progress.begin_attempt();
         self.shared.record_send(&route.first);
         let run = Run::start(self.shared, self.ctx, &route.first);
+        let mut pool_run = PoolRun::start(self.shared, &self.ctx.pool, route.path.len());
         let route = RefCell::new(route);
         let (shared, ctx) = (self.shared, self.ctx);
         // Moved out of `self` because the attempt uses it while `recover` borrows
@@ -204,6 +223,10 @@
             }
         };
         self.progress = progress;
+        if self.progress.attempt_has_events() {
+            pool_run.set_served();
+        }
+        drop(pool_run);
         let route = route.into_inner();
         let next = match result {
             Ok(outcome) => self.next_step(&route, run, outcome).await,
--- /dev/null
+++ b/crates/direct/tests/capacity_queue.rs
@@ -0,0 +1,119 @@
+//! Requests that find no capacity, through an entry with real connections.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::test;
+use clementine_direct::Running;
+use common::{
+    Backend, Behaviour, CallerResponse, send_request, send_request_with_headers,
+    start_configured_store, start_entry, wait_until,
+};
+use futures::future::join_all;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+const LAYERS: u32 = 12;
+/// Streams that the one engine with the first layer runs at once: 0.85 of its slots.
+const SLOTS: usize = 5;
+/// Target latency of the routes.
+const TARGET: Duration = Duration::from_millis(500);
+/// Backoff of a server that has refused a request.
+const BACKOFF: Duration = Duration::from_millis(250);
+
+/// Starts three engines, which host one copy of the model, and an entry that knows
+/// how long its streams take.
+async fn start_engines_with_known_service_time() -> (Vec<Backend>, Running) {
+    let store = start_configured_store(LAYERS).await;
+    let mut engines = Vec::new();
+    for n in 0..3 {
+        engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
+    }
+    let entry = start_entry("one", &store).await;
+    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
+    sleep(Duration::from_millis(600)).await;
+    let streams = (0..SLOTS).map(|n| send_stream(entry.callers, format!("first-{n}")));
+    assert!(join_all(streams).await.iter().all(|(response, _)| response.complete));
+    (engines, entry)
+}
+
+/// Sends a stream and returns the response with the time that it took.
+async fn send_stream(to: SocketAddr, id: String) -> (CallerResponse, Duration) {
+    let started = Instant::now();
+    let headers = [("x-api-key", "key"), ("request-id", id.as_str())];
+    let response = send_request_with_headers(to, "POST", "/stream/x", "prompt", &headers).await;
+    (response, started.elapsed())
+}
+
+/// Ids with a prefix of the requests that ran, in order.
+fn ran(engines: &[Backend], prefix: &str) -> Vec<String> {
+    let ids = engines.iter().flat_map(|engine| engine.run_request_ids.borrow().clone());
+    ids.filter(|id| id.starts_with(prefix)).collect()
+}
+
+/// Takes all slots with streams that have just begun.
+async fn use_all_slots(engines: &[Backend], to: SocketAddr) {
+    for n in 0..SLOTS {
+        spawn_local(send_stream(to, format!("busy-{n}")));
+    }
+    wait_until("all slots are in use", async || ran(engines, "busy").len() == SLOTS).await;
+}
+
+/// Guards against slots that go to whichever request polls at the right moment, and
+/// against holding requests that cannot be served in time.
+#[test]
+async fn waiting_streams_get_freed_slots_in_order_and_the_others_are_refused_at_once() {
+    let (engines, entry) = start_engines_with_known_service_time().await;
+    use_all_slots(&engines, entry.callers).await;
+    let mut sent = Vec::new();
+    for n in 0..20 {
+        sent.push(spawn_local(send_stream(entry.callers, format!("wait-{n:02}"))));
+        sleep(Duration::from_millis(1)).await;
+    }
+    let responses = join_all(sent).await;
+    let responses: Vec<_> = responses.into_iter().map(|sent| sent.expect("sent")).collect();
+    let served = responses.iter().filter(|(response, _)| response.complete).count();
+    assert!(served >= 2, "{served} served although slots become free in time");
+    let order = ran(&engines, "wait");
+    assert!(order.is_sorted(), "served in order of arrival: {order:?}");
+    let refused: Vec<_> = responses.iter().filter(|(response, _)| response.status == 503).collect();
+    assert!(refused.len() >= 10, "{} refused", refused.len());
+    assert!(refused.iter().all(|(response, _)| response.retry_after.is_some()));
+    let mut times: Vec<Duration> = refused.iter().map(|(_, after)| *after).collect();
+    times.sort();
+    assert!(times[times.len() / 2] < TARGET / 8, "refused before any wait: {times:?}");
+}
+
+/// Guards against slots that go to callers who have left.
+#[test]
+async fn a_caller_that_closes_the_connection_leaves_the_queue() {
+    let (engines, entry) = start_engines_with_known_service_time().await;
+    use_all_slots(&engines, entry.callers).await;
+    let leaves = timeout(Duration::from_millis(30), send_stream(entry.callers, "leaves".into()));
+    let stays = async {
+        sleep(Duration::from_millis(10)).await;
+        send_stream(entry.callers, "stays".into()).await
+    };
+    let (left, (response, _)) = tokio::join!(leaves, stays);
+    assert!(left.is_err(), "the caller left while its request was waiting");
+    assert!(response.complete, "{response:?}");
+    assert!(ran(&engines, "leaves").is_empty());
+}
+
+/// Guards against refusal of a request whose only server accepts requests again in
+/// time for it.
+#[test]
+async fn a_buffered_request_waits_for_a_server_that_returns_in_time() {
+    let store = start_configured_store(LAYERS).await;
+    let server = Backend::start("plain-1", "plain", &store).await;
+    let entry = start_entry("one", &store).await;
+    server.behaviour.set(Behaviour::Refuse);
+    assert_eq!(send_request(entry.callers, "GET", "/safe/x", "").await.status, 503);
+    server.behaviour.set(Behaviour::Serve);
+    let started = Instant::now();
+    let response = send_request(entry.callers, "GET", "/safe/x", "").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert!(started.elapsed() < BACKOFF + Duration::from_millis(150));
+}
