Retry-After from the slots that are expected and promised one by one

Retry-After was the share of refused requests times a fixed scale. It did not say when capacity is expected, and callers that were refused together returned together.

Each entry now promises the slots that it expects, one by one and one of as many as there are entries, and tells a refused caller the time of its slot. A caller that retries before it is due keeps one promise. The share of refused requests remains the fallback where nothing is known.

--- a/crates/decide/src/admission/pool_queue.rs
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -1,12 +1,15 @@
 //! The queue of requests that wait for capacity of a pool.
 
 use clementine_objects::Millis;
+use rand::Rng;
 
 use super::pool_capacity::PoolCapacity;
 use super::pool_request::QueueOrder;
+use super::promises::Promises;
 use super::{PoolLoad, PoolRequest};
 use crate::ids::Tick;
 use crate::overload::max_capacity_wait;
+use crate::quarantine::Fingerprint;
 
 /// Maximum number of requests that wait for a pool at one entry.
 pub const MAX_WAITING: usize = 256;
@@ -15,6 +18,10 @@
 /// smaller ones, and each try costs a path search.
 const MAX_FAILED_TRIES: u32 = 8;
 
+/// Fraction of its remaining time for which a caller waits when it is told to return
+/// later.
+const RETRY_TIME_DIVISOR: u64 = 3;
+
 /// Identifies a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueTicket(u64);
@@ -83,6 +90,7 @@
     /// The request that is trying.
     trying: Option<QueueTicket>,
     capacity: PoolCapacity,
+    promises: Promises,
 }
 
 impl<T> Default for PoolQueue<T> {
@@ -94,6 +102,7 @@
             tries_left: 0,
             trying: None,
             capacity: PoolCapacity::default(),
+            promises: Promises::default(),
         }
     }
 }
@@ -215,8 +224,8 @@
     }
 
     /// Expected time until a new request finds capacity; `None` if nothing is
-    /// known. Each entry is assumed to have as many requests waiting as go before
-    /// this one here.
+    /// known. Each entry is assumed to have as many requests waiting, and as many
+    /// callers returning meanwhile, as go before this one here.
     pub fn expected_wait(
         &self,
         request: &PoolRequest,
@@ -225,8 +234,50 @@
     ) -> Option<Millis> {
         let order = self.order_of_new(request, now);
         let ahead = self.waiting.iter().filter(|waiting| waiting.order(now) < order).count();
-        let slots = ahead as f64 * f64::from(load.entries.max(1)) + 1.0;
-        self.capacity.time_until(slots, load, now)
+        let entries = f64::from(load.entries.max(1));
+        let wait_behind =
+            |ahead: usize| self.capacity.time_until(ahead as f64 * entries + 1.0, load, now);
+        let wait = wait_behind(ahead)?;
+        if request.begun {
+            return Some(wait);
+        }
+        wait_behind(ahead + self.promises.due_by(now.after(wait), now))
+    }
+
+    /// Time after which a refused caller should return: when a slot is expected for
+    /// it behind the requests that wait and the callers that were told to return
+    /// before it. `None` if nothing is known.
+    ///
+    /// Handles overload: the slots expected in each interval of 100 ms are promised one
+    /// by one, so that returning callers do not compete with each other. An entry
+    /// promises one of as many slots as there are entries, so that all together promise
+    /// no more slots than become free. A caller that is refused again before it is due
+    /// takes no further slot from others.
+    pub fn promise(
+        &mut self,
+        caller: Fingerprint,
+        request: &PoolRequest,
+        load: &PoolLoad,
+        now: Tick,
+        rng: &mut impl Rng,
+    ) -> Option<Millis> {
+        let ahead = self.waiting.len() + self.promises.slots_ahead(caller, now);
+        let slots = (ahead + 1) as f64 * f64::from(load.entries.max(1));
+        let wait = self.capacity.time_until(slots, load, now)?;
+        let max_wait = Millis(request.deadline.since(now).0 / RETRY_TIME_DIVISOR);
+        Some(self.promises.add(caller, wait, max_wait, now, rng))
+    }
+
+    /// Number of slots that are promised to callers.
+    pub fn promised(&mut self, now: Tick) -> usize {
+        self.promises.len(now)
+    }
+
+    /// Takes back the promise to a caller that has found capacity.
+    pub fn forget_promise(&mut self, caller: Fingerprint) {
+        if !self.promises.is_empty() {
+            self.promises.remove(caller);
+        }
     }
 
     /// How long a request may wait, or `None` if it cannot be served in time.
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -21,10 +21,12 @@
     Run, is_quarantined, late_quarantine_error, record_completion, record_response_begun,
 };
 use crate::shared::{
-    PoolRun, RequestContext, Reservation, RetryPriority, SharedState, wait_for_capacity,
+    PoolRun, RequestContext, Reservation, RetryPriority, SharedState, promise_return,
+    wait_for_capacity,
 };
 
-/// `Retry-After` of the error if no backend server accepted the request.
+/// `Retry-After` of the error if no backend server accepted the request and nothing is
+/// known of the capacity.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Timeout of an attempt at an idempotent request, as a multiple of the backend
 /// server's average response time. When it expires, the request is sent to
@@ -297,9 +299,10 @@
                 return FinalResponse::Error(error);
             }
             let pause = self.shared.pool_retry_delay(&self.ctx.pool).unwrap_or_default();
+            let delay = promise_return(self.shared, self.ctx).unwrap_or(OVERLOADED_RETRY_AFTER);
             return FinalResponse::Error(RequestError::with_retry_after(
                 ErrorKind::Overloaded,
-                pause.max(OVERLOADED_RETRY_AFTER),
+                pause.max(delay),
             ));
         }
         let timed_out = self.ctx.time_left().is_zero();
--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -33,12 +33,14 @@
 ) -> Result<R, NoCapacity> {
     let has_waiting = shared.queues.has_waiting(&ctx.pool);
     if !has_waiting && let Some(found) = find() {
+        forget_promise(shared, ctx);
         return Ok(found);
     }
     let request = pool_request(shared, ctx, resume_until);
     let may_try =
         has_waiting && shared.queues.with(&ctx.pool, |queue| queue.may_try(&request, shared.now()));
     if may_try && let Some(found) = find() {
+        forget_promise(shared, ctx);
         return Ok(found);
     }
     let mut place = Place::join(shared, ctx, request)?;
@@ -53,6 +55,7 @@
         match found {
             Some(found) => {
                 place.finish("served");
+                forget_promise(shared, ctx);
                 return Ok(found);
             }
             None if is_last => {
@@ -64,6 +67,30 @@
     }
 }
 
+/// Time after which the caller of a request that is refused for lack of capacity
+/// should return, or `None` if nothing is known of the capacity.
+pub(crate) fn promise_return(shared: &SharedState, ctx: &RequestContext) -> Option<Duration> {
+    let now = shared.now();
+    let request = pool_request(shared, ctx, None);
+    let load = shared.pool_load(&ctx.pool);
+    let (delay, promised) = shared.queues.with(&ctx.pool, |queue| {
+        let mut rng = shared.rng.borrow_mut();
+        let delay = queue.promise(ctx.suspects.request(), &request, &load, now, &mut *rng);
+        (delay, queue.promised(now))
+    });
+    let delay = delay?;
+    shared.metrics.count_told_to_return();
+    info!(
+        "admission: id={} pool={} told to return after_ms={} promised={}",
+        ctx.req.id, ctx.pool, delay.0, promised
+    );
+    Some(delay.duration())
+}
+
+fn forget_promise(shared: &SharedState, ctx: &RequestContext) {
+    shared.queues.with(&ctx.pool, |queue| queue.forget_promise(ctx.suspects.request()));
+}
+
 /// The request as the queue sees it. `resume_until` is given for a stream of which
 /// the caller has received events.
 fn pool_request(
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -47,7 +47,7 @@
             "prompt_parts_quarantined": parts_quarantined,
             "backends": backends,
             "links": links,
-            "queues": self.queues.dump(),
+            "queues": self.queues.dump(now),
         })
     }
 }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -17,6 +17,7 @@
     buffered_response: Histogram<f64>,
     admissions: Counter<u64>,
     capacity_wait: Histogram<f64>,
+    told_to_return: Counter<u64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
@@ -53,6 +54,10 @@
                 "Requests that found no capacity when they arrived, by decision",
             ),
             capacity_wait: seconds("direct_capacity_wait", "Time in the queue for capacity"),
+            told_to_return: counter(
+                "direct_callers_told_to_return",
+                "Refused callers that were told when a slot is expected for them",
+            ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
@@ -116,6 +121,11 @@
         self.capacity_wait.record(waited.as_secs_f64(), &[]);
     }
 
+    /// Counts a refused caller that was told when a slot is expected for it.
+    pub(crate) fn count_told_to_return(&self) {
+        self.told_to_return.add(1, &[]);
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -15,7 +15,7 @@
 mod store;
 mod table_sync;
 
-pub(crate) use capacity_wait::wait_for_capacity;
+pub(crate) use capacity_wait::{promise_return, wait_for_capacity};
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::{Outbox, UrgentMessage};
 pub(crate) use pool_run::PoolRun;
--- a/crates/direct/src/shared/pool_queues.rs
+++ b/crates/direct/src/shared/pool_queues.rs
@@ -109,12 +109,13 @@
     }
 
     /// The queues for the state dump.
-    pub(super) fn dump(&self) -> Vec<Value> {
-        let pools = self.pools.borrow();
-        let dump = pools.iter().map(|(pool, PoolEntry { queue, .. })| {
+    pub(super) fn dump(&self, now: Tick) -> Vec<Value> {
+        let mut pools = self.pools.borrow_mut();
+        let dump = pools.iter_mut().map(|(pool, PoolEntry { queue, .. })| {
             json!({
                 "pool": pool,
                 "waiting": queue.len(),
+                "promised": queue.promised(now),
                 "running": queue.running(),
                 "service_ms": queue.service_time(),
             })
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -21,7 +21,9 @@
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
 use crate::crashes::{Run, is_quarantined, late_quarantine_error};
-use crate::shared::{PoolRun, RequestContext, RetryPriority, SharedState, wait_for_capacity};
+use crate::shared::{
+    PoolRun, RequestContext, RetryPriority, SharedState, promise_return, wait_for_capacity,
+};
 
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
@@ -158,8 +160,10 @@
     /// Retry delay to send with an error response for lack of capacity.
     fn retry_after(&self) -> Duration {
         let pause = self.shared.pool_retry_delay(&self.ctx.pool).unwrap_or_default();
-        let refusal_rate = self.shared.refusal_rate.borrow();
-        let delay = refusal_rate.retry_after(&mut *self.shared.rng.borrow_mut()).duration();
+        let delay = promise_return(self.shared, self.ctx).unwrap_or_else(|| {
+            let refusal_rate = self.shared.refusal_rate.borrow();
+            refusal_rate.retry_after(&mut *self.shared.rng.borrow_mut()).duration()
+        });
         delay.max(pause)
     }
 
--- a/crates/direct/tests/capacity_queue.rs
+++ b/crates/direct/tests/capacity_queue.rs
@@ -86,6 +86,29 @@
     assert!(times[times.len() / 2] < TARGET / 8, "refused before any wait: {times:?}");
 }
 
+/// Guards against refused callers who are told to return together, or when there is no
+/// capacity yet.
+#[test]
+async fn refused_streams_are_told_to_return_when_slots_become_free() {
+    let (engines, entry) = start_engines_with_known_service_time().await;
+    use_all_slots(&engines, entry.callers).await;
+    let sent = (0..16).map(|n| async move {
+        let path = format!("/stream/{n}");
+        let headers = [("x-api-key", "key"), ("request-id", "told")];
+        send_request_with_headers(entry.callers, "POST", &path, "prompt", &headers).await
+    });
+    let responses = join_all(sent).await;
+    let told = responses.iter().filter_map(|response| response.retry_after.as_ref()?.parse().ok());
+    let mut told: Vec<f64> = told.collect();
+    told.sort_by(f64::total_cmp);
+    assert!(told.len() >= 8, "{told:?}");
+    // Three requests wait, and at most five slots become free in 440 ms.
+    assert!(told[0] >= 0.2, "behind those that wait: {told:?}");
+    let within = |from: f64| told.iter().filter(|at| (from..from + 0.45).contains(*at)).count();
+    let most = told.iter().filter(|at| **at < 2.0).map(|at| within(*at)).max().unwrap_or(0);
+    assert!(most <= SLOTS + 2, "{most} told to return within the time of {SLOTS} slots: {told:?}");
+}
+
 /// Guards against slots that go to callers who have left.
 #[test]
 async fn a_caller_that_closes_the_connection_leaves_the_queue() {
--- a/crates/direct/tests/operations_page.rs
+++ b/crates/direct/tests/operations_page.rs
@@ -112,6 +112,8 @@
         "admission: id=",
         "direct_admissions",
         "direct_capacity_wait",
+        "told to return after_ms=",
+        "direct_callers_told_to_return",
     ] {
         assert!(page.contains(part), "docs/OPERATIONS.md does not contain `{part}`");
     }
