Callers that return as told go before new requests

A caller that came back when its Retry-After told it to competed with new requests for its slot and could be refused again while they were admitted. It is now recognized by its promise (workspace, path and body), goes before new requests of its level and is not refused at once.

--- a/crates/decide/src/admission/pool_queue.rs
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -268,6 +268,12 @@
         Some(self.promises.add(caller, wait, max_wait, now, rng))
     }
 
+    /// Whether a caller returns when it was told to: no earlier, and within two
+    /// intervals. Its promise ends.
+    pub fn redeem_promise(&mut self, caller: Fingerprint, returned: Tick) -> bool {
+        !self.promises.is_empty() && self.promises.redeem(caller, returned)
+    }
+
     /// Number of slots that are promised to callers.
     pub fn promised(&mut self, now: Tick) -> usize {
         self.promises.len(now)
@@ -289,7 +295,9 @@
         let latest_start = request.latest_start(self.capacity.first_response());
         match self.expected_wait(request, load, now) {
             None => Some(usual),
-            Some(wait) if now.after(wait) <= latest_start => Some(latest_start.max(usual)),
+            Some(wait) if request.returned || now.after(wait) <= latest_start => {
+                Some(latest_start.max(usual))
+            }
             Some(_) if self.is_empty() && load.is_half_free() => Some(usual),
             Some(_) => None,
         }
--- a/crates/decide/src/admission/pool_request.rs
+++ b/crates/decide/src/admission/pool_request.rs
@@ -16,6 +16,8 @@
     pub begun: bool,
     /// Priority level from 0 (highest) to 9 (lowest).
     pub level: u8,
+    /// Whether the caller returned when it was told to, after it had been refused.
+    pub returned: bool,
     /// Whether the request's workspace is over its share of the capacity.
     pub over_share: bool,
     /// When the request arrived.
@@ -31,6 +33,7 @@
 pub(super) struct QueueOrder {
     not_begun: bool,
     level: u8,
+    not_returned: bool,
     over_share: bool,
     latest_start: Tick,
     deadline: Tick,
@@ -52,6 +55,7 @@
         QueueOrder {
             not_begun: !self.begun,
             level: self.level.saturating_sub(u8::try_from(levels_waited).unwrap_or(u8::MAX)),
+            not_returned: !self.returned,
             over_share: self.over_share,
             latest_start,
             deadline: self.deadline,
--- a/crates/decide/src/admission/promises.rs
+++ b/crates/decide/src/admission/promises.rs
@@ -100,6 +100,18 @@
         }
     }
 
+    /// Takes the promise to a caller that has returned, and returns whether it has
+    /// returned when it was told to. The promise to a caller that is not due yet is
+    /// kept.
+    pub(super) fn redeem(&mut self, caller: Fingerprint, returned: Tick) -> bool {
+        let Some(told) = self.of(caller).map(|promise| promise.told) else { return false };
+        if returned < told {
+            return false;
+        }
+        self.remove(caller);
+        returned <= told.after(PROMISE_RETENTION)
+    }
+
     /// Takes back the promise to a caller.
     pub(super) fn remove(&mut self, caller: Fingerprint) {
         self.promises.retain(|promise| promise.caller != caller);
--- a/crates/decide/tests/pool_queue.rs
+++ b/crates/decide/tests/pool_queue.rs
@@ -16,6 +16,7 @@
     PoolRequest {
         begun: false,
         level: 1,
+        returned: false,
         over_share: false,
         arrived: Tick(arrived),
         target: Millis(600),
@@ -86,7 +87,7 @@
 
 /// Guards against serving whichever request happens to ask at the right moment.
 #[test]
-fn requests_are_served_by_begun_level_share_latest_start_deadline_and_arrival() {
+fn requests_are_served_by_begun_level_return_share_latest_start_deadline_and_arrival() {
     let base = request(0);
     let requests = [
         ("over share", PoolRequest { over_share: true, target: Millis(500), ..base }),
@@ -95,13 +96,24 @@
         ("later deadline", PoolRequest { deadline: Tick(9_000), ..base }),
         ("first", base),
         ("second", base),
+        ("returned", PoolRequest { returned: true, over_share: true, ..request(20) }),
         ("begun", PoolRequest { begun: true, level: 9, ..base }),
         ("high", PoolRequest { level: 0, target: Millis(2_000), ..base }),
     ];
     let (mut queue, tickets) = offer_all(&requests);
     assert_eq!(
         served(&mut queue, &tickets, Tick(0)),
-        ["begun", "high", "first", "second", "later deadline", "later target", "over share", "low"]
+        [
+            "begun",
+            "high",
+            "returned",
+            "first",
+            "second",
+            "later deadline",
+            "later target",
+            "over share",
+            "low"
+        ]
     );
 }
 
--- a/crates/decide/tests/pool_queue_promises.rs
+++ b/crates/decide/tests/pool_queue_promises.rs
@@ -1,7 +1,7 @@
 //! When refused callers are told to return.
 
 use clementine_decide::admission::{
-    MAX_PROMISES, PROMISE_INTERVAL, PoolLoad, PoolQueue, PoolRequest,
+    MAX_PROMISES, PROMISE_INTERVAL, PoolDecision, PoolLoad, PoolQueue, PoolRequest,
 };
 use clementine_decide::ids::Tick;
 use clementine_decide::quarantine::Fingerprint;
@@ -15,6 +15,7 @@
     PoolRequest {
         begun: false,
         level: 1,
+        returned: false,
         over_share: false,
         arrived,
         target: Millis(600),
@@ -161,3 +162,38 @@
     assert_eq!(queue.promised(now), MAX_PROMISES);
     assert_eq!(queue.promised(now.after(Millis(2_800))), 0);
 }
+
+/// Guards against callers that return as told and are refused again in favor of new
+/// ones, and against a preference for those that return earlier or later.
+#[test]
+fn a_caller_that_returns_as_told_is_recognized_once() {
+    let (mut queue, now) = steady_queue(10);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let load = load(1, 10);
+    let mut told = |queue: &mut PoolQueue<()>, caller| {
+        let delay = queue.promise(Fingerprint(caller), &request(now), &load, now, &mut rng);
+        now.after(delay.expect("known"))
+    };
+    let late_by = |told: Tick, by: u64| told.after(Millis(2 * PROMISE_INTERVAL.0 + by));
+    let (early, due, late) = (told(&mut queue, 1), told(&mut queue, 2), told(&mut queue, 3));
+    assert!(!queue.redeem_promise(Fingerprint(1), Tick(early.0 - 1)), "early");
+    assert!(queue.redeem_promise(Fingerprint(1), early), "the early one returns again");
+    assert!(!queue.redeem_promise(Fingerprint(1), early), "a promise holds once");
+    assert!(queue.redeem_promise(Fingerprint(2), late_by(due, 0)));
+    assert!(!queue.redeem_promise(Fingerprint(3), late_by(late, 1)), "late");
+    assert!(!queue.redeem_promise(Fingerprint(4), due), "never told to return");
+}
+
+/// Guards against a second refusal of a caller that returned as told.
+#[test]
+fn a_returned_caller_waits_where_a_new_one_is_refused() {
+    let (mut queue, now) = steady_queue(1);
+    let load = load(1, 1);
+    let new = request(now);
+    let returned = PoolRequest { returned: true, ..new };
+    assert!(matches!(queue.offer(new, (), &load, now), PoolDecision::Refused(_)));
+    let PoolDecision::Queued { until, .. } = queue.offer(returned, (), &load, now) else {
+        panic!("refused although it returned as told");
+    };
+    assert_eq!(until, now.after(Millis(600)), "as long as its target can be met");
+}
--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -33,10 +33,12 @@
 ) -> Result<R, NoCapacity> {
     let has_waiting = shared.queues.has_waiting(&ctx.pool);
     if !has_waiting && let Some(found) = find() {
+        redeem_promise(shared, ctx);
         forget_promise(shared, ctx);
         return Ok(found);
     }
-    let request = pool_request(shared, ctx, resume_until);
+    let returned = redeem_promise(shared, ctx);
+    let request = PoolRequest { returned, ..pool_request(shared, ctx, resume_until) };
     let may_try =
         has_waiting && shared.queues.with(&ctx.pool, |queue| queue.may_try(&request, shared.now()));
     if may_try && let Some(found) = find() {
@@ -87,6 +89,21 @@
     Some(delay.duration())
 }
 
+/// Whether the caller has returned when it was told to, after it had been refused.
+fn redeem_promise(shared: &SharedState, ctx: &RequestContext) -> bool {
+    let caller = ctx.suspects.request();
+    let arrived = arrival(shared, ctx);
+    let returned = shared.queues.with(&ctx.pool, |queue| queue.redeem_promise(caller, arrived));
+    if returned {
+        shared.metrics.count_returned_as_told();
+    }
+    returned
+}
+
+fn arrival(shared: &SharedState, ctx: &RequestContext) -> Tick {
+    Tick(shared.now().0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0))
+}
+
 fn forget_promise(shared: &SharedState, ctx: &RequestContext) {
     shared.queues.with(&ctx.pool, |queue| queue.forget_promise(ctx.suspects.request()));
 }
@@ -104,9 +121,10 @@
     let workspace = ctx.workspace.as_ref().map(|workspace| &workspace.id);
     PoolRequest {
         begun: resume_until.is_some(),
+        returned: false,
         level: ctx.priority(),
         over_share: shared.queues.shares.is_over_share(workspace, now),
-        arrived: Tick(now.0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0)),
+        arrived: arrival(shared, ctx),
         target: ctx.rule.target_latency,
         deadline: time_of(deadline),
     }
@@ -121,6 +139,7 @@
     joined: Instant,
     wait: Duration,
     expected: Option<Millis>,
+    returned: bool,
     finished: bool,
 }
 
@@ -140,15 +159,28 @@
         let (ticket, until, displaced) = match decision {
             PoolDecision::Queued { ticket, until, displaced } => (ticket, until, displaced),
             PoolDecision::Refused(reason) => {
-                log_decision(shared, ctx, refusal_name(reason), Duration::ZERO, expected);
+                let decision = Decision {
+                    name: refusal_name(reason),
+                    waited: Duration::ZERO,
+                    expected,
+                    returned: request.returned,
+                };
+                decision.record(shared, ctx);
                 return Err(NoCapacity);
             }
         };
         let wait = until.since(now);
-        let joined = Instant::now();
-        let wait_time = wait.duration();
-        let mut place =
-            Self { shared, ctx, ticket, turn, joined, wait: wait_time, expected, finished: false };
+        let mut place = Self {
+            shared,
+            ctx,
+            ticket,
+            turn,
+            joined: Instant::now(),
+            wait: wait.duration(),
+            expected,
+            returned: request.returned,
+            finished: false,
+        };
         if let Some(displaced) = displaced {
             displaced.notify_one();
         }
@@ -186,11 +218,12 @@
         self.shared.queues.wake_next(&self.ctx.pool, self.shared.now());
     }
 
-    fn finish(&mut self, decision: &'static str) {
+    fn finish(&mut self, name: &'static str) {
         self.finished = true;
         let waited = self.joined.elapsed();
         self.shared.metrics.record_capacity_wait(waited);
-        log_decision(self.shared, self.ctx, decision, waited, self.expected);
+        let decision = Decision { name, waited, expected: self.expected, returned: self.returned };
+        decision.record(self.shared, self.ctx);
     }
 }
 
@@ -211,21 +244,29 @@
     }
 }
 
-fn log_decision(
-    shared: &SharedState,
-    ctx: &RequestContext,
-    decision: &'static str,
+/// What became of a request that found no capacity when it arrived.
+struct Decision {
+    name: &'static str,
     waited: Duration,
     expected: Option<Millis>,
-) {
-    shared.metrics.count_admission(decision);
-    info!(
-        "admission: id={} pool={} decision={} waited_ms={} expected_ms={} waiting={}",
-        ctx.req.id,
-        ctx.pool,
-        decision,
-        waited.as_millis(),
-        expected.map_or_else(|| "unknown".into(), |expected| expected.0.to_string()),
-        shared.queues.with(&ctx.pool, |queue| queue.len())
-    );
+    /// Whether the caller had returned when it was told to.
+    returned: bool,
+}
+
+impl Decision {
+    /// Counts and logs the decision.
+    fn record(&self, shared: &SharedState, ctx: &RequestContext) {
+        shared.metrics.count_admission(self.name);
+        let expected = self.expected.map_or_else(|| "unknown".into(), |wait| wait.0.to_string());
+        info!(
+            "admission: id={} pool={} decision={} waited_ms={} expected_ms={} waiting={} returned={}",
+            ctx.req.id,
+            ctx.pool,
+            self.name,
+            self.waited.as_millis(),
+            expected,
+            shared.queues.with(&ctx.pool, |queue| queue.len()),
+            self.returned
+        );
+    }
 }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -18,6 +18,7 @@
     admissions: Counter<u64>,
     capacity_wait: Histogram<f64>,
     told_to_return: Counter<u64>,
+    returned_as_told: Counter<u64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
@@ -58,6 +59,10 @@
                 "direct_callers_told_to_return",
                 "Refused callers that were told when a slot is expected for them",
             ),
+            returned_as_told: counter(
+                "direct_callers_returned_as_told",
+                "Refused callers that returned when a slot was expected for them",
+            ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
@@ -126,6 +131,11 @@
         self.told_to_return.add(1, &[]);
     }
 
+    /// Counts a refused caller that returned when it was told to.
+    pub(crate) fn count_returned_as_told(&self) {
+        self.returned_as_told.add(1, &[]);
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/tests/capacity_queue.rs
+++ b/crates/direct/tests/capacity_queue.rs
@@ -41,9 +41,17 @@
 
 /// Sends a stream and returns the response with the time that it took.
 async fn send_stream(to: SocketAddr, id: String) -> (CallerResponse, Duration) {
+    send_stream_with(to, id, "prompt").await
+}
+
+async fn send_stream_with(
+    to: SocketAddr,
+    id: String,
+    body: &'static str,
+) -> (CallerResponse, Duration) {
     let started = Instant::now();
     let headers = [("x-api-key", "key"), ("request-id", id.as_str())];
-    let response = send_request_with_headers(to, "POST", "/stream/x", "prompt", &headers).await;
+    let response = send_request_with_headers(to, "POST", "/stream/x", body, &headers).await;
     (response, started.elapsed())
 }
 
@@ -109,6 +117,27 @@
     assert!(most <= SLOTS + 2, "{most} told to return within the time of {SLOTS} slots: {told:?}");
 }
 
+/// Guards against callers who return as told and are refused again while new requests
+/// are admitted.
+#[test]
+async fn a_caller_that_returns_as_told_is_served_before_new_ones() {
+    let (engines, entry) = start_engines_with_known_service_time().await;
+    use_all_slots(&engines, entry.callers).await;
+    let new_requests = spawn_local(async move {
+        for n in 0..60 {
+            spawn_local(send_stream_with(entry.callers, format!("new-{n}"), "new"));
+            sleep(Duration::from_millis(30)).await;
+        }
+    });
+    sleep(Duration::from_millis(150)).await;
+    let (first, _) = send_stream_with(entry.callers, "returns-1".into(), "returns").await;
+    let told = first.retry_after.expect("refused, because three requests wait");
+    sleep(Duration::from_secs_f64(told.parse().expect("seconds"))).await;
+    let (second, _) = send_stream_with(entry.callers, "returns-2".into(), "returns").await;
+    assert!(second.complete, "told {told} s: {second:?}");
+    new_requests.await.expect("new requests are sent");
+}
+
 /// Guards against slots that go to callers who have left.
 #[test]
 async fn a_caller_that_closes_the_connection_leaves_the_queue() {
