--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -15,6 +15,10 @@
     first_event: Histogram<f64>,
     longest_pause: Histogram<f64>,
     buffered_response: Histogram<f64>,
+    admissions: Counter<u64>,
+    capacity_wait: Histogram<f64>,
+    told_to_return: Counter<u64>,
+    returned_as_told: Counter<u64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
@@ -46,6 +50,19 @@
                 "direct_whole_answer",
                 "Time to an answer that is read whole",
             ),
+            admissions: counter(
+                "direct_admissions",
+                "Requests that found no capacity when they arrived, by decision",
+            ),
+            capacity_wait: seconds("direct_capacity_wait", "Time in the queue for capacity"),
+            told_to_return: counter(
+                "direct_callers_told_to_return",
+                "Refused callers that were told when a slot is expected for them",
+            ),
+            returned_as_told: counter(
+                "direct_callers_returned_as_told",
+                "Refused callers that returned when a slot was expected for them",
+            ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
@@ -99,6 +116,26 @@
         self.buffered_response.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Counts a decision on a request that found no capacity when it arrived.
+    pub(crate) fn count_admission(&self, decision: &'static str) {
+        self.admissions.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
+    /// Records the time that a request waited for capacity.
+    pub(crate) fn record_capacity_wait(&self, waited: Duration) {
+        self.capacity_wait.record(waited.as_secs_f64(), &[]);
+    }
+
+    /// Counts a refused caller that was told when a slot is expected for it.
+    pub(crate) fn count_told_to_return(&self) {
+        self.told_to_return.add(1, &[]);
+    }
+
+    /// Counts a refused caller that returned when it was told to.
+    pub(crate) fn count_returned_as_told(&self) {
+        self.returned_as_told.add(1, &[]);
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
