Max-min fair shares of workspaces in scarce capacity

A workspace that sends several times its usual load took all free capacity, because no component counted the work of workspaces. ShareLedger counts offered and admitted work per pool and workspace and derives from the sums of all entries which requests are within the share of their workspace. Nothing uses it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod shares;
 pub mod signals;
 pub mod stage;
