Entries exchange the work of workspaces and record it

The load in status messages carries the offered and admitted work of workspaces while a pool's capacity is scarce, so that all entries derive the same shares. Requests are recorded when they arrive and when their first route is chosen. A request beyond its share is counted and logged; who is admitted is unchanged.

--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -9,6 +9,7 @@
 use super::{FeedPositions, Sighting, TableChanges};
 use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
 use crate::quarantine::CrashReport;
+use crate::shares::ShareStatus;
 use crate::signals::SignalReport;
 
 /// Hash of a backend server's id, used in messages to save space.
@@ -50,6 +51,10 @@
     pub backends: Vec<BackendLoad>,
     /// Traffic on the links between failure domains. Unused links are omitted.
     pub links: Vec<LinkLoad>,
+    /// Work of workspaces in the pools whose capacity is scarce. Takes no space while
+    /// there are none; must stay the last field, which may be absent.
+    #[serde(default, skip_serializing_if = "ShareStatus::is_empty")]
+    pub shares: ShareStatus,
 }
 
 /// Content of a datagram between two entries.
--- a/crates/decide/src/peers/totals.rs
+++ b/crates/decide/src/peers/totals.rs
@@ -4,6 +4,7 @@
 
 use super::{BackendHash, BackendLoad, LinkLoad, LoadStatus};
 use crate::paths::Link;
+use crate::shares::ShareTotals;
 
 /// Sum of the loads of several entries.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -12,6 +13,8 @@
     pub backends: HashMap<BackendHash, BackendLoad>,
     /// Traffic on the links between failure domains, in bytes per ms.
     pub links: HashMap<Link, f64>,
+    /// Work of workspaces in the pools whose capacity is scarce.
+    pub shares: ShareTotals,
 }
 
 impl LoadTotals {
@@ -26,6 +29,7 @@
         for load in &status.links {
             *self.links.entry(Link::between(&load.a, &load.b)).or_insert(0.0) += load.bytes_per_ms;
         }
+        self.shares.add(&status.shares);
     }
 
     /// The sum as a status to report, with at most `max_backends` backend
@@ -38,6 +42,7 @@
         LoadStatus {
             backends: self.backends.into_values().take(max_backends).collect(),
             links: links.collect(),
+            shares: self.shares.into_status(),
         }
     }
 }
--- a/crates/decide/tests/peers.rs
+++ b/crates/decide/tests/peers.rs
@@ -19,7 +19,7 @@
 fn load(tokens: u32) -> LoadStatus {
     LoadStatus {
         backends: vec![BackendLoad { backend: BACKEND, in_flight: 1, tokens }],
-        links: Vec::new(),
+        ..LoadStatus::default()
     }
 }
 
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -152,7 +152,11 @@
 impl RequestAttempts<'_> {
     async fn run(&mut self) -> FinalResponse {
         loop {
-            let Some((id, address, latency_ms)) = self.choose_backend() else {
+            let chosen = self.choose_backend();
+            if self.tried.is_empty() {
+                self.shared.record_first_choice(self.ctx, chosen.is_some());
+            }
+            let Some((id, address, latency_ms)) = chosen else {
                 return self.final_failure();
             };
             if let Some(response) = self.attempt(&id, address, latency_ms).await {
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -16,7 +16,7 @@
 
 use super::{RequestError, send_error};
 use crate::crashes::check_quarantine;
-use crate::shared::{RequestContext, SharedState};
+use crate::shared::{RequestContext, SharedState, request_cost};
 use crate::{buffered, streams};
 
 /// `Retry-After` of an entry that has no configuration yet or is shutting down.
@@ -66,7 +66,11 @@
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = arrived + Millis::duration(timeout);
     shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
-    Ok(RequestContext { req, rule, workspace, pool, suspects, arrived, deadline })
+    let engine = table.pools.get(&pool).and_then(|spec| spec.engine.as_deref());
+    let cost = request_cost(engine, req.prompt_size);
+    let ctx = RequestContext { req, rule, workspace, pool, cost, suspects, arrived, deadline };
+    shared.record_offered(&ctx);
+    Ok(ctx)
 }
 
 /// What may be the cause if a backend server crashes under a request. A public route
--- a/crates/direct/src/peers/load.rs
+++ b/crates/direct/src/peers/load.rs
@@ -18,7 +18,11 @@
         in_flight: member.in_flight,
         tokens: member.used_tokens as u32,
     });
-    LoadStatus { backends: backends.collect(), links: links(shared) }
+    LoadStatus {
+        backends: backends.collect(),
+        links: links(shared),
+        shares: shared.shares.borrow().report(shared.now()),
+    }
 }
 
 fn links(shared: &SharedState) -> Vec<LinkLoad> {
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -43,6 +43,7 @@
             "requests_in_progress": self.drain.in_progress(),
             "stopping": self.drain.is_draining(),
             "refused_share": self.refusal_rate.borrow().refused_share(),
+            "pools_scarce": self.shares.borrow().scarce_pools(now),
             "requests_quarantined": requests_quarantined,
             "prompt_parts_quarantined": parts_quarantined,
             "backends": backends,
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -26,6 +26,7 @@
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
     malformed_signals: Counter<u64>,
+    over_share: Counter<u64>,
 }
 
 impl DirectMetrics {
@@ -70,6 +71,10 @@
                 "direct_store_failures",
                 "Calls to the store that failed, by table",
             ),
+            over_share: counter(
+                "direct_requests_over_share",
+                "Requests that arrived beyond the share of their workspace in scarce capacity",
+            ),
             malformed_signals: counter(
                 "direct_malformed_signals",
                 "Headers of backend servers that could not be read, by signal",
@@ -149,6 +154,11 @@
         self.malformed_signals.add(1, &[KeyValue::new("signal", signal)]);
     }
 
+    /// Counts a request beyond the share of its workspace.
+    pub(crate) fn count_over_share(&self) {
+        self.over_share.add(1, &[]);
+    }
+
     /// Counts a message of another entry that could not be decoded.
     pub(crate) fn count_malformed_message(&self) {
         self.malformed_messages.add(1, &[]);
--- a/crates/direct/src/shared/request_context.rs
+++ b/crates/direct/src/shared/request_context.rs
@@ -7,6 +7,7 @@
 use clementine_decide::paths::PathStage;
 use clementine_decide::quarantine::RunSuspects;
 use clementine_decide::routing::{RouteRule, WorkspaceRule};
+use clementine_decide::shares::{ShareKey, WorkCost, WorkspaceHash};
 use clementine_objects::Millis;
 use clementine_platform::requests::{CallerRequest, ForwardParams};
 use tokio::time::Instant;
@@ -21,6 +22,8 @@
     pub(crate) rule: Rc<RouteRule>,
     pub(crate) workspace: Option<Rc<WorkspaceRule>>,
     pub(crate) pool: PoolId,
+    /// What the request costs the pool.
+    pub(crate) cost: WorkCost,
     /// What may be the cause if a backend server crashes while it runs the request.
     pub(crate) suspects: RunSuspects,
     pub(crate) arrived: Instant,
@@ -64,6 +67,12 @@
         workspace.unwrap_or(self.rule.priority).min(LOWEST_PRIORITY)
     }
 
+    /// The share of the pool's capacity that the request uses.
+    pub(crate) fn share_key(&self) -> ShareKey {
+        let workspace = WorkspaceHash::from(self.workspace_id());
+        ShareKey { pool: (&self.pool).into(), workspace }
+    }
+
     fn workspace_id(&self) -> Option<&WorkspaceId> {
         self.workspace.as_ref().map(|workspace| &workspace.id)
     }
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -15,6 +15,7 @@
 use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
 use clementine_decide::quarantine::CrashLog;
 use clementine_decide::routing::RoutingTable;
+use clementine_decide::shares::ShareLedger;
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
@@ -72,6 +73,10 @@
     /// Share of recent requests that were refused for lack of capacity.
     pub(crate) refusal_rate: RefCell<RefusalRate>,
     pub(crate) retry_budgets: RefCell<RetryBudgets>,
+    /// Work of workspaces, and their shares while capacity is scarce.
+    pub(crate) shares: RefCell<ShareLedger>,
+    /// When the last line about shares was logged.
+    pub(crate) shares_logged_at: Cell<Option<Tick>>,
     /// When the last "no path" line was logged, and how many have been suppressed
     /// since.
     pub(crate) no_path_logged_at: Cell<Option<Tick>>,
@@ -119,6 +124,8 @@
             rng: RefCell::new(rng),
             refusal_rate: RefCell::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
+            shares: RefCell::default(),
+            shares_logged_at: Cell::default(),
             no_path_logged_at: Cell::default(),
             no_path_lines_suppressed: Cell::default(),
             routing_table: RefCell::default(),
@@ -273,6 +280,7 @@
         let totals = peers.load_totals();
         self.fleet.borrow_mut().set_remote_load(&totals.backends);
         self.links.borrow_mut().set_remote(totals.links);
+        self.shares.borrow_mut().merge(totals.shares);
         drop(peers);
         self.update_limit_shares();
     }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -125,6 +125,9 @@
     async fn first_route(&self, conn: &mut ServerConn) -> Option<StreamRoute> {
         let latest = self.ctx.arrived + max_capacity_wait(self.ctx.rule.target_latency).duration();
         let mut route = self.choose_route();
+        if route.is_none() {
+            self.shared.record_first_choice(self.ctx, false);
+        }
         while route.is_none() && Instant::now() < latest && !self.is_pool_paused(latest) {
             tokio::select! {
                 () = conn.wait_closed() => break,
@@ -132,6 +135,9 @@
             }
         }
         self.shared.refusal_rate.borrow_mut().record(route.is_some(), self.shared.now());
+        if route.is_some() {
+            self.shared.record_first_choice(self.ctx, true);
+        }
         route
     }
 
--- a/crates/direct/tests/messages.rs
+++ b/crates/direct/tests/messages.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use clementine_decide::ids::{IncarnationId, StoreVersion};
+use clementine_decide::ids::{IncarnationId, StoreVersion, Tick};
 use clementine_decide::peers::{LoadStatus, PeerDatagram, PeerMessage, PeerReport};
+use clementine_decide::shares::{
+    MAX_REPORTED_SHARES, PoolHash, ShareKey, ShareLedger, WorkCost, WorkspaceHash,
+};
 use clementine_objects::Millis;
 use common::{Backend, Store, config, send_request, start_entry, wait_until};
 use rand::rngs::SmallRng;
@@ -86,3 +89,30 @@
     })
     .await;
 }
+
+/// Guards against messages that grow while there is capacity for all, or by more than
+/// 12 bytes per workspace and 11 per pool while there is not.
+#[core::prelude::v1::test]
+fn sums_of_workspaces_take_little_space() {
+    let size = |load: &LoadStatus| rmp_serde::to_vec(load).expect("load is encoded").len();
+    let mut ledger = ShareLedger::default();
+    for n in 0..100 {
+        let key = ShareKey { pool: PoolHash(u32::MAX - n % 3), workspace: WorkspaceHash(n) };
+        ledger.record_offered(key, WorkCost::REQUEST, Tick(0));
+    }
+    let load = |ledger: &ShareLedger| LoadStatus {
+        shares: ledger.report(Tick(0)),
+        ..LoadStatus::default()
+    };
+    let without = size(&load(&ledger));
+    assert_eq!(without, 3, "an array of two empty ones");
+    (0..3).for_each(|n| ledger.record_scarce(PoolHash(u32::MAX - n), Tick(0)));
+    let scarce = load(&ledger);
+    assert!(size(&scarce) <= without + 3 + MAX_REPORTED_SHARES * 12 + 3 * 11);
+    let bytes = rmp_serde::to_vec(&scarce).expect("load is encoded");
+    let decoded: LoadStatus = rmp_serde::from_slice(&bytes).expect("load is decoded");
+    assert_eq!(decoded, scarce);
+    let bytes = rmp_serde::to_vec(&LoadStatus::default()).expect("load is encoded");
+    let decoded: LoadStatus = rmp_serde::from_slice(&bytes).expect("load is decoded");
+    assert_eq!(decoded, LoadStatus::default());
+}
