--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -8,7 +8,6 @@
 mod promises;
 mod queue;
 mod service_time;
-mod share_standing;
 
 pub use decision::{AdmissionDecision, Refusal};
 pub use pool_capacity::{PoolLoad, ReturningSlots};
@@ -17,4 +16,3 @@
 pub use promises::{MAX_PROMISES, PROMISE_INTERVAL};
 pub use queue::{AdmissionLimits, AdmissionQueue, Urgency};
 pub use service_time::ServiceTime;
-pub use share_standing::{NoShares, ShareStanding};
--- a/crates/decide/src/admission/pool_queue.rs
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -31,6 +31,8 @@
 pub enum RefusalReason {
     /// Capacity is not expected in time for the request.
     TooLate,
+    /// The request's workspace is over its share; see [`PoolRequest::may_wait`].
+    OverShare,
     /// The queue is full of requests that go before this one.
     QueueFull,
 }
--- a/crates/decide/src/admission/pool_request.rs
+++ b/crates/decide/src/admission/pool_request.rs
@@ -41,6 +41,14 @@
 }
 
 impl PoolRequest {
+    /// Whether the request may wait for capacity. One whose workspace is over its share
+    /// gets capacity that is free at the moment and does not wait for more: with a few
+    /// waiting requests at each of many entries, their order alone does not make the
+    /// shares.
+    pub const fn may_wait(&self) -> bool {
+        self.begun || self.returned || !self.over_share
+    }
+
     /// Latest time at which the request has to start to meet its target, given the
     /// usual time to the first response.
     pub(super) fn latest_start(&self, first_response: Millis) -> Tick {
--- a/crates/decide/tests/pool_queue.rs
+++ b/crates/decide/tests/pool_queue.rs
@@ -117,6 +117,17 @@
     );
 }
 
+/// Guards against workspaces over their share that take slots from others by waiting,
+/// and against refusals of streams that have begun or callers that return as told.
+#[test]
+fn a_request_over_its_share_waits_only_if_it_has_begun_or_returned() {
+    let over = PoolRequest { over_share: true, ..request(0) };
+    assert!(!over.may_wait());
+    assert!(PoolRequest { begun: true, ..over }.may_wait());
+    assert!(PoolRequest { returned: true, ..over }.may_wait());
+    assert!(request(0).may_wait());
+}
+
 /// Guards against starvation of low levels by a constant load of high ones.
 #[test]
 fn a_wait_of_two_seconds_outweighs_a_level() {
--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -32,9 +32,10 @@
     find: impl Fn() -> Option<R>,
 ) -> Result<R, NoCapacity> {
     let has_waiting = shared.queues.has_waiting(&ctx.pool);
+    let is_first_route = resume_until.is_none();
     if !has_waiting && let Some(found) = find() {
         redeem_promise(shared, ctx);
-        forget_promise(shared, ctx);
+        record_found(shared, ctx, is_first_route);
         return Ok(found);
     }
     let returned = redeem_promise(shared, ctx);
@@ -42,9 +43,10 @@
     let may_try =
         has_waiting && shared.queues.with(&ctx.pool, |queue| queue.may_try(&request, shared.now()));
     if may_try && let Some(found) = find() {
-        forget_promise(shared, ctx);
+        record_found(shared, ctx, is_first_route);
         return Ok(found);
     }
+    shared.record_scarce(ctx);
     let mut place = Place::join(shared, ctx, request)?;
     loop {
         let is_last = place.wait().await;
@@ -57,7 +59,7 @@
         match found {
             Some(found) => {
                 place.finish("served");
-                forget_promise(shared, ctx);
+                record_found(shared, ctx, is_first_route);
                 return Ok(found);
             }
             None if is_last => {
@@ -104,8 +106,13 @@
     Tick(shared.now().0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0))
 }
 
-fn forget_promise(shared: &SharedState, ctx: &RequestContext) {
+/// Records that a request has found capacity. `is_first_route` is false for a stream
+/// that needs another path: its work has been counted before.
+fn record_found(shared: &SharedState, ctx: &RequestContext, is_first_route: bool) {
     shared.queues.with(&ctx.pool, |queue| queue.forget_promise(ctx.suspects.request()));
+    if is_first_route {
+        shared.record_admitted(ctx);
+    }
 }
 
 /// The request as the queue sees it. `resume_until` is given for a stream of which
@@ -118,12 +125,11 @@
     let now = shared.now();
     let time_of = |at: Instant| now.after(at.saturating_duration_since(Instant::now()).into());
     let deadline = resume_until.map_or(ctx.deadline, |until| until.min(ctx.deadline));
-    let workspace = ctx.workspace.as_ref().map(|workspace| &workspace.id);
     PoolRequest {
         begun: resume_until.is_some(),
         returned: false,
         level: ctx.priority(),
-        over_share: shared.queues.shares.is_over_share(workspace, now),
+        over_share: shared.shares.borrow().is_over_share(ctx.share_key(), now),
         arrived: arrival(shared, ctx),
         target: ctx.rule.target_latency,
         deadline: time_of(deadline),
@@ -154,7 +160,12 @@
         let turn = Rc::new(Notify::new());
         let (expected, decision) = shared.queues.with(&ctx.pool, |queue| {
             let expected = queue.expected_wait(&request, &load, now);
-            (expected, queue.offer(request, Rc::clone(&turn), &load, now))
+            let decision = if request.may_wait() {
+                queue.offer(request, Rc::clone(&turn), &load, now)
+            } else {
+                PoolDecision::Refused(RefusalReason::OverShare)
+            };
+            (expected, decision)
         });
         let (ticket, until, displaced) = match decision {
             PoolDecision::Queued { ticket, until, displaced } => (ticket, until, displaced),
@@ -240,6 +251,7 @@
 const fn refusal_name(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::TooLate => "too-late",
+        RefusalReason::OverShare => "over-share",
         RefusalReason::QueueFull => "queue-full",
     }
 }
--- a/crates/direct/src/shared/pool_queues.rs
+++ b/crates/direct/src/shared/pool_queues.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::admission::{NoShares, PoolLoad, PoolQueue, ShareStanding};
+use clementine_decide::admission::{PoolLoad, PoolQueue};
 use clementine_decide::ids::{PoolId, Tick};
 use clementine_objects::Millis;
 use serde_json::{Value, json};
@@ -35,16 +35,11 @@
     pools: RefCell<HashMap<PoolId, PoolEntry>>,
     /// Number of entries that served requests when others were last heard.
     known_entries: RefCell<usize>,
-    pub(super) shares: Box<dyn ShareStanding>,
 }
 
 impl Default for PoolQueues {
     fn default() -> Self {
-        Self {
-            pools: RefCell::default(),
-            known_entries: RefCell::new(1),
-            shares: Box::new(NoShares),
-        }
+        Self { pools: RefCell::default(), known_entries: RefCell::new(1) }
     }
 }
 
