A lost response is not followed by an error that denies the run

Entry: when an attempt at a repeatable request lost its response and the next one was refused, the caller got the refusal, for example 503 with outcome not-run, although the first attempt may have run. Such errors now say that the outcome is unknown.

--- a/crates/entry/src/retryable/run.rs
+++ b/crates/entry/src/retryable/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use clementine_decide::balance::Exclusions;
 use clementine_decide::ids::AgentRef;
-use clementine_decide::outcome::ErrorKind;
+use clementine_decide::outcome::{ErrorKind, Outcome};
 use clementine_decide::quarantine::Fingerprint;
 use clementine_decide::stage::HeadGeneration;
 use clementine_objects::{Millis, Repeat};
@@ -55,6 +55,8 @@
     streamed: Option<Endpoint>,
     fingerprint: Fingerprint,
     crashed_backend: bool,
+    /// Whether an attempt failed after a backend server may have executed the request.
+    may_have_run: bool,
     avoid: Exclusions,
     /// Failure domain of the current attempt.
     domain: CompactString,
@@ -91,6 +93,7 @@
             streamed,
             fingerprint,
             crashed_backend: false,
+            may_have_run: false,
             avoid: Exclusions::default(),
             domain: CompactString::default(),
             attempts: 0,
@@ -108,8 +111,14 @@
         &self.entry
     }
 
-    /// Returns the next part of the response.
+    /// Returns the next part of the response. An error of the last attempt does not
+    /// claim that the request has not run if an earlier attempt may have run it.
     pub(super) async fn next(&mut self) -> Result<ResponsePart, RequestError> {
+        let next = self.next_of_attempts().await;
+        next.map_err(|error| if self.may_have_run { with_unknown_outcome(error) } else { error })
+    }
+
+    async fn next_of_attempts(&mut self) -> Result<ResponsePart, RequestError> {
         if self.ended {
             return Ok(ResponsePart::End);
         }
@@ -122,6 +131,7 @@
             }
             Err(failure) => {
                 self.attempt = None;
+                self.may_have_run |= !matches!(failure, AttemptError::NotRun { .. });
                 self.handle_failure(failure).await
             }
         }
@@ -281,6 +291,20 @@
     }
 }
 
+/// Replaces an error by which the request has not run.
+fn with_unknown_outcome(error: RequestError) -> RequestError {
+    if error.kind.response().outcome != Outcome::NotRun {
+        return error;
+    }
+    let kind = match error.kind {
+        ErrorKind::DeadlineBeforeRun => ErrorKind::DeadlineWhileRunning,
+        ErrorKind::Quarantined | ErrorKind::SuspectedCrash => ErrorKind::CrashedBackends,
+        _ => ErrorKind::BackendLost,
+    };
+    let message = format!("the response was lost, and then: {}", error.message);
+    RequestError::new(kind, message)
+}
+
 fn must_run_apart(failure: AttemptError) -> bool {
     matches!(failure, AttemptError::NotRun { reason: NotRunReason::SuspectsApart, .. })
 }
