--- a/crates/http1/tests/answers.rs
+++ b/crates/http1/tests/answers.rs
@@ -76,6 +76,31 @@
     assert!(matches!(read, Err(ResponseError::ConnectionLost { .. })));
 }
 
+/// Guards against a reset that is noticed while the request is still being sent: the
+/// socket then reports the end of the connection instead of the reset.
+#[actix_rt::test]
+async fn reset_while_the_request_is_sent_truncates_a_close_delimited_body() -> io::Result<()> {
+    let mut conn =
+        connect_and_queue(server(b"HTTP/1.1 200 OK\r\n\r\npart", Ending::Reset).await).await;
+    let mut head = RequestHead::default();
+    head.method = actix_http::Method::POST;
+    conn.queue(head, Bytes::from(vec![b'x'; 64 * 1024 * 1024]))?;
+    conn.read_head().await.expect("no response");
+    // The reset arrives before the rest of the request is sent.
+    sleep(Duration::from_millis(200)).await;
+    let read = conn.read_body(1024).await;
+    assert!(matches!(read, Err(ResponseError::ConnectionLost { .. })), "{read:?}");
+    Ok(())
+}
+
+/// Guards against reading an empty body where the transfer coding marks no end.
+#[actix_rt::test]
+async fn body_with_the_identity_coding_is_not_empty() {
+    let bytes = b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nall of it";
+    let read = body(bytes, Ending::Close).await;
+    assert!(read.as_ref().map_or(true, |body| body == "all of it"), "{read:?}");
+}
+
 #[actix_rt::test]
 async fn body_shorter_than_its_content_length_is_truncated() {
     let read = body(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", Ending::Close).await;
