Responses that break off are never complete

http1 client: after a failed write, the end of the connection no longer ends a close-delimited body, because the socket has reported the reset already; a transfer coding other than chunked no longer makes an empty body. Agent: an event stream that ends inside an event is lost, not complete. The test now sends the cut-off event after the caller has received the first one.

--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -17,6 +17,9 @@
 use super::{BackendAddress, headers};
 use crate::responses::ResponseBuffer;
 
+/// Last event of a streamed completion, without its line ends.
+const END_EVENT: &[u8] = b"data: [DONE]";
+
 /// Maximum number of late copies of earlier responses that are skipped on a connection
 /// that was used before. The response to the request follows them, so it needn't be
 /// sent again.
@@ -63,7 +66,7 @@
 }
 
 /// Sends the request and reads the response. Returns `None` if the connection failed,
-/// the body was truncated or the response names another request. Up to `late_copies`
+/// the body was truncated, also inside an event, or the response names another request. Up to `late_copies`
 /// such responses are skipped before.
 async fn round_trip(
     conn: &mut ClientConn,
@@ -94,8 +97,7 @@
             return Some(WorkOutcome::TooLarge);
         }
     }
-    body.finish().await;
-    Some(WorkOutcome::Complete)
+    body.finish().await.then_some(WorkOutcome::Complete)
 }
 
 /// Whether a response may belong to a request. One that names another request is a
@@ -138,10 +140,17 @@
         }
     }
 
-    async fn finish(self) {
-        if let Some(remainder) = self.events.and_then(EventSplitter::into_remainder) {
+    /// Returns false if the body ended inside an event. The empty line after the last
+    /// event of a completion may be missing.
+    async fn finish(self) -> bool {
+        let Some(remainder) = self.events.and_then(EventSplitter::into_remainder) else {
+            return true;
+        };
+        let ends_stream = remainder.trim_ascii_end() == END_EVENT;
+        if ends_stream {
             self.buffer.push(remainder).await;
         }
+        ends_stream
     }
 }
 
--- a/crates/e2e/tests/truncated_responses.rs
+++ b/crates/e2e/tests/truncated_responses.rs
@@ -10,12 +10,12 @@
 /// Starts a server that sends one response and then ends the connection.
 async fn start(lines: &str, body: &str, end: Step) -> (ScriptedServer, Cluster) {
     let response = format!("HTTP/1.1 200 OK\r\n{lines}\r\n{body}");
-    let server = ScriptedServer::start(move |_| {
-        // The agent reads what was sent before a reset discards it.
-        let wait = Step::Wait(Duration::from_millis(30));
-        vec![Step::send(response.clone()), wait, end.clone()]
-    })
-    .await;
+    // The agent reads what was sent before a reset discards it.
+    start_steps(vec![Step::send(response), Step::Wait(Duration::from_millis(30)), end]).await
+}
+
+async fn start_steps(steps: Vec<Step>) -> (ScriptedServer, Cluster) {
+    let server = ScriptedServer::start(move |_| steps.clone()).await;
     let spec = ClusterSpec::new(1)
         .backend_at("orders", server.address)
         .backend_at("assistants", server.address);
@@ -61,14 +61,26 @@
 /// Guards against a stream whose last event is cut off and whose end looks proper.
 #[actix_rt::test]
 async fn stream_that_ends_inside_an_event_reports_an_error() {
-    let lines = "content-type: text/event-stream\r\n";
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
     let token = r#"data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}"#;
-    let events = format!("{token}\n\ndata: {{\"cho");
-    let chunks = format!("{:x}\r\n{events}\r\n0\r\n\r\n", events.len());
-    for (lines, body) in [(format!("{lines}{CHUNKED}"), chunks), (lines.to_owned(), events)] {
-        let (_server, cluster) = start(&lines, &body, Step::Close).await;
+    let token = format!("{token}\n\n");
+    let part = "data: {\"cho";
+    for chunked in [true, false] {
+        let body = |text: &str| {
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if chunked { chunk } else { text.to_owned() }
+        };
+        let (lines, end) = if chunked { (CHUNKED, "0\r\n\r\n") } else { ("", "") };
+        let (_server, cluster) = start_steps(vec![
+            Step::send(format!("{head}{lines}\r\n{}", body(&token))),
+            // The caller receives the first event before the rest arrives.
+            Step::Wait(Duration::from_millis(400)),
+            Step::send(body(part) + end),
+            Step::Close,
+        ])
+        .await;
         let stream = cluster.client(0).stream_chat("key-advisor", "Which?", 4, |_| {}).await;
         let stream = stream.expect("no stream");
-        assert!(!stream.done && stream.error.is_some(), "{lines:?}: {stream:?}");
+        assert!(!stream.done && stream.error.is_some(), "chunked: {chunked}: {stream:?}");
     }
 }
--- a/crates/http1/src/client/conn.rs
+++ b/crates/http1/src/client/conn.rs
@@ -7,6 +7,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::HeaderValue;
 use actix_http::{
     Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, header,
 };
@@ -54,6 +55,9 @@
     NotBegun,
     /// Some or all of it may have been sent.
     Begun,
+    /// Sending failed partway. The socket has reported the reason, such as a reset, and
+    /// may report the end of the connection from then on.
+    Failed,
 }
 
 /// Maximum number of bytes that make up neither a head nor a part of a body: an
@@ -207,6 +211,7 @@
                 None => match self.drive_io().await {
                     Err(ResponseError::ConnectionLost { source })
                         if self.framing == BodyFraming::CloseDelimited
+                            && self.sending != SendState::Failed
                             && source.kind() == io::ErrorKind::UnexpectedEof =>
                     {
                         self.keep_alive = false;
@@ -260,7 +265,7 @@
     /// Returns whether any byte of the last queued request may have been sent. If
     /// not, the request can be sent on another connection.
     pub fn has_begun_request(&self) -> bool {
-        self.sending == SendState::Begun
+        self.sending != SendState::NotBegun
     }
 
     /// Returns whether bytes that have not been read, the end of the connection or an
@@ -284,7 +289,10 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 // The server may have responded and closed the connection before
                 // reading the complete request. Its response can still be read.
-                Err(_) => self.output.clear(),
+                Err(_) => {
+                    self.output.clear();
+                    self.sending = SendState::Failed;
+                }
             }
         }
         if self.overhead > MAX_OVERHEAD_BYTES {
@@ -307,8 +315,10 @@
 
 fn body_framing(head: &ResponseHead) -> BodyFraming {
     let headers = head.headers();
+    // Other transfer codings mark no end.
+    let codings = headers.get_all(header::TRANSFER_ENCODING).map(HeaderValue::as_bytes);
     let delimited = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING);
+        || codings.map(<[u8]>::to_ascii_lowercase).any(|value| value.ends_with(b"chunked"));
     if delimited { BodyFraming::Delimited } else { BodyFraming::CloseDelimited }
 }
 
