Path search in time linear in the boundaries of the engines

The search took 240 us at 130 engines and 1.9 ms at 1,300 (example path_search), more than a decision may take. As the cost of a stage is linear in its layers, one value per engine tells the cheapest way to run it. Among many engines, a random sample is tried first.

--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -1,6 +1,13 @@
 //! Cost of the stages and hops of a path.
-
-use super::queue::{Queues, step_ms};
+//!
+//! The cost of a new request's path is its expected processing time and what it adds
+//! to the times of the requests that run on its engines. That of a repair is the
+//! expected pause of the stream, at engines and links to which all other entries send
+//! as many repairs as this one.
+
+use super::program::StageOption;
+use super::queue::step_ms;
+use super::space::SearchSpace;
 use super::{Demand, Link, PathCandidate, PathPurpose, PathSearch};
 use crate::fleet::EngineSpec;
 use crate::ids::DomainId;
@@ -19,94 +26,90 @@
 /// generated.
 pub(super) const EVENT_TOKENS: f64 = 4.0;
 
-/// Cost of a stage as a linear function of its number of layers.
-#[derive(Debug, Clone, Copy)]
-struct StageCost {
-    fixed: f64,
-    per_layer: f64,
-}
-
-/// Costs of one search.
-///
-/// The cost of a new request's path is its expected processing time and what it adds
-/// to the times of the requests that run on its engines. That of a repair is the expected pause of the stream, at engines and links to which all
-/// other entries send as many repairs as this one.
+/// Costs of the hops between failure domains.
 #[derive(Debug)]
-pub(super) struct Costs<'a> {
-    search: &'a PathSearch<'a>,
-    /// Failure domains that have candidates.
-    domains: Vec<&'a DomainId>,
-    /// Index in `domains` by candidate.
-    domain_of: Vec<usize>,
-    /// Cost of a stage that has to prefill the request's context, by candidate.
-    stages: Vec<StageCost>,
-    /// Cost of a hop that the request's context has to take, by pair of domains;
-    /// `None` if the link is used up to the limit.
-    hops: Vec<Option<f64>>,
+pub(super) struct Hops {
+    domains: usize,
+    /// Costs by pair of domains, to a stage that needs the request's context and to one
+    /// that has it. Infinite if the link is used up to the limit.
+    costs: Vec<[f64; 2]>,
 }
 
-impl<'a> Costs<'a> {
-    /// Computes the costs. `factors` multiply the costs of the candidates' stages.
-    pub(super) fn new(search: &'a PathSearch<'a>, factors: &[f64], max_link_use: f64) -> Self {
-        let mut domains: Vec<&DomainId> = Vec::new();
-        let domain_of = search.candidates.iter().map(|candidate| {
-            domains.iter().position(|known| **known == candidate.domain).unwrap_or_else(|| {
-                domains.push(&candidate.domain);
-                domains.len() - 1
-            })
-        });
-        let domain_of = domain_of.collect();
-        let queues = Queues::new(search.spec, search.candidates);
-        let stages = search.candidates.iter().zip(factors);
-        let stages = stages.map(|(candidate, factor)| {
-            search.stage_cost(candidate, queues.wait_ms(candidate), *factor)
-        });
+impl Hops {
+    pub(super) fn new(space: &SearchSpace<'_>, max_link_use: f64) -> Self {
+        let domains = &space.domains;
         let pairs = domains.iter().flat_map(|a| domains.iter().map(move |b| (*a, *b)));
-        Self {
-            search,
-            stages: stages.collect(),
-            hops: pairs.map(|(a, b)| search.hop_cost(a, b, max_link_use)).collect(),
-            domains,
-            domain_of,
-        }
-    }
-
-    pub(super) const fn search(&self) -> &'a PathSearch<'a> {
-        self.search
+        let costs = pairs.map(|(a, b)| space.search.hop_costs(a, b, max_link_use));
+        Self { domains: domains.len(), costs: costs.collect() }
     }
 
     /// Number of failure domains.
     pub(super) const fn domain_count(&self) -> usize {
-        self.domains.len()
+        self.domains
     }
 
-    /// Index of a candidate's failure domain.
-    pub(super) fn domain(&self, candidate: usize) -> usize {
-        self.domain_of[candidate]
+    /// Cost of a hop between two domains, by index.
+    pub(super) fn cost(&self, from: usize, to: usize, has_context: bool) -> f64 {
+        self.costs[from * self.domains + to][usize::from(has_context)]
     }
+}
 
-    /// Cost of layers `from..to` on a candidate.
-    pub(super) fn stage(&self, candidate: usize, from: u32, to: u32) -> f64 {
-        let layers = to - from;
-        let engine = &self.search.candidates[candidate];
-        if self.search.has_cached_context(engine, from, to) {
-            return self.search.decode_cost(engine) * self.search.spec.model_fraction(layers);
+impl SearchSpace<'_> {
+    /// The ways to use the given candidates as stages. `factors` multiply their costs, in
+    /// the same order.
+    pub(super) fn stage_options(&self, usable: &[usize], factors: &[f64]) -> Vec<StageOption> {
+        let current = self.current.iter().map(|(candidate, layers)| StageOption {
+            layers: *layers,
+            has_context: true,
+            can_be_first: layers.first() == 0,
+            fixed: 0.0,
+            ..self.stage_option(*candidate, 1.0)
+        });
+        let current = current.map(|option| StageOption {
+            per_layer: self.search.decode_cost(&self.search.candidates[option.candidate]),
+            ..option
+        });
+        let new = usable.iter().zip(factors);
+        let new = new.map(|(index, factor)| self.stage_option(*index, *factor));
+        current.chain(new).collect()
+    }
+
+    /// A stage that has to prefill the request's context.
+    fn stage_option(&self, index: usize, factor: f64) -> StageOption {
+        let search = self.search;
+        let candidate = &search.candidates[index];
+        let (prefill, decode) = (search.prefill_ms(candidate, 1), search.decode_cost(candidate));
+        let (backlog, wait) = (candidate.prefill_backlog_ms, self.waits_ms[index]);
+        let (fixed, per_layer) = match search.purpose {
+            PathPurpose::NewRequest => {
+                // Each step waits, and the others wait for this request's prefill as
+                // long.
+                let waits = wait * (1.0 + search.demand.output_tokens) * SHARED_WAIT_WEIGHT;
+                let weight = factor * cache_factor(candidate);
+                ((backlog + waits) * weight, (prefill + decode) * weight)
+            }
+            PathPurpose::Repair => {
+                let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
+                let weight = factor / (1.0 - used).max(MIN_FREE_CACHE);
+                ((backlog + wait) * weight, search.repair_load() * prefill * weight + decode)
+            }
+        };
+        StageOption {
+            candidate: index,
+            domain: self.domain_of[index],
+            layers: candidate.layers,
+            has_context: false,
+            can_be_first: search.can_be_first(candidate),
+            fixed,
+            per_layer,
         }
-        let cost = self.stages[candidate];
-        cost.fixed + cost.per_layer * f64::from(layers)
     }
+}
 
-    /// Cost of a hop, or `None` if the link can't be used.
-    pub(super) fn hop(&self, from: usize, to: usize) -> Option<f64> {
-        let hop = self.hops[self.domain_of[from] * self.domains.len() + self.domain_of[to]];
-        if self.search.purpose == PathPurpose::Repair && self.search.runs_on(to) {
-            // Only new tokens go to an engine that has the context.
-            let candidates = self.search.candidates;
-            let (a, b) = (&candidates[from].domain, &candidates[to].domain);
-            return hop.map(|_| EVENT_TOKENS * self.search.delay_ms(a, b));
-        }
-        hop
-    }
+/// Factor by which the costs of a stage grow with the use of the KV cache.
+fn cache_factor(candidate: &PathCandidate) -> f64 {
+    let utilization = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
+    1.0 + CACHE_UTILIZATION_WEIGHT * utilization * utilization
 }
 
 impl PathSearch<'_> {
@@ -116,64 +119,18 @@
         tokens * candidate.prefill_ms_per_token * self.spec.model_fraction(layers)
     }
 
-    /// Whether an engine already has the request's KV cache for exactly these
-    /// layers.
-    pub(super) fn has_cached_context(&self, candidate: &PathCandidate, from: u32, to: u32) -> bool {
-        self.current_path.iter().any(|stage| {
-            stage.layers.first() == from && stage.layers.end() == to && stage.id == candidate.id
-        })
-    }
-
-    /// Whether the request is running on a candidate.
-    fn runs_on(&self, candidate: usize) -> bool {
-        let id = &self.candidates[candidate].id;
-        self.current_path.iter().any(|stage| stage.id == *id)
-    }
-
-    /// Factor by which the costs of a stage grow with the use of the KV cache.
-    fn cache_factor(candidate: &PathCandidate) -> f64 {
-        let utilization = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
-        1.0 + CACHE_UTILIZATION_WEIGHT * utilization * utilization
-    }
-
-    /// Cost of the decode phase in all layers of the model on an engine. A new
-    /// request makes each step of the requests that run there longer.
+    /// Cost of the decode phase in one layer on an engine. A new request makes each
+    /// step of the requests that run there longer.
     fn decode_cost(&self, candidate: &PathCandidate) -> f64 {
         let step = step_ms(candidate);
-        match self.purpose {
+        let cost = match self.purpose {
             PathPurpose::NewRequest => {
                 let added = candidate.running * candidate.step_ms_per_request;
                 self.demand.output_tokens * (step + added)
             }
             PathPurpose::Repair => EVENT_TOKENS * step,
-        }
-    }
-
-    /// Cost of a stage that has to prefill the request's context. `wait_ms` is the
-    /// expected wait for the prefills of other requests.
-    fn stage_cost(&self, candidate: &PathCandidate, wait_ms: f64, factor: f64) -> StageCost {
-        let prefill = self.prefill_ms(candidate, 1);
-        let decode = self.decode_cost(candidate) * self.spec.model_fraction(1);
-        match self.purpose {
-            PathPurpose::NewRequest => {
-                // Each step waits, and the others wait for this request's prefill as
-                // long.
-                let waits = wait_ms * (1.0 + self.demand.output_tokens) * SHARED_WAIT_WEIGHT;
-                let weight = factor * Self::cache_factor(candidate);
-                StageCost {
-                    fixed: (candidate.prefill_backlog_ms + waits) * weight,
-                    per_layer: (prefill + decode) * weight,
-                }
-            }
-            PathPurpose::Repair => {
-                let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
-                let weight = factor / (1.0 - used).max(MIN_FREE_CACHE);
-                StageCost {
-                    fixed: (candidate.prefill_backlog_ms + wait_ms) * weight,
-                    per_layer: self.repair_load() * prefill * weight + decode,
-                }
-            }
-        }
+        };
+        cost * self.spec.model_fraction(1)
     }
 
     /// Number of repairs that all entries send when this one sends one. The runs of
@@ -182,30 +139,32 @@
         f64::from(self.entries.max(1))
     }
 
-    /// Cost of a hop that the request's context takes from one failure domain to
-    /// another, or `None` if the link is utilized up to the limit.
-    fn hop_cost(&self, a: &DomainId, b: &DomainId, max_link_use: f64) -> Option<f64> {
+    /// Costs of a hop from one failure domain to another, to a stage that needs the
+    /// request's context and to one that has it. Infinite if the link is utilized up
+    /// to the limit.
+    fn hop_costs(&self, a: &DomainId, b: &DomainId, max_link_use: f64) -> [f64; 2] {
         let tokens = match self.purpose {
             PathPurpose::NewRequest => self.demand.output_tokens,
             PathPurpose::Repair => EVENT_TOKENS,
         };
         if a == b {
-            return Some(tokens * INTRA_DOMAIN_DELAY_MS);
+            return [tokens * INTRA_DOMAIN_DELAY_MS; 2];
         }
         let link = Link::between(a, b);
         let utilization = self.links.total(&link, self.now) / self.link_bytes_per_ms();
         if utilization >= max_link_use {
-            return None;
+            return [f64::INFINITY; 2];
         }
         let transfer = self.transfer_ms() / (1.0 - utilization);
         let wait = self.link_wait_ms(utilization) * SHARED_WAIT_WEIGHT;
+        let steps = tokens * (self.delay_ms(a, b) + wait);
         let context = match self.purpose {
             PathPurpose::NewRequest => transfer,
             PathPurpose::Repair => {
                 self.links.repair_backlog_ms(&link, self.now) + transfer * self.repair_load()
             }
         };
-        Some(context + tokens * (self.delay_ms(a, b) + wait))
+        [context + steps, steps]
     }
 
     fn link_bytes_per_ms(&self) -> f64 {
--- a/crates/decide/src/paths/load.rs
+++ b/crates/decide/src/paths/load.rs
@@ -47,31 +47,29 @@
     }
 
     fn stage_prefill(&self, stage: &PathStage) -> Option<PrefillWork> {
-        let candidate = self.candidate(stage)?;
-        if self.has_cached_context(candidate, stage.layers.first(), stage.layers.end()) {
+        if self.current_path.contains(stage) {
             return None;
         }
         let load = match self.purpose {
             PathPurpose::NewRequest => 1.0,
             PathPurpose::Repair => self.repair_load(),
         };
-        let ms = load * self.prefill_ms(candidate, stage.layers.count());
+        let ms = load * self.prefill_ms(self.candidate(stage)?, stage.layers.count());
         Some(PrefillWork { id: stage.id.clone(), ms })
     }
 
     fn crossing(&self, from: &PathStage, to: &PathStage) -> Option<Crossing> {
-        let (a, b) = (&self.candidate(from)?.domain, self.candidate(to)?);
-        let is_repair = self.purpose == PathPurpose::Repair;
-        let has_context = self.current_path.iter().any(|stage| stage.id == to.id);
+        let (a, b) = (&self.candidate(from)?.domain, &self.candidate(to)?.domain);
+        let takes_context = self.purpose == PathPurpose::Repair && !self.current_path.contains(to);
         let repair_ms = self.transfer_ms() * self.repair_load();
-        (*a != b.domain).then(|| Crossing {
-            link: Link::between(a, &b.domain),
+        (a != b).then(|| Crossing {
+            link: Link::between(a, b),
             bytes: transfer_bytes(self.spec, self.demand),
-            repair_ms: if is_repair && !has_context { repair_ms } else { 0.0 },
+            repair_ms: if takes_context { repair_ms } else { 0.0 },
         })
     }
 
-    pub(super) fn candidate(&self, stage: &PathStage) -> Option<&PathCandidate> {
+    fn candidate(&self, stage: &PathStage) -> Option<&PathCandidate> {
         self.candidates.iter().find(|candidate| candidate.id == stage.id)
     }
 }
--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -9,6 +9,7 @@
 mod program;
 mod queue;
 mod search;
+mod space;
 mod spread;
 mod targets;
 
--- a/crates/decide/src/paths/program.rs
+++ b/crates/decide/src/paths/program.rs
@@ -2,130 +2,257 @@
 
 use clementine_objects::LayerRange;
 
-use super::cost::Costs;
+use super::cost::Hops;
 
-/// The last stage of a partial path that covers all layers before a boundary.
+/// An engine with the layers that it can run in a path, and their cost.
 #[derive(Debug, Clone, Copy)]
-struct PartialPath {
-    /// Cost of the whole partial path.
-    cost: f64,
-    /// Index of the candidate that runs the last stage.
-    candidate: usize,
-    /// First layer of the last stage.
+pub(super) struct StageOption {
+    /// Index of the candidate.
+    pub(super) candidate: usize,
+    /// Index of its failure domain.
+    pub(super) domain: usize,
+    /// Layers of which the stage runs some.
+    pub(super) layers: LayerRange,
+    /// Whether the engine has the request's context for exactly these layers, so that
+    /// the stage runs all of them or none.
+    pub(super) has_context: bool,
+    /// Whether the stage may be the first one.
+    pub(super) can_be_first: bool,
+    /// Cost of the stage whatever its number of layers.
+    pub(super) fixed: f64,
+    /// Cost of each layer.
+    pub(super) per_layer: f64,
+}
+
+/// A stage that begins at a layer, and the stage before it.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    option: usize,
     first_layer: u32,
-    /// Failure domain of the preceding partial path, which ends at `first_layer`;
-    /// `None` for the first stage.
     predecessor: Option<usize>,
+    /// Candidates of the partial path, as bits; several candidates share a bit.
+    candidates: u128,
+}
+
+/// The bit of a candidate in [`Entry::candidates`].
+const fn candidate_bit(candidate: usize) -> u128 {
+    1 << (candidate % 128)
+}
+
+/// The cheapest partial path that ends in a failure domain.
+#[derive(Debug, Clone, Copy)]
+struct Exit {
+    cost: f64,
+    entry: Option<usize>,
 }
 
+const NO_EXIT: Exit = Exit { cost: f64::INFINITY, entry: None };
+
 /// Dynamic program over the layers at which the range of an engine begins or ends.
-/// It keeps the cheapest partial path per layer and failure domain, because the
-/// cost of the next hop depends on the domain.
+///
+/// The cost of a stage is linear in its layers, so one value per stage option tells
+/// the cost of the cheapest partial path that runs it at present, wherever it was
+/// entered. At each boundary, the options that run lead to the cheapest exit of each
+/// failure domain, from which all options can be entered. The time is in proportion
+/// to the sum of the options' boundaries.
 #[derive(Debug)]
 pub(super) struct PathProgram<'a> {
-    costs: &'a Costs<'a>,
-    usable: &'a [usize],
-    /// Cheapest partial paths by the layer before which they end and by failure
-    /// domain. Invariant: at most one per layer and domain.
-    partial: Vec<Option<PartialPath>>,
+    options: &'a [StageOption],
+    hops: &'a Hops,
+    layers: u32,
+    /// All entries that were the cheapest at some boundary.
+    entries: Vec<Entry>,
+    /// Cheapest exits at the current boundary, by failure domain.
+    exits: Vec<Exit>,
+    /// Cheapest ways from the exits to a stage in each failure domain: to one that
+    /// needs the request's context and to one that has it.
+    arrivals: Vec<[Exit; 2]>,
+    /// Whether any option has the request's context.
+    has_context: bool,
+}
+
+/// An option whose layers include the current boundary.
+#[derive(Debug, Clone, Copy)]
+struct Active {
+    /// Cost of the cheapest partial path through the option, less the cost that its
+    /// layers would have from layer 0 to where it is entered; infinite if there is
+    /// none.
+    value: f64,
+    fixed: f64,
+    per_layer: f64,
+    /// Index of the option.
+    option: usize,
+    /// Index of the entry into the option.
+    entered: usize,
+    domain: usize,
+    end: u32,
+    has_context: bool,
+}
+
+impl Active {
+    const fn new(index: usize, option: &StageOption) -> Self {
+        Self {
+            value: f64::INFINITY,
+            fixed: option.fixed,
+            per_layer: option.per_layer,
+            option: index,
+            entered: 0,
+            domain: option.domain,
+            end: option.layers.end(),
+            has_context: option.has_context,
+        }
+    }
 }
 
 impl<'a> PathProgram<'a> {
-    /// Prepares the search among the usable candidates.
-    pub(super) fn new(costs: &'a Costs<'a>, usable: &'a [usize]) -> Self {
-        let layers = costs.search().spec.layers as usize;
-        Self { costs, usable, partial: vec![None; (layers + 1) * costs.domain_count()] }
+    pub(super) fn new(options: &'a [StageOption], hops: &'a Hops, layers: u32) -> Self {
+        Self {
+            options,
+            hops,
+            layers,
+            entries: Vec::with_capacity(4 * options.len()),
+            exits: vec![NO_EXIT; hops.domain_count()],
+            arrivals: vec![[NO_EXIT; 2]; hops.domain_count()],
+            has_context: options.iter().any(|option| option.has_context),
+        }
     }
 
-    /// Returns the cheapest path as candidates and their layers. It can contain a
-    /// candidate twice.
+    /// Returns the cheapest path as options and their layers. No candidate occurs
+    /// twice: one that could be entered again after other stages can as well run on
+    /// from where it was entered first, so a path is found whenever there is one.
     pub(super) fn solve(mut self) -> Option<Vec<(usize, LayerRange)>> {
-        let candidates = self.costs.search().candidates;
-        let boundaries = self.boundaries();
-        for (index, &from) in boundaries.iter().enumerate() {
-            if from > 0 && self.ending_at(from).iter().all(Option::is_none) {
-                continue;
+        let order = self.by_first_layer();
+        let is_boundary = self.boundaries();
+        let mut active: Vec<Active> = Vec::new();
+        let mut next = 0;
+        for layer in (0..self.layers).filter(|layer| is_boundary[*layer as usize]) {
+            if layer > 0 {
+                self.find_exits(&active, layer);
+                self.find_arrivals();
             }
-            for &candidate in self.usable {
-                let range = candidates[candidate].layers;
-                if !range.contains(from) {
-                    continue;
-                }
-                let Some((predecessor, cost)) = self.cheapest_predecessor(from, candidate) else {
-                    continue;
-                };
-                for &to in boundaries[index + 1..].iter().take_while(|to| **to <= range.end()) {
-                    if from == 0 && !self.costs.search().can_be_first(candidate, to) {
-                        continue;
-                    }
-                    let cost = cost + self.costs.stage(candidate, from, to);
-                    let path = PartialPath { cost, candidate, first_layer: from, predecessor };
-                    self.insert_if_cheaper(to, path);
+            let running = active.len();
+            active.retain(|stage| stage.end > layer);
+            // Stages are linear in their layers, so a change between two engines that
+            // go on or run already is at least as cheap at another layer.
+            let first_entered = if active.len() < running { 0 } else { active.len() };
+            while let Some(&index) = order.get(next) {
+                let option = &self.options[index];
+                if option.layers.first() > layer {
+                    break;
                 }
+                active.push(Active::new(index, option));
+                next += 1;
+            }
+            for stage in &mut active[first_entered..] {
+                self.enter(stage, layer);
             }
         }
-        self.reconstruct()
+        self.find_exits(&active, self.layers);
+        let complete = self.exits.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        self.reconstruct(complete.entry?)
+    }
+
+    /// Indices of the options, ordered by their first layer.
+    fn by_first_layer(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.options.len()).collect();
+        order.sort_unstable_by_key(|index| self.options[*index].layers.first());
+        order
     }
 
-    /// Layers at which one stage may end and the next one begin, in ascending
-    /// order.
-    fn boundaries(&self) -> Vec<u32> {
-        let search = self.costs.search();
-        let loaded = self.usable.iter().map(|index| search.candidates[*index].layers);
-        let current = search.current_path.iter().map(|stage| stage.layers);
-        let mut is_boundary = vec![false; search.spec.layers as usize + 1];
-        let ends = loaded.chain(current).flat_map(|range| [range.first(), range.end()]);
-        for layer in ends.chain([0, search.spec.layers]) {
-            if let Some(slot) = is_boundary.get_mut(layer as usize) {
-                *slot = true;
+    /// Whether one stage may end and the next one begin at each layer.
+    fn boundaries(&self) -> Vec<bool> {
+        let mut is_boundary = vec![false; self.layers as usize + 1];
+        is_boundary[0] = true;
+        for option in self.options {
+            for layer in [option.layers.first(), option.layers.end()] {
+                if let Some(slot) = is_boundary.get_mut(layer as usize) {
+                    *slot = true;
+                }
             }
         }
-        (0..=search.spec.layers).filter(|layer| is_boundary[*layer as usize]).collect()
+        is_boundary
     }
 
-    /// The partial paths that end before a layer, by failure domain.
-    fn ending_at(&self, layer: u32) -> &[Option<PartialPath>] {
-        let count = self.costs.domain_count();
-        &self.partial[layer as usize * count..][..count]
+    /// Finds the cheapest exit of each failure domain before a layer.
+    fn find_exits(&mut self, active: &[Active], layer: u32) {
+        self.exits.fill(NO_EXIT);
+        for stage in active {
+            let cost = stage.value + stage.per_layer * f64::from(layer);
+            let exit = &mut self.exits[stage.domain];
+            if cost < exit.cost && (!stage.has_context || stage.end == layer) {
+                *exit = Exit { cost, entry: Some(stage.entered) };
+            }
+        }
     }
 
-    /// The cheapest partial path that a stage on `candidate` can continue: its
-    /// failure domain, and its cost including the hop. The domain is `None` for the
-    /// first stage.
-    fn cheapest_predecessor(&self, from: u32, candidate: usize) -> Option<(Option<usize>, f64)> {
-        if from == 0 {
-            return Some((None, 0.0));
+    /// Enters an option at a layer if that is cheaper than to have entered it before.
+    fn enter(&mut self, stage: &mut Active, layer: u32) {
+        let option = &self.options[stage.option];
+        let arrival = match layer {
+            0 if option.can_be_first => Exit { cost: 0.0, entry: None },
+            0 => return,
+            _ => self.arrivals[stage.domain][usize::from(stage.has_context)],
+        };
+        let value = arrival.cost + stage.fixed - stage.per_layer * f64::from(layer);
+        let is_closed = stage.has_context && option.layers.first() != layer;
+        if value >= stage.value || is_closed || self.runs_before(arrival.entry, option.candidate) {
+            return;
         }
-        let paths = self.ending_at(from).iter().enumerate();
-        let others = paths.filter_map(|(domain, path)| Some((domain, (*path)?)));
-        let others = others.filter(|(_, path)| path.candidate != candidate);
-        let costs = others.filter_map(|(domain, path)| {
-            Some((Some(domain), path.cost + self.costs.hop(path.candidate, candidate)?))
+        stage.value = value;
+        stage.entered = self.entries.len();
+        let before = arrival.entry.map_or(0, |entry| self.entries[entry].candidates);
+        self.entries.push(Entry {
+            option: stage.option,
+            first_layer: layer,
+            predecessor: arrival.entry,
+            candidates: before | candidate_bit(option.candidate),
         });
-        costs.min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// Inserts a partial path unless one that ends in the same failure domain is at
-    /// least as cheap; a more expensive one is replaced.
-    fn insert_if_cheaper(&mut self, layer: u32, new: PartialPath) {
-        let domain = self.costs.domain(new.candidate);
-        let slot = &mut self.partial[layer as usize * self.costs.domain_count() + domain];
-        if slot.is_none_or(|path| new.cost < path.cost) {
-            *slot = Some(new);
+    /// Whether a candidate runs a stage of the partial path that ends with an entry.
+    fn runs_before(&self, mut entry: Option<usize>, candidate: usize) -> bool {
+        let bit = candidate_bit(candidate);
+        while let Some(stage) = entry.map(|index| &self.entries[index]) {
+            if stage.candidates & bit == 0 {
+                return false;
+            }
+            if self.options[stage.option].candidate == candidate {
+                return true;
+            }
+            entry = stage.predecessor;
+        }
+        false
+    }
+
+    fn find_arrivals(&mut self) {
+        for domain in 0..self.arrivals.len() {
+            self.arrivals[domain][0] = self.arrival(domain, false);
+            if self.has_context {
+                self.arrivals[domain][1] = self.arrival(domain, true);
+            }
+        }
+    }
+
+    /// The cheapest way to a stage in a failure domain, with its cost.
+    fn arrival(&self, domain: usize, has_context: bool) -> Exit {
+        let mut best = NO_EXIT;
+        for (from, exit) in self.exits.iter().enumerate() {
+            let cost = exit.cost + self.hops.cost(from, domain, has_context);
+            if cost < best.cost {
+                best = Exit { cost, ..*exit };
+            }
         }
+        best
     }
 
-    /// Follows the predecessors back from the cheapest complete path.
-    fn reconstruct(&self) -> Option<Vec<(usize, LayerRange)>> {
-        let mut end = self.costs.search().spec.layers;
-        let complete = self.ending_at(end).iter().flatten();
-        let mut last = *complete.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+    /// Follows the predecessors back from the last stage.
+    fn reconstruct(&self, last: usize) -> Option<Vec<(usize, LayerRange)>> {
+        let (mut end, mut next) = (self.layers, Some(last));
         let mut path = Vec::new();
-        loop {
-            path.push((last.candidate, LayerRange::half_open(last.first_layer, end)?));
-            let Some(predecessor) = last.predecessor else { break };
-            end = last.first_layer;
-            last = self.ending_at(end)[predecessor]?;
+        while let Some(entry) = next.map(|index| self.entries[index]) {
+            path.push((entry.option, LayerRange::half_open(entry.first_layer, end)?));
+            end = entry.first_layer;
+            next = entry.predecessor;
         }
         path.reverse();
         Some(path)
--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -1,10 +1,11 @@
 //! Search for the path of one request.
 
-use clementine_objects::LayerRange;
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
-use super::cost::Costs;
-use super::program::PathProgram;
+use super::cost::Hops;
+use super::program::{PathProgram, StageOption};
+use super::space::{SearchSpace, Stage};
 use super::spread::Preference;
 use super::{Demand, LinkUsage, PathCandidate, PathPurpose, PathStage, PathTargets};
 use crate::fleet::EngineSpec;
@@ -30,6 +31,10 @@
 /// [`MAX_TRANSFER_MS`], if no single domain has capacity.
 const LONG_TRANSFER_LINK_UTILIZATION: f64 = 0.1;
 
+/// Number of engines among which a path is looked for first. The engines outside the
+/// sample are no loss: other requests get other samples.
+const SAMPLE_SIZE: usize = 200;
+
 /// Preference of a repair: in proportion to speed.
 const REPAIR_PREFERENCE: Preference = Preference { domain: f64::INFINITY, engine: 1.0 };
 /// Preferences of a new request, of which the first is used whose path meets the
@@ -87,13 +92,43 @@
     ///
     /// The choice is the same for the same state of the generator.
     pub fn choose_path(&self, rng: &mut impl Rng) -> Option<Vec<PathStage>> {
-        if self.purpose == PathPurpose::Repair {
-            return self.cheapest_by(&REPAIR_PREFERENCE.factors(self.candidates, rng));
-        }
+        let space = SearchSpace::new(self);
+        let path = match self.purpose {
+            PathPurpose::Repair => space.randomized_path(REPAIR_PREFERENCE, rng),
+            PathPurpose::NewRequest => space.spread_path(rng),
+        };
+        Some(space.path_stages(&path?))
+    }
+
+    /// Returns the path through all layers with the lowest cost, or `None` if no
+    /// path has capacity for the request.
+    pub fn cheapest_path(&self) -> Option<Vec<PathStage>> {
+        let space = SearchSpace::new(self);
+        let path = space.cheapest_by(&space.usable, &vec![1.0; self.candidates.len()])?;
+        Some(space.path_stages(&path))
+    }
+
+    /// Whether an engine has KV cache for the request.
+    pub(super) fn has_capacity(&self, candidate: &PathCandidate) -> bool {
+        let needed = self.demand.prompt_tokens + self.demand.output_tokens;
+        candidate.used_tokens + needed <= candidate.capacity_tokens * MAX_CACHE_UTILIZATION
+    }
+
+    /// Whether an engine may run the first stage of a request that does not run yet.
+    pub(super) fn can_be_first(&self, candidate: &PathCandidate) -> bool {
+        let is_allowed =
+            self.allowed_first.is_empty() || self.allowed_first.contains(&candidate.id);
+        self.current_path.is_empty() && candidate.free_slots > 0 && is_allowed
+    }
+}
+
+impl SearchSpace<'_> {
+    /// The path of a new request.
+    fn spread_path(&self, rng: &mut impl Rng) -> Option<Vec<Stage>> {
         let mut chosen = None;
         for preference in PREFERENCES {
-            let preference = preference.scaled_by_use(self.candidates);
-            let path = self.cheapest_by(&preference.factors(self.candidates, rng))?;
+            let preference = preference.scaled_by_use(self.search.candidates);
+            let path = self.randomized_path(preference, rng)?;
             if self.meets_targets(&path) {
                 return Some(path);
             }
@@ -102,68 +137,43 @@
         chosen
     }
 
-    /// Returns the path through all layers with the lowest cost, or `None` if no
-    /// path has capacity for the request.
-    pub fn cheapest_path(&self) -> Option<Vec<PathStage>> {
-        self.cheapest_by(&vec![1.0; self.candidates.len()])
+    /// The cheapest path by costs that are multiplied by random factors. Among many
+    /// engines, a sample is tried first.
+    fn randomized_path(&self, preference: Preference, rng: &mut impl Rng) -> Option<Vec<Stage>> {
+        if self.usable.len() > 2 * SAMPLE_SIZE {
+            let sample: Vec<usize> = self.usable.iter().copied().sample(rng, SAMPLE_SIZE);
+            let path = self.cheapest_by(&sample, &preference.factors(self, &sample, rng));
+            if path.is_some() {
+                return path;
+            }
+        }
+        self.cheapest_by(&self.usable, &preference.factors(self, &self.usable, rng))
     }
 
-    /// The cheapest path if the costs of the candidates' stages are multiplied by
-    /// `factors`.
-    fn cheapest_by(&self, factors: &[f64]) -> Option<Vec<PathStage>> {
-        let limits = if self.transfer_ms() > MAX_TRANSFER_MS {
+    /// The cheapest path on some candidates whose costs are multiplied by `factors`.
+    fn cheapest_by(&self, usable: &[usize], factors: &[f64]) -> Option<Vec<Stage>> {
+        let limits = if self.search.transfer_ms() > MAX_TRANSFER_MS {
             [0.0, LONG_TRANSFER_LINK_UTILIZATION]
         } else {
             [MAX_LINK_UTILIZATION, FALLBACK_LINK_UTILIZATION]
         };
-        limits.into_iter().find_map(|limit| self.cheapest_within(factors, limit))
+        let options = self.stage_options(usable, factors);
+        limits.into_iter().find_map(|limit| self.cheapest_within(&options, limit))
     }
 
-    /// The cheapest path over links whose utilization is below a limit. The
-    /// program itself can use an engine twice; such an engine is excluded and the
-    /// search repeated.
-    fn cheapest_within(&self, factors: &[f64], max_link_use: f64) -> Option<Vec<PathStage>> {
-        let candidates = self.candidates;
-        let costs = Costs::new(self, factors, max_link_use);
-        let mut usable: Vec<usize> =
-            (0..candidates.len()).filter(|index| self.has_capacity(&candidates[*index])).collect();
-        loop {
-            let path = PathProgram::new(&costs, &usable).solve()?;
-            let Some(repeated) = repeated_candidate(&path) else {
-                let stages =
-                    path.into_iter().map(|(index, layers)| stage(&candidates[index], layers));
-                return Some(stages.collect());
-            };
-            usable.retain(|index| *index != repeated);
-        }
+    /// The cheapest path over links whose utilization is below a limit.
+    fn cheapest_within(&self, options: &[StageOption], max_link_use: f64) -> Option<Vec<Stage>> {
+        let hops = Hops::new(self, max_link_use);
+        let path = PathProgram::new(options, &hops, self.search.spec.layers).solve()?;
+        let path = path.into_iter().map(|(option, layers)| (options[option].candidate, layers));
+        Some(path.collect())
     }
 
-    /// Whether an engine has KV cache for the request, which an engine of the
-    /// current path has reserved already.
-    fn has_capacity(&self, candidate: &PathCandidate) -> bool {
-        let needed = self.demand.prompt_tokens + self.demand.output_tokens;
-        let fits =
-            candidate.used_tokens + needed <= candidate.capacity_tokens * MAX_CACHE_UTILIZATION;
-        fits || self.current_path.iter().any(|stage| stage.id == candidate.id)
+    fn path_stages(&self, path: &[Stage]) -> Vec<PathStage> {
+        let stages = path.iter().map(|(index, layers)| {
+            let candidate = &self.search.candidates[*index];
+            PathStage { id: candidate.id.clone(), address: candidate.address, layers: *layers }
+        });
+        stages.collect()
     }
-
-    /// Whether an engine may run the layers up to `to` as the first stage.
-    pub(super) fn can_be_first(&self, candidate: usize, to: u32) -> bool {
-        let id = &self.candidates[candidate].id;
-        if let Some(stage) = self.current_path.first() {
-            return stage.id == *id && stage.layers.end() == to;
-        }
-        let has_slot = self.candidates[candidate].free_slots > 0;
-        has_slot && (self.allowed_first.is_empty() || self.allowed_first.contains(id))
-    }
-}
-
-fn stage(candidate: &PathCandidate, layers: LayerRange) -> PathStage {
-    PathStage { id: candidate.id.clone(), address: candidate.address, layers }
-}
-
-/// The first candidate that occurs twice in a path.
-fn repeated_candidate(path: &[(usize, LayerRange)]) -> Option<usize> {
-    let repeated = |at: &usize| path[..*at].iter().any(|(index, _)| *index == path[*at].0);
-    (0..path.len()).find(repeated).map(|at| path[at].0)
 }
--- a/crates/decide/src/paths/spread.rs
+++ b/crates/decide/src/paths/spread.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, RngExt};
 
 use super::PathCandidate;
-use crate::ids::DomainId;
+use super::space::SearchSpace;
 
 /// Upper bound of the fraction of KV cache in use by which a preference is scaled.
 const MAX_CACHE_USE: f64 = 0.95;
@@ -33,19 +33,17 @@
         Self { domain: self.domain / free, engine: self.engine / free }
     }
 
-    /// Draws a factor for each candidate's cost, for its failure domain and for
-    /// itself.
-    pub(super) fn factors(self, candidates: &[PathCandidate], rng: &mut impl Rng) -> Vec<f64> {
-        let mut domains: Vec<(&DomainId, f64)> = Vec::new();
-        let factors = candidates.iter().map(|candidate| {
-            let known = domains.iter().find(|(domain, _)| **domain == candidate.domain);
-            let domain = known.map_or_else(|| factor(self.domain, rng), |(_, factor)| *factor);
-            if known.is_none() {
-                domains.push((&candidate.domain, domain));
-            }
-            domain * factor(self.engine, rng)
-        });
-        factors.collect()
+    /// Draws a factor for the cost of each of the given candidates, for its failure
+    /// domain and for itself.
+    pub(super) fn factors(
+        self,
+        space: &SearchSpace<'_>,
+        usable: &[usize],
+        rng: &mut impl Rng,
+    ) -> Vec<f64> {
+        let domains: Vec<f64> = space.domains.iter().map(|_| factor(self.domain, rng)).collect();
+        let domain = |index: &usize| domains[space.domain_of[*index]];
+        usable.iter().map(|index| domain(index) * factor(self.engine, rng)).collect()
     }
 }
 
