Agents and their entries keep the crash log of all entries

Quarantine of crash_counts kept a count for each request and took the larger one when two processes told each other. Two entries that each saw one server crash did not add up, so that a third server crashed; two copies of a request that were lost in one crash counted twice. Both were shown on the count with the scenarios that are now crashes_behind_two_agents_add_up and crash_behind_an_agent_counts_once_until_the_server_is_alive_again, which failed. Quarantine is removed. Agents record the server behind them, counted from one proof of its liveness to the next, and name it in the outcome BackendLost, so that the entry records the same crash. note_crashes and RunRequest::crashes keep their names and carry a CrashReport instead of a number; the refusal Quarantined stays. An entry that is refused so asks the agents of the pool for what they know, and records completions, which it did not. An operation whose deadline passes is no crash any more. The test of Quarantine in guards moved to crash_log as log_of_an_agent_counts_crashes_expires_them_and_is_bounded, with the same checks and those on entries that have expired. Tests: decide, wire, agent, entry; e2e crash, failover, once, split, drain, path.

--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -66,7 +66,7 @@
             }
             CallOutcome::Sent(outcome)
         }
-        None => CallOutcome::Sent(WorkOutcome::BackendLost),
+        None => CallOutcome::Sent(WorkOutcome::BackendLost(None)),
     }
 }
 
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -61,7 +61,9 @@
                 let (acceptor, shared) = (Rc::clone(&acceptor), Rc::clone(&shared));
                 spawn_local(async move {
                     match acceptor.accept(stream).await {
-                        Ok(stream) => serve_agent(stream, AgentService::new(shared)).await,
+                        Ok(stream) => {
+                            Box::pin(serve_agent(stream, AgentService::new(shared))).await;
+                        }
                         Err(error) => debug!("agent: TLS handshake failed: {}", error),
                     }
                 });
--- a/crates/agent/src/service/mod.rs
+++ b/crates/agent/src/service/mod.rs
@@ -5,7 +5,7 @@
 use clementine_decide::config::ConfigUpdate;
 use clementine_decide::dedup::WorkTag;
 use clementine_decide::ids::WorkId;
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{CrashReport, Fingerprint};
 use clementine_decide::stage::HeadGeneration;
 use clementine_objects::{Millis, Revision};
 use clementine_wire::{
@@ -50,8 +50,13 @@
         self.shared.cancel(work);
     }
 
-    async fn note_crashes(self, _: Context, fingerprint: Fingerprint, crashes: u32) -> u32 {
-        self.shared.record_crashes(fingerprint, crashes)
+    async fn note_crashes(
+        self,
+        _: Context,
+        fingerprint: Fingerprint,
+        crashes: Option<CrashReport>,
+    ) -> Option<CrashReport> {
+        self.shared.exchange_crashes(fingerprint, crashes.as_ref())
     }
 
     async fn configure(self, _: Context, update: ConfigUpdate) -> Revision {
--- a/crates/agent/src/shared/health.rs
+++ b/crates/agent/src/shared/health.rs
@@ -39,7 +39,7 @@
                 sleep(PROBE_INTERVAL).await;
             }
             shared.backend_up.set(true);
-            shared.suspect_gate.borrow_mut().record_alive();
+            shared.record_backend_alive();
             info!("backend: accepts connections");
         });
     }
--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -9,7 +9,7 @@
 use clementine_decide::config::{ConfigUpdate, LocalConfig};
 use clementine_decide::dedup::DedupTable;
 use clementine_decide::ids::{AgentRef, IncarnationId};
-use clementine_decide::quarantine::{Quarantine, QuarantineLimits, SuspectGate};
+use clementine_decide::quarantine::{CrashLog, SuspectGate};
 use clementine_decide::stage::StageLimits;
 use clementine_net::Dialer;
 use clementine_objects::{Repeat, Revision};
@@ -45,11 +45,14 @@
     pub(super) dedup_changed: Notify,
     pub(super) admission: RefCell<AdmissionQueue<Job>>,
     pub(super) responses: RefCell<ResponseStore>,
-    pub(super) quarantine: RefCell<Quarantine>,
+    /// Requests that were running when backend servers crashed.
+    pub(super) crash_log: RefCell<CrashLog>,
     /// Admits requests that are suspected of crashing a backend server.
     pub(super) suspect_gate: Rc<RefCell<SuspectGate>>,
     pub(super) idle_connections: IdleConnections,
     pub(super) backend_up: Cell<bool>,
+    /// Number of times that the backend server was found alive after a loss or at the start.
+    pub(super) liveness_proofs: Cell<u64>,
     pub(super) drain: Drain,
     pub(super) metrics: AgentMetrics,
     address: SocketAddr,
@@ -85,10 +88,11 @@
             dedup_changed: Notify::new(),
             admission: RefCell::new(AdmissionQueue::new(limits)),
             responses: RefCell::new(ResponseStore::new(response_limits)),
-            quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
+            crash_log: RefCell::default(),
             suspect_gate: Rc::default(),
             idle_connections: IdleConnections::default(),
             backend_up: Cell::new(false),
+            liveness_proofs: Cell::new(0),
             drain,
             metrics: AgentMetrics::new(meter),
             address,
@@ -217,7 +221,7 @@
                 "bytes": responses.bytes(),
                 "bytes_limit": self.settings.max_total_bytes,
             },
-            "quarantine": self.quarantine.borrow().len(),
+            "quarantine": self.crash_log.borrow().len(),
             "stages": {
                 "requests": self.stages.len(),
                 "requests_limit": self.settings.stage_requests,
--- a/crates/agent/src/shared/suspects.rs
+++ b/crates/agent/src/shared/suspects.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::quarantine::SuspectGate;
 use spdlog::info;
 use tokio::task::spawn_local;
@@ -34,6 +35,20 @@
 }
 
 impl SharedState {
+    /// The backend server behind this agent. Runs that are lost until its liveness is
+    /// proved again are counted as one crash.
+    pub(super) fn backend_incarnation(&self) -> BackendIncarnation {
+        let agent = self.agent_ref();
+        let proof = self.liveness_proofs.get();
+        BackendIncarnation::behind_agent(agent.address, agent.incarnation, proof)
+    }
+
+    /// Records that the backend server is alive, so that suspects are admitted.
+    pub(super) fn record_backend_alive(&self) {
+        self.liveness_proofs.update(|proofs| proofs + 1);
+        self.suspect_gate.borrow_mut().record_alive();
+    }
+
     /// Records that the backend server broke off a run, and checks whether it is
     /// alive. Suspects are not admitted until that is known.
     pub(super) fn record_backend_loss(self: &Rc<Self>) {
@@ -44,7 +59,7 @@
         spawn_local(async move {
             if shared.settings.backend.stays_connected(LIVENESS_CHECK_TIME).await {
                 info!("backend: broke off a run and is alive");
-                shared.suspect_gate.borrow_mut().record_alive();
+                shared.record_backend_alive();
             } else {
                 shared.mark_backend_down();
             }
--- a/crates/agent/src/shared/work.rs
+++ b/crates/agent/src/shared/work.rs
@@ -5,8 +5,11 @@
 
 use clementine_decide::admission::{AdmissionDecision, Urgency};
 use clementine_decide::dedup::{AcceptDecision, AttachDecision, RunPermit, WorkTag};
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{Tick, WorkId};
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{
+    CrashEvidence, CrashReport, Fingerprint, RunSuspects, Suspect,
+};
 use clementine_objects::{Millis, Repeat};
 use clementine_wire::{
     AttachResponse, NotRunReason, Progress, ReadRequest, ReadResponse, RunRefusal, RunRequest,
@@ -65,8 +68,10 @@
         match self.read(&[first], FIRST_PROGRESS_WAIT).await.pop() {
             Some(ReadResponse::Progress(progress)) => RunResponse::Started(progress, self.status()),
             Some(ReadResponse::NotHeld) | None => {
-                let lost =
-                    Progress { outcome: Some(WorkOutcome::BackendLost), ..Progress::default() };
+                let lost = Progress {
+                    outcome: Some(WorkOutcome::BackendLost(None)),
+                    ..Progress::default()
+                };
                 RunResponse::Started(lost, self.status())
             }
         }
@@ -130,13 +135,19 @@
         }
     }
 
-    /// Merges an entry's number of backend servers that a request has crashed
-    /// into the local one and returns the result.
-    pub(crate) fn record_crashes(&self, fingerprint: Fingerprint, crashes: u32) -> u32 {
+    /// Merges what an entry knows of a request that crashes backend servers, and returns
+    /// what is known of it then.
+    pub(crate) fn exchange_crashes(
+        &self,
+        fingerprint: Fingerprint,
+        crashes: Option<&CrashReport>,
+    ) -> Option<CrashReport> {
         let now = self.clock.now();
-        let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.merge_crashes(fingerprint, crashes, now);
-        quarantine.crashes(fingerprint, now)
+        let mut crash_log = self.crash_log.borrow_mut();
+        if let Some(report) = crashes {
+            crash_log.merge(report, now);
+        }
+        crash_log.report_on(Suspect::Request(fingerprint), now)
     }
 
     /// Executes jobs that hold a slot.
@@ -166,7 +177,7 @@
         let (work, repeat) = (request.tag.work, request.repeat);
         let urgency = Urgency { level: request.level, deadline: now.after(request.time_left) };
         let response = self.responses.borrow_mut().create(work, repeat);
-        let suspected = self.quarantine.borrow().is_suspected(request.fingerprint, now);
+        let suspected = self.crash_log.borrow().is_suspected(request.fingerprint, now);
         let suspect = if suspected { SuspectGuard::try_admit(&self.suspect_gate) } else { None };
         let in_progress = self.drain.track();
         let deadline = urgency.deadline;
@@ -189,15 +200,17 @@
             return Some(self.refusal(NotRunReason::Leaving, None));
         }
         let now = self.clock.now();
-        let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.merge_crashes(request.fingerprint, request.crashes, now);
-        if quarantine.is_quarantined(request.fingerprint, now) {
+        let mut crash_log = self.crash_log.borrow_mut();
+        if let Some(report) = &request.crashes {
+            crash_log.merge(report, now);
+        }
+        if crash_log.is_quarantined(&RunSuspects::of_request(request.fingerprint), now) {
             return Some(self.refusal(NotRunReason::Quarantined, None));
         }
         if !self.backend_up.get() {
             return Some(self.refusal(NotRunReason::BackendDown, None));
         }
-        let suspect = quarantine.is_suspected(request.fingerprint, now);
+        let suspect = crash_log.is_suspected(request.fingerprint, now);
         let apart = suspect && !self.suspect_gate.borrow().is_open();
         apart.then(|| self.refusal(NotRunReason::SuspectsApart, Some(SUSPECT_RETRY_AFTER)))
     }
@@ -229,10 +242,8 @@
                 self.admission.borrow_mut().release()
             }
             CallOutcome::Sent(outcome) => {
+                let outcome = self.name_lost_server(&job, outcome);
                 self.record_outcome(&job, outcome);
-                if outcome == WorkOutcome::BackendLost && job.request.split.is_none() {
-                    self.record_backend_loss();
-                }
                 self.finish(&job, outcome);
                 drop((job.suspect, job.in_progress));
                 self.admission.borrow_mut().finish(elapsed)
@@ -272,14 +283,37 @@
         }
     }
 
-    fn record_outcome(&self, job: &Job, outcome: WorkOutcome) {
+    /// Names the server under which work was lost: the one behind this agent, or an unknown
+    /// one on the path of a split model.
+    fn name_lost_server(&self, job: &Job, outcome: WorkOutcome) -> WorkOutcome {
+        match outcome {
+            WorkOutcome::BackendLost(_) if job.request.split.is_some() => {
+                let server = BackendIncarnation::lost_with(job.request.tag.work);
+                WorkOutcome::BackendLost(Some(server))
+            }
+            WorkOutcome::BackendLost(_) => {
+                WorkOutcome::BackendLost(Some(self.backend_incarnation()))
+            }
+            _ => outcome,
+        }
+    }
+
+    /// Records what the end of a run says about its request and its server. A server that
+    /// broke off a run counts as crashed, also if it accepts connections right afterwards:
+    /// the process may have been replaced.
+    fn record_outcome(self: &Rc<Self>, job: &Job, outcome: WorkOutcome) {
         self.metrics.count_run(outcome_label(outcome));
-        let mut quarantine = self.quarantine.borrow_mut();
+        let suspects = RunSuspects::of_request(job.request.fingerprint);
+        let now = self.clock.now();
         match outcome {
-            WorkOutcome::BackendLost if job.request.split.is_none() => {
-                quarantine.record_crash(job.request.fingerprint, self.clock.now());
+            WorkOutcome::BackendLost(Some(server)) if job.request.split.is_none() => {
+                let certain = CrashEvidence::Certain;
+                self.crash_log.borrow_mut().record_crash(&suspects, server, certain, now);
+                self.record_backend_loss();
+            }
+            WorkOutcome::Complete => {
+                self.crash_log.borrow_mut().record_completion(&suspects, now);
             }
-            WorkOutcome::Complete => quarantine.record_success(job.request.fingerprint),
             _ => {}
         }
     }
@@ -316,7 +350,7 @@
     match outcome {
         WorkOutcome::Complete => "complete",
         WorkOutcome::NotRun { .. } => "not_run",
-        WorkOutcome::BackendLost => "backend_lost",
+        WorkOutcome::BackendLost(_) => "backend_lost",
         WorkOutcome::DeadlinePassed => "deadline_passed",
         WorkOutcome::Cancelled => "cancelled",
         WorkOutcome::TooLarge => "too_large",
--- a/crates/agent/src/stages/head.rs
+++ b/crates/agent/src/stages/head.rs
@@ -28,7 +28,7 @@
     let Some(completion) = SplitCompletion::parse(request) else { return CallOutcome::NotSent };
     let head = Head { runner, plan, completion: &completion, epoch: Cell::default(), response };
     if head.generate().await.is_none() {
-        return CallOutcome::Sent(WorkOutcome::BackendLost);
+        return CallOutcome::Sent(WorkOutcome::BackendLost(None));
     }
     CallOutcome::Sent(WorkOutcome::Complete)
 }
--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -7,7 +7,7 @@
 use super::records::CrashRecords;
 use super::suspect_record::SuspectRecord;
 use super::verdict::{Admission, RecordedCrash, Refusal, SuspectChange};
-use super::{CrashReport, QuarantineLimits, RunSuspects, Suspect};
+use super::{CrashReport, Fingerprint, QuarantineLimits, RunSuspects, Suspect};
 use crate::fleet::BackendIncarnation;
 use crate::ids::{PromptPart, Tick};
 use crate::peers::{MIN_REPORTS, least_reported};
@@ -36,7 +36,8 @@
 /// backend servers crashed, as any entry has observed it.
 ///
 /// Servers are kept instead of a count, so that the observations of several
-/// entries can be merged in any order and more than once.
+/// entries can be merged in any order and more than once. Agents keep a log as well, and
+/// exchange what they know of single requests with the entries that call them.
 ///
 /// Invariant: at most `limits.capacity` suspects are recorded.
 #[derive(Debug)]
@@ -274,6 +275,30 @@
         })
     }
 
+    /// Whether a request is suspected of having crashed a server. Two suspected requests
+    /// must not run on one server at the same time, so that a crash can be attributed to
+    /// one of them.
+    pub fn is_suspected(&self, request: Fingerprint, now: Tick) -> bool {
+        let suspect = Suspect::Request(request);
+        let record = self.suspects.get(suspect, now);
+        record.is_some_and(|record| record.is_suspected(suspect, self.limits, now))
+    }
+
+    /// Number of servers that crashed under a suspect and still count.
+    pub fn crash_count(&self, suspect: Suspect, now: Tick) -> usize {
+        self.suspects.get(suspect, now).map_or(0, |record| record.counted(now).count())
+    }
+
+    /// Number of recorded suspects, some of which may have expired.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether no suspect is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.len() == 0
+    }
+
     /// Number of requests and of parts of prompts in quarantine.
     pub fn quarantined_counts(&self, now: Tick) -> (usize, usize) {
         let refused = |(suspect, record): &(Suspect, &SuspectRecord)| {
--- a/crates/decide/src/quarantine/crash_report.rs
+++ b/crates/decide/src/quarantine/crash_report.rs
@@ -51,6 +51,15 @@
         self.suspect
     }
 
+    /// Whether it names more servers than another report on the suspect, or a response that
+    /// the other one does not know of.
+    pub fn tells_more_than(&self, other: Option<&Self>) -> bool {
+        other.is_none_or(|other| {
+            let answered = |report: &Self| report.last_response.is_some();
+            self.servers.len() > other.servers.len() || (answered(self) && !answered(other))
+        })
+    }
+
     /// The same report after some time.
     #[must_use]
     pub fn older_by(mut self, time: Millis) -> Self {
--- a/crates/decide/src/quarantine/records.rs
+++ b/crates/decide/src/quarantine/records.rs
@@ -69,11 +69,6 @@
         self.records.get_mut(&suspect)
     }
 
-    /// Removes the record of a suspect.
-    pub(super) fn remove(&mut self, suspect: K) {
-        self.records.remove(&suspect);
-    }
-
     /// All records that have not expired, for changes.
     pub(super) fn iter_mut(&mut self, now: Tick) -> impl Iterator<Item = (K, &mut R)> {
         let retention = self.limits.retention;
--- a/crates/decide/src/quarantine/suspect.rs
+++ b/crates/decide/src/quarantine/suspect.rs
@@ -41,6 +41,11 @@
         Self { request, parts, begun: false }
     }
 
+    /// The suspect of a request whose prompt is not known.
+    pub const fn of_request(request: Fingerprint) -> Self {
+        Self::new(request, Vec::new())
+    }
+
     /// The same for a run of which the head of the response has been received, or has
     /// not.
     #[must_use]
--- a/crates/decide/src/quarantine/suspect_record.rs
+++ b/crates/decide/src/quarantine/suspect_record.rs
@@ -133,6 +133,16 @@
         limit.is_some_and(|limit| certain >= limit || counted > limit)
     }
 
+    /// Whether a crash counts against the suspect.
+    pub(super) fn is_suspected(
+        &self,
+        suspect: Suspect,
+        limits: QuarantineLimits,
+        now: Tick,
+    ) -> bool {
+        self.limit(suspect, limits).is_some() && self.counted(now).next().is_some()
+    }
+
     /// Number of crashes at which the suspect is refused; `None` if it never is. A
     /// request that has completed is not the cause, whatever crashed under it. A part
     /// is in many requests, so that later crashes may tell otherwise.
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -3,7 +3,7 @@
 mod crash_exchange;
 
 use clementine_decide::fleet::{BackendIncarnation, ProbeResult};
-use clementine_decide::ids::Tick;
+use clementine_decide::ids::{IncarnationId, Tick};
 use clementine_decide::peers::send_interval;
 use clementine_decide::quarantine::{
     CrashEvidence, CrashLog, Fingerprint, Listing, LossKind, LossVerdict, QuarantineLimits,
@@ -109,6 +109,91 @@
     assert!(!log.is_quarantined(&run(Fingerprint(0)), Tick(3)));
 }
 
+#[test]
+fn log_of_an_agent_counts_crashes_expires_them_and_is_bounded() {
+    let limits = QuarantineLimits { crashes: 2, retention: Millis(100), capacity: 2 };
+    let mut log = CrashLog::new(limits);
+    let [a, b, c] = [1, 2, 3].map(Fingerprint);
+    let quarantined = |log: &CrashLog, request, now| log.is_quarantined(&run(request), now);
+    assert!(!log.is_suspected(a, Tick(0)) && log.is_empty());
+    record_crash(&mut log, a, 1, Tick(0));
+    assert!(log.is_suspected(a, Tick(1)) && !quarantined(&log, a, Tick(1)));
+    let mut entry = CrashLog::new(limits);
+    record_crash(&mut entry, a, 2, Tick(10));
+    let report = entry.report_on(Suspect::Request(a), Tick(10)).expect("a report");
+    log.merge(&report, Tick(10));
+    assert!(quarantined(&log, a, Tick(109)) && !quarantined(&log, a, Tick(110)));
+    assert!(log.is_suspected(a, Tick(109)) && !log.is_suspected(a, Tick(110)));
+    record_crash(&mut log, b, 3, Tick(20));
+    record_crash(&mut log, c, 4, Tick(30));
+    assert_eq!(log.len(), 2);
+    assert_eq!(log.crash_count(Suspect::Request(a), Tick(30)), 0, "the oldest record is evicted");
+    assert_eq!(log.crash_count(Suspect::Request(b), Tick(30)), 1);
+    log.record_completion(&run(b), Tick(31));
+    assert!(!log.is_suspected(b, Tick(31)) && log.is_suspected(c, Tick(31)));
+}
+
+/// Reports that an entry and an agent exchange about one request.
+fn tell(from: &CrashLog, to: &mut CrashLog, now: Tick) {
+    if let Some(report) = from.report_on(Suspect::Request(REQUEST), now) {
+        to.merge(&report, now);
+    }
+}
+
+/// Two entries send one request to an agent each, and both servers crash. As counts, the
+/// larger of one and one was taken, and a third server crashed.
+#[test]
+fn crashes_behind_two_agents_add_up() {
+    let agent = |n: u16| ([127, 0, 0, 1], 4_000 + n).into();
+    let crashed = |n| BackendIncarnation::behind_agent(agent(n), IncarnationId(1), 0);
+    let mut agents = [0, 1].map(|_| CrashLog::default());
+    let mut entries = [0, 1].map(|_| CrashLog::default());
+    for (n, server) in [crashed(0), crashed(1)].into_iter().enumerate() {
+        for log in [&mut agents[n], &mut entries[n]] {
+            log.record_crash(&run(REQUEST), server, CrashEvidence::Certain, Tick(0));
+            assert!(!log.is_quarantined(&run(REQUEST), Tick(0)), "the entry saw the same crash");
+        }
+    }
+    for entry in &mut entries {
+        for agent in &mut agents {
+            tell(entry, agent, Tick(1));
+            tell(agent, entry, Tick(1));
+        }
+    }
+    let logs = agents.iter().chain(&entries);
+    assert!(logs.clone().all(|log| log.is_quarantined(&run(REQUEST), Tick(2))));
+}
+
+/// Two copies of a request were lost in one crash, which counted as two and put the request
+/// in quarantine.
+#[test]
+fn crash_behind_an_agent_counts_once_until_the_server_is_alive_again() {
+    let address = ([127, 0, 0, 1], 4_000).into();
+    let behind = |proof| BackendIncarnation::behind_agent(address, IncarnationId(1), proof);
+    let mut log = CrashLog::default();
+    let mut lose = |proof| {
+        log.record_crash(&run(REQUEST), behind(proof), CrashEvidence::Certain, Tick(0));
+        log.is_quarantined(&run(REQUEST), Tick(0))
+    };
+    assert!(!lose(1) && !lose(1));
+    assert!(lose(2), "it was alive in between");
+}
+
+/// An agent or entry sends another message only if it has something to tell.
+#[test]
+fn report_tells_more_with_another_server_or_a_response() {
+    let report = |log: &CrashLog| log.report_on(Suspect::Request(REQUEST), Tick(9));
+    let mut log = log_with(&[(7, 1)]);
+    let first = report(&log).expect("a report");
+    assert!(first.tells_more_than(None) && !first.tells_more_than(Some(&first)));
+    record_crash(&mut log, REQUEST, 2, Tick(5));
+    let second = report(&log).expect("a report");
+    assert!(second.tells_more_than(Some(&first)) && !first.tells_more_than(Some(&second)));
+    log.record_completion(&run(REQUEST), Tick(6));
+    let third = report(&log).expect("a report");
+    assert!(third.tells_more_than(Some(&second)) && !second.tells_more_than(Some(&third)));
+}
+
 /// After the loss of several engines, each further suspect of a full log cost a pass over
 /// all records (119 us for a run with two parts, where 3 us are usual).
 #[test]
--- a/crates/decide/tests/guards.rs
+++ b/crates/decide/tests/guards.rs
@@ -1,14 +1,13 @@
-//! Circuit breaker, rate limit, retry budget, quarantine, and the responses for
-//! error kinds.
+//! Circuit breaker, rate limit, retry budget, suspects that run apart, and the responses
+//! for error kinds.
 
 use std::collections::BTreeSet;
 
 use clementine_decide::circuit::{CircuitBreaker, CircuitLimits, TokenBucket};
 use clementine_decide::ids::Tick;
 use clementine_decide::outcome::{ErrorKind, Outcome};
-use clementine_decide::quarantine::{Fingerprint, Quarantine, QuarantineLimits, SuspectGate};
+use clementine_decide::quarantine::SuspectGate;
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits, StreamAttempts};
-use clementine_objects::Millis;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -46,23 +45,6 @@
     assert!(retries.try_retry() && !retries.try_retry());
 }
 
-#[test]
-fn quarantine_counts_crashes_expires_them_and_is_bounded() {
-    let limits = QuarantineLimits { crashes: 2, retention: Millis(100), capacity: 2 };
-    let mut quarantine = Quarantine::new(limits);
-    let [a, b, c] = [1, 2, 3].map(Fingerprint);
-    quarantine.record_crash(a, Tick(0));
-    assert!(quarantine.is_suspected(a, Tick(1)) && !quarantine.is_quarantined(a, Tick(1)));
-    quarantine.merge_crashes(a, 2, Tick(10));
-    assert!(quarantine.is_quarantined(a, Tick(109)) && !quarantine.is_quarantined(a, Tick(110)));
-    quarantine.record_crash(b, Tick(20));
-    quarantine.record_crash(c, Tick(30));
-    assert_eq!(quarantine.len(), 2);
-    assert_eq!(quarantine.crashes(a, Tick(30)), 0, "the oldest record is evicted");
-    quarantine.record_success(b);
-    assert!(!quarantine.is_suspected(b, Tick(31)));
-}
-
 /// A request crashes an engine, and a bystander of an earlier crash arrives
 /// before the agent has noticed that the engine is gone.
 #[test]
--- a/crates/entry/src/entry/state.rs
+++ b/crates/entry/src/entry/state.rs
@@ -5,7 +5,7 @@
 
 use awc::Client;
 use clementine_decide::config::LocalConfig;
-use clementine_decide::quarantine::{Quarantine, QuarantineLimits};
+use clementine_decide::quarantine::CrashLog;
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_net::Dialer;
 use clementine_process::admin::AdminProcess;
@@ -41,7 +41,8 @@
     pub(crate) objects: S3Objects,
     pub(crate) instances: EndpointSlices,
     pub(crate) retry_budget: RefCell<RetryBudget>,
-    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Requests that were running when backend servers crashed.
+    pub(crate) crash_log: RefCell<CrashLog>,
     table_limiter: Rc<CallLimiter>,
     objects_limiter: Rc<CallLimiter>,
 }
@@ -79,7 +80,7 @@
             objects,
             instances: EndpointSlices::new(client, &platform.instances_url, new_limiter()),
             retry_budget: RefCell::new(RetryBudget::new(RetryBudgetLimits::default())),
-            quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
+            crash_log: RefCell::default(),
             table_limiter,
             objects_limiter,
             settings,
@@ -109,7 +110,7 @@
             "not_ready": self.not_ready(),
             "in_progress": self.drain.in_progress(),
             "in_progress_limit": self.settings.limits.in_progress,
-            "quarantine": self.quarantine.borrow().len(),
+            "quarantine": self.crash_log.borrow().len(),
             "table_calls": self.table_limiter.counts(),
             "table_circuit_closed": self.table_limiter.is_circuit_closed(),
             "object_calls": self.objects_limiter.counts(),
--- a/crates/entry/src/operation/pool_agents.rs
+++ b/crates/entry/src/operation/pool_agents.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use clementine_decide::balance::Exclusions;
 use clementine_decide::dedup::WorkTag;
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{AgentRef, WorkId};
 use clementine_decide::operation::{AgentPool, AttachReply, RecordedResponse, RunReply};
 use clementine_decide::quarantine::Fingerprint;
@@ -42,8 +43,11 @@
 /// Result of reading the response of accepted work.
 enum WorkResult {
     Answered(RecordedResponse),
-    NotRun { retry_after: Option<Millis> },
-    BackendLost,
+    NotRun {
+        retry_after: Option<Millis>,
+    },
+    /// Names the server if it may have crashed under the operation.
+    BackendLost(Option<BackendIncarnation>),
     Forgotten,
     Unreachable,
 }
@@ -96,8 +100,9 @@
     }
 
     /// Reports that the backend server failed while it executed the operation.
-    async fn report_crash(&self) {
-        self.entry.broadcast_crash(self.fingerprint(), std::slice::from_ref(self.pool)).await;
+    async fn report_crash(&self, server: BackendIncarnation) {
+        let pools = std::slice::from_ref(self.pool);
+        self.entry.broadcast_crash(self.fingerprint(), server, pools).await;
     }
 
     fn is_near_deadline(&self) -> bool {
@@ -158,10 +163,15 @@
             Ok(RunResponse::Started(progress, status)) => {
                 member.record_status(status);
                 match self.read_response(Rc::clone(&member), tag.work, Some(progress)).await {
-                    WorkResult::Answered(response) => RunReply::Answered(response),
+                    WorkResult::Answered(response) => {
+                        self.entry.record_completion(self.fingerprint());
+                        RunReply::Answered(response)
+                    }
                     WorkResult::NotRun { retry_after } => RunReply::Refused { retry_after },
-                    WorkResult::BackendLost => {
-                        self.report_crash().await;
+                    WorkResult::BackendLost(server) => {
+                        if let Some(server) = server {
+                            self.report_crash(server).await;
+                        }
                         RunReply::BackendLost
                     }
                     WorkResult::Forgotten | WorkResult::Unreachable => RunReply::Unreachable,
@@ -195,7 +205,7 @@
                     return match self.read_response(member, tag.work, None).await {
                         WorkResult::Answered(response) => AttachReply::Answered(response),
                         WorkResult::NotRun { .. } => AttachReply::Sealed,
-                        WorkResult::BackendLost => AttachReply::BackendLost,
+                        WorkResult::BackendLost(_) => AttachReply::BackendLost,
                         WorkResult::Forgotten => AttachReply::Forgotten,
                         WorkResult::Unreachable => AttachReply::Unreachable,
                     };
@@ -237,15 +247,15 @@
         match progress.outcome? {
             WorkOutcome::Complete => Some(self.finish()),
             WorkOutcome::NotRun { retry_after, .. } => Some(WorkResult::NotRun { retry_after }),
-            WorkOutcome::BackendLost
-            | WorkOutcome::DeadlinePassed
-            | WorkOutcome::Cancelled
-            | WorkOutcome::TooLarge => Some(WorkResult::BackendLost),
+            WorkOutcome::BackendLost(server) => Some(WorkResult::BackendLost(server)),
+            WorkOutcome::DeadlinePassed | WorkOutcome::Cancelled | WorkOutcome::TooLarge => {
+                Some(WorkResult::BackendLost(None))
+            }
         }
     }
 
     fn finish(&mut self) -> WorkResult {
-        let Some(head) = &self.head else { return WorkResult::BackendLost };
+        let Some(head) = &self.head else { return WorkResult::BackendLost(None) };
         let content_type = head.headers.iter().find(|header| header.name == "content-type");
         let content_type = content_type.map(|header| String::from_utf8_lossy(&header.value));
         WorkResult::Answered(RecordedResponse {
--- a/crates/entry/src/retryable/attempt.rs
+++ b/crates/entry/src/retryable/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use clementine_decide::dedup::WorkTag;
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{AgentRef, WorkId};
 use clementine_objects::Millis;
 use clementine_wire::{LinkError, NotRunReason, Progress, RunRequest, RunResponse, WorkOutcome};
@@ -24,8 +25,8 @@
     /// The agent is unreachable or no longer holds the work.
     AgentLost,
     /// The connection to the backend server failed; it may have executed the
-    /// request.
-    BackendLost,
+    /// request. Names the server if it may have crashed under the request.
+    BackendLost(Option<BackendIncarnation>),
     /// The deadline passed during execution.
     DeadlinePassed,
     /// The response exceeds the size that the agent buffers.
@@ -115,9 +116,9 @@
             WorkOutcome::NotRun { reason, retry_after } => {
                 Err(AttemptError::NotRun { reason, retry_after })
             }
-            WorkOutcome::BackendLost => {
+            WorkOutcome::BackendLost(server) => {
                 self.member.record_failure(entry.clock.now());
-                Err(AttemptError::BackendLost)
+                Err(AttemptError::BackendLost(server))
             }
             WorkOutcome::DeadlinePassed | WorkOutcome::Cancelled => {
                 Err(AttemptError::DeadlinePassed)
--- a/crates/entry/src/retryable/run.rs
+++ b/crates/entry/src/retryable/run.rs
@@ -140,6 +140,9 @@
             self.head = progress.head;
         }
         self.ended = progress.outcome == Some(WorkOutcome::Complete);
+        if self.ended {
+            self.entry.record_completion(self.fingerprint);
+        }
         if self.streamed.is_some() && !self.ended {
             for event in &progress.chunks {
                 self.delivered.push(event.clone());
@@ -234,12 +237,13 @@
         &mut self,
         failure: AttemptError,
     ) -> Result<ResponsePart, RequestError> {
-        if matches!(failure, AttemptError::AgentLost | AttemptError::BackendLost) {
+        if matches!(failure, AttemptError::AgentLost | AttemptError::BackendLost(_)) {
             self.avoid.failed_domains.push(std::mem::take(&mut self.domain));
         }
-        if failure == AttemptError::BackendLost {
+        if let AttemptError::BackendLost(Some(server)) = failure {
             self.crashed_backend = true;
-            self.entry.broadcast_crash(self.fingerprint, &self.pools.names()).await;
+            let pools = self.pools.names();
+            self.entry.broadcast_crash(self.fingerprint, server, &pools).await;
             self.check_quarantine()?;
         }
         if must_run_apart(failure) {
@@ -251,7 +255,7 @@
         }
         let mut error = request_error(failure);
         if error.kind == ErrorKind::Quarantined {
-            self.entry.record_quarantine(self.fingerprint);
+            self.entry.exchange_crashes(self.fingerprint, &self.pools.names()).await;
             if self.crashed_backend {
                 error.kind = ErrorKind::CrashedBackends;
             }
@@ -287,7 +291,7 @@
 
 fn is_retryable(failure: AttemptError) -> bool {
     match failure {
-        AttemptError::AgentLost | AttemptError::BackendLost => true,
+        AttemptError::AgentLost | AttemptError::BackendLost(_) => true,
         AttemptError::DeadlinePassed | AttemptError::TooLarge => false,
         AttemptError::NotRun { reason, .. } => {
             !matches!(reason, NotRunReason::DeadlinePassed | NotRunReason::Quarantined)
@@ -323,7 +327,7 @@
             ErrorKind::AgentUnreachable,
             "the agent of the backend server is unreachable",
         ),
-        AttemptError::BackendLost => RequestError::new(
+        AttemptError::BackendLost(_) => RequestError::new(
             ErrorKind::BackendLost,
             "the connection to the backend server failed during execution",
         ),
--- a/crates/wire/src/messages/progress.rs
+++ b/crates/wire/src/messages/progress.rs
@@ -1,6 +1,7 @@
 //! Progress and outcome of work.
 
 use bytes::Bytes;
+use clementine_decide::fleet::BackendIncarnation;
 use clementine_objects::Millis;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -78,8 +79,9 @@
         /// Time after which the agent expects to have capacity.
         retry_after: Option<Millis>,
     },
-    /// The connection to the backend server failed; the work may have run.
-    BackendLost,
+    /// The connection to the backend server failed; the work may have run. Names the server
+    /// if it may have crashed under the work.
+    BackendLost(Option<BackendIncarnation>),
     /// The deadline passed while the work was running.
     DeadlinePassed,
     /// The caller cancelled the request while the work was running.
--- a/crates/wire/src/messages/run.rs
+++ b/crates/wire/src/messages/run.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use clementine_decide::dedup::WorkTag;
 use clementine_decide::ids::{RequestId, WorkId};
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{CrashReport, Fingerprint};
 use clementine_objects::{Millis, Repeat};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -33,9 +33,8 @@
     pub level: u8,
     /// Content hash that identifies repetitions of the request.
     pub fingerprint: Fingerprint,
-    /// Number of backend servers that the request has crashed, as known to the
-    /// entry.
-    pub crashes: u32,
+    /// Backend servers that crashed under the request, as known to the entry.
+    pub crashes: Option<CrashReport>,
     /// Earlier work whose responses the entry has read completely; the agent may
     /// drop these responses.
     #[serde(rename = "done")]
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -3,7 +3,7 @@
 use clementine_decide::config::ConfigUpdate;
 use clementine_decide::dedup::WorkTag;
 use clementine_decide::ids::WorkId;
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{CrashReport, Fingerprint};
 use clementine_decide::stage::HeadGeneration;
 use clementine_objects::{Millis, Revision};
 
@@ -33,9 +33,12 @@
     /// Cancels work.
     async fn cancel(work: WorkId);
 
-    /// Records how many backend servers a request has crashed and returns the
-    /// number known to the agent.
-    async fn note_crashes(request: Fingerprint, crashes: u32) -> u32;
+    /// Records which backend servers crashed under a request, as known to the entry, and
+    /// returns what the agent knows of it then.
+    async fn note_crashes(
+        request: Fingerprint,
+        crashes: Option<CrashReport>,
+    ) -> Option<CrashReport>;
 
     /// Applies a configuration update and returns the resulting revision.
     async fn configure(update: ConfigUpdate) -> Revision;
--- a/crates/wire/tests/fake_agent/mod.rs
+++ b/crates/wire/tests/fake_agent/mod.rs
@@ -7,7 +7,7 @@
 use clementine_decide::config::ConfigUpdate;
 use clementine_decide::dedup::WorkTag;
 use clementine_decide::ids::{AgentRef, Epoch, IncarnationId, WorkId};
-use clementine_decide::quarantine::Fingerprint;
+use clementine_decide::quarantine::{CrashReport, Fingerprint};
 use clementine_decide::stage::HeadGeneration;
 use clementine_objects::{Millis, Revision};
 use clementine_wire::transport::serve_agent;
@@ -85,7 +85,12 @@
 
     async fn cancel(self, _: Context, _: WorkId) {}
 
-    async fn note_crashes(self, _: Context, _: Fingerprint, crashes: u32) -> u32 {
+    async fn note_crashes(
+        self,
+        _: Context,
+        _: Fingerprint,
+        crashes: Option<CrashReport>,
+    ) -> Option<CrashReport> {
         crashes
     }
 
