clementinectl check reports errors, entries without effect and differences

Exit status 0 clean, 1 anything reported, 2 unusable arguments or files, 5 no server answered. The objects declare no target latency and no attempts, so that these limits are not checked.

--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod args;
 mod change;
+mod check;
 mod completions;
 mod delete;
 mod diff;
@@ -22,8 +23,8 @@
 Manages the configuration of clementinehub: validates, publishes and lists
 objects, and waits until a change is in force.
 
-Exit codes: 0 success; 1 `diff` found differences; 2 invalid arguments or
-unreadable files; 3 invalid objects; 4 conflict with a concurrent change; 5 no
+Exit codes: 0 success; 1 `diff` found differences, or `check` found anything;
+2 invalid arguments or unreadable files; 3 invalid objects; 4 conflict with a concurrent change; 5 no
 valid response from a server; 6 it is not known whether the change was accepted;
 7 no such object; 8 timeout of `watch`.";
 
@@ -37,6 +38,7 @@
         .arg_required_else_help(true)
         .args(ServerConfig::args())
         .subcommand(apply::command())
+        .subcommand(check::command())
         .subcommand(diff::command())
         .subcommand(get::command())
         .subcommand(delete::command())
@@ -53,6 +55,7 @@
         let client = ServerClient::new(config);
         match matches.subcommand() {
             Some((apply::NAME, args)) => apply::run(&client, args).await,
+            Some((check::NAME, args)) => check::run(&client, args).await,
             Some((diff::NAME, args)) => diff::run(&client, args).await,
             Some((get::NAME, args)) => get::run(&client, args).await,
             Some((delete::NAME, args)) => delete::run(&client, args).await,
--- a/crates/ctl/src/files/mod.rs
+++ b/crates/ctl/src/files/mod.rs
@@ -1,9 +1,10 @@
 //! Reading objects from YAML files.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::path::{Path, PathBuf};
 
-use clementine_objects::{Object, ObjectRef, ValidationError};
+use clementine_objects::{Catalog, Finding, Object, ObjectRef, ValidationError};
 use serde::Deserialize;
 use serde_yaml_ng::{Deserializer, Value};
 use snafu::ResultExt;
@@ -39,9 +40,25 @@
     /// Formats a validation error, prefixed with the file that contains its object,
     /// if any.
     pub(crate) fn with_file(&self, error: &ValidationError) -> String {
-        match self.files.get(&error.object) {
-            Some(path) => format!("{}: {error}", path.display()),
-            None => error.to_string(),
+        self.prefix(&error.object, error)
+    }
+
+    /// Formats a finding, prefixed with the file that contains its object, if any.
+    pub(crate) fn finding_with_file(&self, finding: &Finding) -> String {
+        self.prefix(&finding.object, finding)
+    }
+
+    /// Builds a catalog of the objects.
+    pub(crate) fn catalog(&self) -> Catalog {
+        let mut catalog = Catalog::default();
+        self.objects.iter().cloned().for_each(|object| catalog.put(object));
+        catalog
+    }
+
+    fn prefix(&self, object: &ObjectRef, text: &impl fmt::Display) -> String {
+        match self.files.get(object) {
+            Some(path) => format!("{}: {text}", path.display()),
+            None => text.to_string(),
         }
     }
 
--- a/crates/e2e/tests/config.rs
+++ b/crates/e2e/tests/config.rs
@@ -65,6 +65,26 @@
     assert_eq!(cluster.revision(0).await, "4");
 }
 
+/// An operator checks a file before applying it: nothing is published, and the exit status
+/// tells whether anything was reported.
+#[actix_rt::test]
+async fn check_reports_findings_and_differences_from_the_version_in_force() {
+    let cluster = Cluster::start(ClusterSpec::new(1).engines(1, "0ms")).await;
+    let revision = cluster.revision(0).await;
+    let args = ["check", "-", "--against", "server"];
+    let spare = "{kind: pool, name: spare, serves: service, concurrency: 1}";
+    let (clean, output) = cluster.run_ctl(&args, spare).await;
+    assert!(!clean, "{output}");
+    for expected in ["+ pool `spare`", "pool `spare`: name: no route or model uses it"] {
+        assert!(output.contains(expected), "{output}");
+    }
+    let (_, in_force) = cluster.run_ctl(&["get", "pool", "-o", "yaml"], "").await;
+    let (clean, output) = cluster.run_ctl(&["check", "-"], "{kind: pool, name: p}").await;
+    assert!(!clean && output.contains("error: "), "{output}");
+    assert!(!in_force.contains("spare"), "{in_force}");
+    assert_eq!(cluster.revision(0).await, revision);
+}
+
 #[actix_rt::test]
 async fn change_with_lost_store_responses_is_reported_correctly() {
     let cluster = Cluster::start(ClusterSpec::new(1).engines(1, "0ms")).await;
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -3,9 +3,11 @@
 //! Operators declare pools, routes, models, workspaces and priorities. A
 //! [`Catalog`] contains all objects at one [`Revision`]. A [`Change`] turns one
 //! catalog into the next, and [`validate_catalog`] reports every error in the
-//! result before it is published.
+//! result before it is published. [`check_catalog`] reports what may be published but
+//! has no effect.
 
 pub mod catalog;
+pub mod check;
 pub mod ids;
 pub mod kinds;
 pub mod validate;
@@ -13,6 +15,7 @@
 pub use catalog::{
     Catalog, CatalogDigest, Change, ChangeConflict, ChangeRecord, Snapshot, SnapshotError,
 };
+pub use check::{Finding, check_catalog};
 pub use ids::{
     ChangeId, Millis, ModelName, NameError, PoolName, PriorityName, Revision, RouteName,
     WorkspaceName,
