--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -54,7 +54,7 @@
         let outcome = round_trip(&mut conn, head.clone(), request, buffer, MAX_LATE_COPIES).await;
         if conn.has_begun_request() {
             idle.put(conn);
-            return CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost));
+            return CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost(None)));
         }
     }
     let Some(mut conn) = backend.connect(idle.config()).await else { return CallOutcome::NotSent };
@@ -62,7 +62,7 @@
     if reusable {
         idle.put(conn);
     }
-    CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost))
+    CallOutcome::Sent(outcome.unwrap_or(WorkOutcome::BackendLost(None)))
 }
 
 /// Sends the request and reads the response. Returns `None` if the connection failed,
--- a/crates/direct/tests/late_responses.rs
+++ b/crates/direct/tests/late_responses.rs
@@ -60,8 +60,13 @@
     .await;
     list_server(&store, "slow", "plain", slow.address);
     let entry = start_entry("one", &store).await;
-    let other = Backend::start("fast", "plain", &store).await;
     sleep(Duration::from_millis(300)).await;
+    // The other server is listed while the slow one has the first request, so that this
+    // attempt is the one that is given up.
+    let fast = async {
+        sleep(Duration::from_millis(50)).await;
+        Backend::start("fast", "plain", &store).await
+    };
     let config = ServerConn::codec_config();
     let mut conn = ClientConn::connect(entry.callers, Duration::from_secs(1), &config)
         .await
