--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod lease;
+pub mod limits;
 pub mod operation;
 pub mod outcome;
 pub mod overload;
