Test of a late response gives up the same attempt in each run

Which of two servers got the first request was left to chance, so that the slow one was used in about half of the runs only. It now gets the first request, and the other one is listed meanwhile.

--- a/crates/direct/tests/late_responses.rs
+++ b/crates/direct/tests/late_responses.rs
@@ -63,10 +63,12 @@
     sleep(Duration::from_millis(300)).await;
     // The other server is listed while the slow one has the first request, so that this
     // attempt is the one that is given up.
-    let fast = async {
+    let mut fast = Some(Box::pin(async {
         sleep(Duration::from_millis(50)).await;
         Backend::start("fast", "plain", &store).await
-    };
+    }));
+    let mut fast_id = String::new();
+    let mut backends = Vec::new();
     let config = ServerConn::codec_config();
     let mut conn = ClientConn::connect(entry.callers, Duration::from_secs(1), &config)
         .await
@@ -75,10 +77,19 @@
     for n in 0..REQUESTS {
         let id = format!("r-{n}");
         queue_request(&mut conn, "/safe/x", &id, "x");
-        let head = conn.read_head().await.expect("a response");
+        let head = match fast.take() {
+            Some(fast) => {
+                let (head, backend) = futures::join!(conn.read_head(), fast);
+                fast_id.clone_from(&backend.id);
+                backends.push(backend);
+                head
+            }
+            None => conn.read_head().await,
+        };
+        let head = head.expect("a response");
         let body = conn.read_body(1024).await.expect("a complete response");
         if head.status == 200 {
-            let (slow, fast) = (format!("for {id}"), format!("response from {}", other.id));
+            let (slow, fast) = (format!("for {id}"), format!("response from {fast_id}"));
             assert!(body == slow || body == fast, "{id}: {body:?}");
             let named = head.headers().get("request-id").and_then(|name| name.to_str().ok());
             assert_eq!(named, Some(id.as_str()));
