--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -126,6 +126,8 @@
     pub refuses_streams: Rc<Cell<bool>>,
     /// Number of streams that it refused.
     pub refused_streams: Rc<Cell<u32>>,
+    /// When it received orders to load layers, with their fencing numbers.
+    pub placements: Rc<RefCell<Vec<(Instant, u64)>>>,
     /// Number of further orders that it does not respond to for a minute.
     pub orders_to_ignore: Rc<Cell<u32>>,
     /// Paths through engines of the requests that it ran, in order; empty for
@@ -182,6 +184,7 @@
             draining: Rc::default(),
             refuses_streams: Rc::default(),
             refused_streams: Rc::default(),
+            placements: Rc::default(),
             orders_to_ignore: Rc::default(),
             run_paths: Rc::default(),
             run_request_ids: Rc::default(),
@@ -361,11 +364,14 @@
     }
 
     async fn handle_order(&self, conn: &mut ServerConn, request: &BufferedRequest) -> bool {
+        let order: Value = serde_json::from_slice(&request.body).expect("valid order");
+        if let Some(fence) = order["fencing-token"].as_u64() {
+            self.placements.borrow_mut().push((Instant::now(), fence));
+        }
         if self.orders_to_ignore.get() > 0 {
             self.orders_to_ignore.set(self.orders_to_ignore.get() - 1);
             sleep(Duration::from_mins(1)).await;
         }
-        let order: Value = serde_json::from_slice(&request.body).expect("valid order");
         if order["operation"] == "repath" && self.refuses_repaths.get() {
             return self.send_json(conn, 409, &json!({})).await;
         }
--- a/crates/direct/tests/shutdown_under_load.rs
+++ b/crates/direct/tests/shutdown_under_load.rs
@@ -5,18 +5,14 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::mpsc;
-use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use actix_rt::{System, test};
-use clementine_direct::start;
+use actix_rt::test;
 use clementine_e2e::{ScriptedServer, Step};
 use clementine_http1::{ClientConn, ServerConn};
 use clementine_objects::Millis;
-use clementine_platform::settings::InstanceSettings;
 use common::{
-    Backend, Store, list_server, queue_request, send_request, settings, signed,
+    Backend, EntryThread, Store, list_server, queue_request, send_request, settings, signed,
     start_configured_store, wait_until,
 };
 use tokio::task::spawn_local;
@@ -27,45 +23,6 @@
 /// Callers that keep their connection.
 const KEEP_ALIVE_CALLERS: usize = 6;
 
-/// An entry whose sockets are closed as by the exit of a process, once it has stopped.
-struct EntryThread {
-    callers: SocketAddr,
-    stop: mpsc::Sender<()>,
-    thread: JoinHandle<()>,
-}
-
-impl EntryThread {
-    async fn start(settings: InstanceSettings) -> Self {
-        let (tx, started) = mpsc::channel();
-        let (stop, stop_requested) = mpsc::channel();
-        let thread = thread::spawn(move || {
-            System::new().block_on(async move {
-                let running = start(settings).expect("entry starts");
-                tx.send((running.callers, running.readiness)).expect("the test waits");
-                while stop_requested.try_recv().is_err() {
-                    sleep(Duration::from_millis(5)).await;
-                }
-                running.stop();
-                running.stopped().await;
-            });
-        });
-        let (callers, readiness) = started.recv().expect("the entry starts");
-        wait_until("the entry is ready", async || {
-            send_request(readiness, "GET", "/-/readiness", "").await.status == 200
-        })
-        .await;
-        Self { callers, stop, thread }
-    }
-
-    fn stop(&self) {
-        self.stop.send(()).expect("the entry runs");
-    }
-
-    fn has_exited(&self) -> bool {
-        self.thread.is_finished()
-    }
-}
-
 /// What callers have seen.
 #[derive(Debug, Default)]
 struct Seen {
