A pause of the process counts towards leases and deadlines

Orders to engines are not sent or repeated once the lease under which they were decided has expired. Neither does an attempt send its request after the deadline.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -46,6 +46,7 @@
         SharedState::new(settings.clone(), advertised, dialer, drain.clone(), &metrics.meter());
     serve_admin(&settings.process.admin, metrics, Rc::clone(&shared), None)?;
     shared.probe_started_backend();
+    spawn_local(shared.pauses.clone().run());
     spawn_local(Rc::clone(&shared).evict_periodically());
     info!("agent: listening on {} as {}", address, shared.agent_ref());
     spawn_local(accept(listener, acceptor, shared));
--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -14,7 +14,7 @@
 use clementine_net::Dialer;
 use clementine_objects::{Repeat, Revision};
 use clementine_process::admin::AdminProcess;
-use clementine_process::clock::Clock;
+use clementine_process::clock::{Clock, PauseWatch};
 use clementine_process::shutdown::Drain;
 use clementine_wire::{AgentDescription, AgentState, AgentStatus};
 use opentelemetry::metrics::Meter;
@@ -36,6 +36,7 @@
 pub(crate) struct SharedState {
     pub(super) settings: AgentSettings,
     pub(super) clock: Clock,
+    pub(crate) pauses: PauseWatch,
     /// Deduplication table of requests that must be executed at most once.
     pub(super) once_dedup: RefCell<DedupTable>,
     /// Deduplication table of requests that may be retried under another work
@@ -80,6 +81,7 @@
             StageLimits { requests: settings.stage_requests, output_size: settings.stage_bytes };
         Rc::new(Self {
             clock,
+            pauses: PauseWatch::new(clock),
             once_dedup: RefCell::new(DedupTable::new(incarnation, settings.dedup_records)),
             repeatable_dedup: RefCell::new(DedupTable::new(incarnation, settings.dedup_records)),
             dedup_changed: Notify::new(),
--- a/crates/agent/src/shared/work.rs
+++ b/crates/agent/src/shared/work.rs
@@ -157,7 +157,19 @@
         }
     }
 
-    fn admit(self: &Rc<Self>, request: RunRequest, permit: RunPermit) -> Result<(), RunRefusal> {
+    fn admit(
+        self: &Rc<Self>,
+        mut request: RunRequest,
+        permit: RunPermit,
+    ) -> Result<(), RunRefusal> {
+        // The request may have waited while the process was paused.
+        let waited = self.pauses.max_wait();
+        let has_expired = waited > Millis(0) && request.time_left <= waited;
+        request.time_left = Millis(request.time_left.0.saturating_sub(waited.0));
+        if has_expired {
+            self.dedup(request.repeat).borrow_mut().withdraw(permit);
+            return Err(self.refusal(NotRunReason::DeadlinePassed, None));
+        }
         if let Some(refusal) = self.precheck(&request) {
             self.dedup(request.repeat).borrow_mut().withdraw(permit);
             return Err(refusal);
--- a/crates/direct/src/buffered/attempt.rs
+++ b/crates/direct/src/buffered/attempt.rs
@@ -53,6 +53,10 @@
     let Ok(mut conn) = ClientConn::connect(address, connect_timeout, &shared.codec).await else {
         return AttemptOutcome::NotSent;
     };
+    // The process may have been paused meanwhile.
+    if ctx.time_left().is_zero() {
+        return AttemptOutcome::NotSent;
+    }
     let head = forward_head(&ctx.req, ctx.forward_params(backend, &[], None));
     if conn.queue(head, ctx.req.body.clone()).is_err() {
         return AttemptOutcome::NotSent;
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -19,7 +19,8 @@
 use crate::shared::{RequestContext, SharedState};
 use crate::{buffered, streams};
 
-/// `Retry-After` of an entry that has no configuration yet or is shutting down.
+/// `Retry-After` of an entry that has no configuration yet, is shutting down or was
+/// paused.
 /// Short, because a retry during the shutdown reaches another instance.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time after the start of the shutdown for which new requests are accepted. A
@@ -88,7 +89,12 @@
     let pool = rule.pool_for(xxh3_64(req.id.as_bytes()));
     let pool = pool.ok_or(RequestError::new(ErrorKind::NoBackend))?.clone();
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
-    let deadline = arrived + Millis::duration(timeout);
+    // The request may have waited while the process was paused.
+    let time_left = timeout.duration().saturating_sub(shared.pauses.max_wait().duration());
+    if time_left.is_zero() && timeout > Millis(0) {
+        return Err(RequestError::with_retry_after(ErrorKind::Overloaded, RETRY_AFTER));
+    }
+    let deadline = arrived + time_left;
     shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
     Ok(RequestContext { req, rule, workspace, pool, suspects, arrived, deadline })
 }
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -151,6 +151,10 @@
             if report.layers == Some(self.assignment.layers) && !report.busy {
                 return self.record(&report);
             }
+            // The lease may have expired since the order was decided or last sent.
+            if self.shared.lease.borrow().fence(self.shared.now()) != Some(self.fence) {
+                return;
+            }
             match self.send(report.orders_started).await {
                 Ok(OrderResponse::Begun | OrderResponse::Done) => return self.wait_loaded().await,
                 // The order may be lost, or still be carried out. It can be sent
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -113,6 +113,7 @@
         "readiness",
         serve_readiness,
     ));
+    spawn_local(shared.pauses.clone().run());
     spawn_local(follow_config(Rc::clone(&shared)));
     spawn_local(follow_backends(Rc::clone(&shared)));
     spawn_local(exchange_messages(Rc::clone(&shared)));
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -18,7 +18,7 @@
 use clementine_http1::{ReadLimits, ServerConn};
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
-use clementine_process::clock::Clock;
+use clementine_process::clock::{Clock, PauseWatch};
 use clementine_process::shutdown::Drain;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -38,6 +38,7 @@
     /// Identifies this run of the process; a restart gets a new value.
     pub(crate) incarnation: IncarnationId,
     pub(crate) clock: Clock,
+    pub(crate) pauses: PauseWatch,
     /// HTTP codec settings of all connections.
     pub(crate) codec: ServiceConfig,
     pub(crate) store: RateLimitedStore,
@@ -100,6 +101,7 @@
                 metrics.store_calls(),
             ),
             clock,
+            pauses: PauseWatch::new(clock),
             codec,
             fleet: RefCell::default(),
             links: RefCell::default(),
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -41,6 +41,10 @@
     let Ok(mut conn) = ClientConn::connect(address, connect_timeout, &shared.codec).await else {
         return OpenOutcome::NotSent;
     };
+    // The process may have been paused meanwhile.
+    if ctx.time_left().is_zero() {
+        return OpenOutcome::NotSent;
+    }
     let head = {
         let route = route.borrow();
         forward_head(&ctx.req, ctx.forward_params(&route.first, &route.path, last_event_id))
--- a/crates/entry/src/callers/authorize.rs
+++ b/crates/entry/src/callers/authorize.rs
@@ -86,7 +86,13 @@
             })?,
         };
         let allowed: Millis = requested.min(self.settings.limits.deadline);
-        Ok(self.clock.now().after(allowed))
+        // The request may have waited while the process was paused.
+        let waited = self.pauses.max_wait();
+        if waited > Millis(0) && allowed <= waited {
+            let message = "the deadline passed before the request was received";
+            return Err(RequestError::new(ErrorKind::DeadlineBeforeRun, message));
+        }
+        Ok(self.clock.now().after(Millis(allowed.0.saturating_sub(waited.0))))
     }
 
     /// Reads the body. A body that comes byte by byte ends at the request's deadline.
--- a/crates/entry/src/entry/state.rs
+++ b/crates/entry/src/entry/state.rs
@@ -9,7 +9,7 @@
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_net::Dialer;
 use clementine_process::admin::AdminProcess;
-use clementine_process::clock::Clock;
+use clementine_process::clock::{Clock, PauseWatch};
 use clementine_process::shutdown::Drain;
 use clementine_stores::{CallLimiter, CallLimits, DynamoTable, EndpointSlices, S3Objects};
 use opentelemetry::metrics::Meter;
@@ -27,6 +27,7 @@
 pub(crate) struct Entry {
     pub(crate) settings: EntrySettings,
     pub(crate) clock: Clock,
+    pub(crate) pauses: PauseWatch,
     /// Whether the process is shutting down; the readiness check then fails.
     pub(crate) leaving: Cell<bool>,
     /// Requests in progress.
@@ -65,8 +66,10 @@
         );
         let objects =
             S3Objects::new(client.clone(), &platform.objects_url, Rc::clone(&objects_limiter));
+        let clock = Clock::start();
         Rc::new(Self {
-            clock: Clock::start(),
+            clock,
+            pauses: PauseWatch::new(clock),
             leaving: Cell::new(false),
             drain: Drain::default(),
             metrics: EntryMetrics::new(meter),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -45,6 +45,7 @@
     let entry = Entry::new(settings.clone(), dialer, &metrics.meter());
     let handler = admin_handler(Rc::clone(&entry));
     serve_admin(&settings.process.admin, metrics, Rc::clone(&entry), Some(handler))?;
+    spawn_local(entry.pauses.clone().run());
     spawn_local(Rc::clone(&entry).watch_instances());
     spawn_local(Rc::clone(&entry).poll_config());
     let stop_accepting = Drain::default();
