Loss bound for engines in paths

An engine could carry more context than the other holders of its layers can prefill again within the pause that callers accept. Such an engine is left out while another path meets the targets; after that the bound is relaxed to 2 times, 4 times and any time. Paths beyond the bound are logged once per interval and counted by direct_paths_beyond_loss_bound.

--- a/crates/decide/examples/path_search.rs
+++ b/crates/decide/examples/path_search.rs
@@ -12,12 +12,18 @@
 use clementine_decide::paths::{
     Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathTargets,
 };
+use clementine_objects::Millis;
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 const SEARCHES: u32 = 2_000;
 const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
+const TARGETS: PathTargets = PathTargets {
+    first_event: Some(Millis(600)),
+    gap: Some(Millis(250)),
+    time_left: Some(Millis(15_000)),
+};
 const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
 /// Engines that each hold a range of 8 or 12 layers, as many in each domain.
@@ -45,7 +51,7 @@
             candidates: &candidates,
             links: &links,
             demand: DEMAND,
-            targets: PathTargets::default(),
+            targets: TARGETS,
             purpose: PathPurpose::NewRequest,
             entries: 28,
             allowed_first: &[],
--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -74,6 +74,13 @@
         current.chain(new).collect()
     }
 
+    /// Expected time of the prefills after the loss of a candidate, up to the bound, or
+    /// 0 if there is no bound.
+    fn expected_repair_ms(&self, index: usize) -> f64 {
+        let max_repair = self.bound.map_or(0.0, |bound| bound.max_repair().0 as f64);
+        self.repair_ms.get(index).map_or(0.0, |ms| ms.min(max_repair))
+    }
+
     /// A stage that has to prefill the request's context.
     fn stage_option(&self, index: usize, factor: f64) -> StageOption {
         let search = self.search;
@@ -86,7 +93,8 @@
                 // long.
                 let waits = wait * (1.0 + search.demand.output_tokens) * SHARED_WAIT_WEIGHT;
                 let weight = factor * cache_factor(candidate);
-                ((backlog + waits) * weight, (prefill + decode) * weight)
+                let repair = self.expected_repair_ms(index);
+                ((backlog + waits + repair) * weight, (prefill + decode) * weight)
             }
             PathPurpose::Repair => {
                 let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
--- a/crates/decide/src/paths/mod.rs
+++ b/crates/decide/src/paths/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod bottleneck;
+mod bound;
 mod candidate;
 mod cost;
 mod links;
@@ -15,8 +16,9 @@
 
 pub use backlog::Backlog;
 pub use bottleneck::{Bottleneck, bottlenecks};
+pub use bound::{BoundExcess, LossBound, Relaxation};
 pub use candidate::{Demand, PathCandidate, PathPurpose, PathStage, PathTargets};
 pub use cost::transfer_bytes;
 pub use links::{Link, LinkUsage};
 pub use load::{Crossing, PathLoad, PrefillWork};
-pub use search::PathSearch;
+pub use search::{ChosenPath, PathSearch};
--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -7,7 +7,9 @@
 use super::program::{PathProgram, StageOption};
 use super::space::{SearchSpace, Stage};
 use super::spread::Preference;
-use super::{Demand, LinkUsage, PathCandidate, PathPurpose, PathStage, PathTargets};
+use super::{
+    BoundExcess, Demand, LinkUsage, PathCandidate, PathPurpose, PathStage, PathTargets, Relaxation,
+};
 use crate::fleet::EngineSpec;
 use crate::ids::{BackendId, Tick};
 
@@ -76,6 +78,15 @@
     pub now: Tick,
 }
 
+/// A path with what its choice left unmet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ChosenPath {
+    /// Stages in the order of their layers.
+    pub stages: Vec<PathStage>,
+    /// The engine that exceeds the loss bound most, if any does.
+    pub excess: Option<BoundExcess>,
+}
+
 impl PathSearch<'_> {
     /// Chooses a path through all layers, or returns `None` if no path has capacity
     /// for the request.
@@ -83,7 +94,8 @@
     /// Handles requests of all entries that see the same engines with views half a
     /// second old, on engines of different speeds. A new request takes slower engines
     /// too, as long as its path meets the targets, so that no engine carries most of
-    /// the requests.
+    /// the requests. Engines whose loss could not be repaired within the target gap get
+    /// no more requests while there is another path (see [`LossBound`](super::LossBound)).
     ///
     /// Handles also the load after the loss of an engine, when all entries repair all
     /// of its runs at the same moment. A repair takes one of several engines with a
@@ -91,13 +103,13 @@
     /// work that was sent there before counts as wait.
     ///
     /// The choice is the same for the same state of the generator.
-    pub fn choose_path(&self, rng: &mut impl Rng) -> Option<Vec<PathStage>> {
+    pub fn choose_path(&self, rng: &mut impl Rng) -> Option<ChosenPath> {
         let space = SearchSpace::new(self);
         let path = match self.purpose {
-            PathPurpose::Repair => space.randomized_path(REPAIR_PREFERENCE, rng),
-            PathPurpose::NewRequest => space.spread_path(rng),
-        };
-        Some(space.path_stages(&path?))
+            PathPurpose::Repair => space.randomized_path(&space.usable, REPAIR_PREFERENCE, rng),
+            PathPurpose::NewRequest => space.bounded_path(rng),
+        }?;
+        Some(ChosenPath { excess: space.excess(&path), stages: space.path_stages(&path) })
     }
 
     /// Returns the path through all layers with the lowest cost, or `None` if no
@@ -123,31 +135,78 @@
 }
 
 impl SearchSpace<'_> {
-    /// The path of a new request.
-    fn spread_path(&self, rng: &mut impl Rng) -> Option<Vec<Stage>> {
+    /// The path of a new request: the strictest relaxation of the loss bound by which
+    /// the targets can be met, or by which there is a path at all. Targets take
+    /// precedence, because a late request is certain and the loss of an engine is not.
+    fn bounded_path(&self, rng: &mut impl Rng) -> Option<Vec<Stage>> {
+        let mut chosen = None;
+        let mut tried = None;
+        for relaxation in Relaxation::ALL {
+            let admitted = self.admitted(relaxation);
+            if tried.replace(admitted.len()) == Some(admitted.len()) {
+                continue;
+            }
+            match self.spread_path(&admitted, rng) {
+                Some((path, true)) => return Some(path),
+                Some((path, false)) => chosen = chosen.or(Some(path)),
+                None => {}
+            }
+        }
+        chosen
+    }
+
+    /// Usable candidates within the loss bound.
+    fn admitted(&self, relaxation: Relaxation) -> Vec<usize> {
+        let Some(bound) = self.bound else { return self.usable.clone() };
+        let usable = self.usable.iter().copied();
+        usable.filter(|index| bound.admits(relaxation, self.repair_ms[*index])).collect()
+    }
+
+    /// The engine of a path that exceeds the loss bound most.
+    fn excess(&self, path: &[Stage]) -> Option<BoundExcess> {
+        let bound = self.bound?;
+        let repair_ms = |index: &usize| self.repair_ms[*index];
+        let indices = path.iter().map(|(index, _)| *index);
+        let worst = indices.max_by(|a, b| repair_ms(a).total_cmp(&repair_ms(b)))?;
+        let is_beyond = bound.relaxation_for(repair_ms(&worst)) > Relaxation::Within;
+        is_beyond.then(|| BoundExcess {
+            engine: self.search.candidates[worst].id.clone(),
+            repair_ms: repair_ms(&worst),
+            bound,
+        })
+    }
+
+    /// A path on some candidates, spread as widely as the targets allow, and whether it
+    /// meets them.
+    fn spread_path(&self, usable: &[usize], rng: &mut impl Rng) -> Option<(Vec<Stage>, bool)> {
         let mut chosen = None;
         for preference in PREFERENCES {
             let preference = preference.scaled_by_use(self.search.candidates);
-            let path = self.randomized_path(preference, rng)?;
+            let path = self.randomized_path(usable, preference, rng)?;
             if self.meets_targets(&path) {
-                return Some(path);
+                return Some((path, true));
             }
-            chosen = Some(path);
+            chosen = Some((path, false));
         }
         chosen
     }
 
     /// The cheapest path by costs that are multiplied by random factors. Among many
     /// engines, a sample is tried first.
-    fn randomized_path(&self, preference: Preference, rng: &mut impl Rng) -> Option<Vec<Stage>> {
-        if self.usable.len() > 2 * SAMPLE_SIZE {
-            let sample: Vec<usize> = self.usable.iter().copied().sample(rng, SAMPLE_SIZE);
+    fn randomized_path(
+        &self,
+        usable: &[usize],
+        preference: Preference,
+        rng: &mut impl Rng,
+    ) -> Option<Vec<Stage>> {
+        if usable.len() > 2 * SAMPLE_SIZE {
+            let sample: Vec<usize> = usable.iter().copied().sample(rng, SAMPLE_SIZE);
             let path = self.cheapest_by(&sample, &preference.factors(self, &sample, rng));
             if path.is_some() {
                 return path;
             }
         }
-        self.cheapest_by(&self.usable, &preference.factors(self, &self.usable, rng))
+        self.cheapest_by(usable, &preference.factors(self, usable, rng))
     }
 
     /// The cheapest path on some candidates whose costs are multiplied by `factors`.
--- a/crates/decide/src/paths/space.rs
+++ b/crates/decide/src/paths/space.rs
@@ -2,8 +2,9 @@
 
 use clementine_objects::LayerRange;
 
+use super::bound::repair_times;
 use super::queue::Queues;
-use super::{PathSearch, PathStage};
+use super::{LossBound, PathPurpose, PathSearch, PathStage};
 use crate::ids::DomainId;
 
 /// Candidate of a path's stage with the layers that it runs.
@@ -19,6 +20,11 @@
     pub(super) domain_of: Vec<usize>,
     /// Expected wait for the prefills of other requests by candidate, in ms.
     pub(super) waits_ms: Vec<f64>,
+    /// Bound of the loss that one engine may cause, for new requests with a target gap.
+    pub(super) bound: Option<LossBound>,
+    /// Expected time of the prefills after the loss of each candidate, in ms; empty if
+    /// there is no bound.
+    pub(super) repair_ms: Vec<f64>,
     /// Candidates that have capacity for the request.
     pub(super) usable: Vec<usize>,
     /// The request's current stages whose engines are candidates.
@@ -46,8 +52,14 @@
             let runs_here = current.iter().any(|(running, _)| running == index);
             runs_here || search.has_capacity(&candidates[*index])
         });
+        let is_new = search.purpose == PathPurpose::NewRequest;
+        let bound = search.targets.gap.filter(|_| is_new).and_then(LossBound::for_gap);
+        let tokens = search.demand.prompt_tokens + search.demand.output_tokens;
+        let repair_ms = bound.map(|_| repair_times(search.spec, candidates, tokens));
         Self {
             search,
+            bound,
+            repair_ms: repair_ms.unwrap_or_default(),
             domain_of,
             waits_ms: candidates.iter().map(|candidate| queues.wait_ms(candidate)).collect(),
             usable: usable.collect(),
--- a/crates/decide/tests/path_repairs.rs
+++ b/crates/decide/tests/path_repairs.rs
@@ -47,7 +47,7 @@
             current_path,
             now: Tick(0),
         };
-        let path = search.choose_path(&mut self.rng).expect("a path");
+        let path = search.choose_path(&mut self.rng).expect("a path").stages;
         let load = search.path_load(&path);
         for crossing in &load.crossings {
             self.links.add_repair(&crossing.link, crossing.repair_ms, Tick(0));
--- a/crates/decide/tests/path_spread.rs
+++ b/crates/decide/tests/path_spread.rs
@@ -142,7 +142,7 @@
             let entry = self.rng.random_range(0..ENTRIES);
             let view = self.view(entry);
             let search = Self::search(&spec, &view, &links);
-            let path = search.choose_path(&mut self.rng).expect("a path");
+            let path = search.choose_path(&mut self.rng).expect("a path").stages;
             let mut step = 0.0;
             for stage in &path {
                 let n = self.index(&stage.id);
@@ -174,7 +174,7 @@
                     current_path: if can_move { &run.path } else { &[] },
                     ..Self::search(&spec, &view, &links)
                 };
-                let path = search.choose_path(&mut self.rng).expect("a path");
+                let path = search.choose_path(&mut self.rng).expect("a path").stages;
                 let load = search.path_load(&path);
                 let mut stages = Vec::new();
                 for prefill in &load.prefills {
@@ -267,3 +267,16 @@
 fn all_requests_find_a_path_at_twice_the_load() {
     Fleet::new(1).serve(240, 4_000);
 }
+
+/// Guards against herding at ten times the engines and requests.
+#[test]
+fn load_is_spread_over_ten_times_the_engines() {
+    let mut fleet = Fleet::new(10);
+    fleet.serve(1_200, 2_500);
+    let lost = fleet.busiest();
+    let interrupted = fleet.total(lost) / fleet.runs.len() as f64;
+    assert!(interrupted < 0.1, "{interrupted:.2}");
+    let pauses = fleet.repair(lost);
+    let late = pauses.iter().filter(|ms| **ms + DETECTION_MS > GAP.0 as f64).count();
+    assert!(late * 20 < pauses.len(), "{late} of {} late", pauses.len());
+}
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -17,6 +17,7 @@
     buffered_response: Histogram<f64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
+    paths_beyond_bound: Counter<u64>,
     backends_down: Counter<u64>,
     crashes: Counter<u64>,
     quarantined_requests: Counter<u64>,
@@ -48,6 +49,11 @@
             ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
+            paths_beyond_bound: counter(
+                "direct_paths_beyond_loss_bound",
+                "Paths with an engine whose loss can't be repaired within the target gap, by \
+                 relaxation of the bound",
+            ),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
             crashes: counter(
                 "direct_crashes",
@@ -109,6 +115,11 @@
         self.repaths.add(1, &[]);
     }
 
+    /// Counts a path that was chosen with a relaxed loss bound.
+    pub(crate) fn count_path_beyond_bound(&self, relaxation: &'static str) {
+        self.paths_beyond_bound.add(1, &[KeyValue::new("relaxation", relaxation)]);
+    }
+
     /// Counts a backend server that was marked as down.
     pub(crate) fn count_backend_down(&self, reason: &'static str) {
         self.backends_down.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of the process.
 
 mod dump;
+mod log_interval;
 mod metrics;
 mod outbox;
 mod queue;
@@ -12,6 +13,7 @@
 mod store;
 mod table_sync;
 
+pub(crate) use log_interval::LogInterval;
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::{Outbox, UrgentMessage};
 pub(crate) use queue::BoundedQueue;
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
+use super::{DirectMetrics, LogInterval, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -72,10 +72,10 @@
     /// Share of recent requests that were refused for lack of capacity.
     pub(crate) refusal_rate: RefCell<RefusalRate>,
     pub(crate) retry_budgets: RefCell<RetryBudgets>,
-    /// When the last "no path" line was logged, and how many have been suppressed
-    /// since.
-    pub(crate) no_path_logged_at: Cell<Option<Tick>>,
-    pub(crate) no_path_lines_suppressed: Cell<u64>,
+    /// Limits the "no path" lines.
+    pub(crate) no_path_log: LogInterval,
+    /// Limits the lines about engines beyond the loss bound.
+    pub(crate) loss_bound_log: LogInterval,
     routing_table: RefCell<Option<Rc<RoutingTable>>>,
     /// The document from which `routing_table` was decoded.
     config_document: RefCell<Option<Bytes>>,
@@ -119,8 +119,8 @@
             rng: RefCell::new(rng),
             refusal_rate: RefCell::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
-            no_path_logged_at: Cell::default(),
-            no_path_lines_suppressed: Cell::default(),
+            no_path_log: LogInterval::default(),
+            loss_bound_log: LogInterval::default(),
             routing_table: RefCell::default(),
             config_document: RefCell::default(),
             shutdown_started_at: Cell::new(None),
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 
 use clementine_decide::fleet::{EngineSpec, Member};
-use clementine_decide::ids::{BackendId, DomainId, Tick};
+use clementine_decide::ids::{BackendId, DomainId};
 use clementine_decide::paths::{
-    Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, PathTargets, bottlenecks,
+    BoundExcess, Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, PathTargets,
+    bottlenecks,
 };
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -136,10 +137,14 @@
         current_path,
         now: shared.now(),
     };
-    let Some(path) = search.choose_path(&mut *shared.rng.borrow_mut()) else {
+    let Some(chosen) = search.choose_path(&mut *shared.rng.borrow_mut()) else {
         log_no_path(shared, ctx, engine, &candidates, demand);
         return None;
     };
+    if let Some(excess) = &chosen.excess {
+        report_excess(shared, ctx, excess);
+    }
+    let path = chosen.stages;
     let load = search.path_load(&path);
     drop(links);
     record_path_load(shared, &load);
@@ -162,12 +167,12 @@
     }
 }
 
-/// Minimum interval between log lines that explain why no path was found. The
-/// reasons change slowly.
-const NO_PATH_LOG_INTERVAL: Millis = Millis(500);
+/// Minimum interval between log lines that explain why no path was found, or none
+/// within the loss bound. The reasons change slowly.
+const PATH_LOG_INTERVAL: Millis = Millis(500);
 
 /// Logs what prevents a path in each failure domain. At most one line per
-/// [`NO_PATH_LOG_INTERVAL`] is logged, with the number of suppressed ones.
+/// [`PATH_LOG_INTERVAL`] is logged, with the number of suppressed ones.
 fn log_no_path(
     shared: &SharedState,
     ctx: &RequestContext,
@@ -175,14 +180,9 @@
     candidates: &[PathCandidate],
     demand: Demand,
 ) {
-    let now = shared.now();
-    let suppressed = shared.no_path_lines_suppressed.get();
-    let is_recent = |at: Tick| now.since(at) < NO_PATH_LOG_INTERVAL;
-    if shared.no_path_logged_at.get().is_some_and(is_recent) {
-        return shared.no_path_lines_suppressed.set(suppressed + 1);
-    }
-    shared.no_path_logged_at.set(Some(now));
-    shared.no_path_lines_suppressed.set(0);
+    let Some(suppressed) = shared.no_path_log.admit(shared.now(), PATH_LOG_INTERVAL) else {
+        return;
+    };
     let bottlenecks: Vec<String> =
         bottlenecks(engine.layers, candidates).iter().map(ToString::to_string).collect();
     info!(
@@ -195,6 +195,24 @@
     );
 }
 
+/// Counts a path that is beyond the loss bound, and logs it at most once per
+/// [`PATH_LOG_INTERVAL`].
+fn report_excess(shared: &SharedState, ctx: &RequestContext, excess: &BoundExcess) {
+    shared.metrics.count_path_beyond_bound(excess.relaxation().name());
+    if let Some(suppressed) = shared.loss_bound_log.admit(shared.now(), PATH_LOG_INTERVAL) {
+        info!(
+            "paths: id={} beyond loss bound backend={} repair_ms={:.0} bound_ms={} relaxed={} \
+             lines_held_back={}",
+            ctx.req.id,
+            excess.engine,
+            excess.repair_ms,
+            excess.bound.max_repair().0,
+            excess.relaxation(),
+            suppressed
+        );
+    }
+}
+
 /// Adds the load of a path to its engines and links, before the request is sent.
 fn record_path_load(shared: &SharedState, load: &PathLoad) {
     let now = shared.now();
