--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -30,17 +30,21 @@
 #[derive(Debug)]
 pub(super) struct Hops {
     domains: usize,
-    /// Costs by pair of domains, to a stage that needs the request's context and to one
-    /// that has it. Infinite if the link is used up to the limit.
-    costs: Vec<[f64; 2]>,
+    /// Costs by the domain to which and the domain from which the hop goes, to a stage
+    /// that needs the request's context. Infinite if the link is used up to the limit.
+    to_new: Vec<f64>,
+    /// Likewise to a stage that has the context.
+    to_current: Vec<f64>,
 }
 
 impl Hops {
     pub(super) fn new(space: &SearchSpace<'_>, max_link_use: f64) -> Self {
         let domains = &space.domains;
+        // Hops cost the same in both directions.
         let pairs = domains.iter().flat_map(|a| domains.iter().map(move |b| (*a, *b)));
         let costs = pairs.map(|(a, b)| space.search.hop_costs(a, b, max_link_use));
-        Self { domains: domains.len(), costs: costs.collect() }
+        let (to_new, to_current) = costs.map(|[new, current]| (new, current)).unzip();
+        Self { domains: domains.len(), to_new, to_current }
     }
 
     /// Number of failure domains.
@@ -48,9 +52,10 @@
         self.domains
     }
 
-    /// Cost of a hop between two domains, by index.
-    pub(super) fn cost(&self, from: usize, to: usize, has_context: bool) -> f64 {
-        self.costs[from * self.domains + to][usize::from(has_context)]
+    /// Costs of the hops to a domain, by the domain from which they go.
+    pub(super) fn costs_to(&self, domain: usize, has_context: bool) -> &[f64] {
+        let costs = if has_context { &self.to_current } else { &self.to_new };
+        &costs[domain * self.domains..][..self.domains]
     }
 }
 
--- a/crates/decide/src/paths/program.rs
+++ b/crates/decide/src/paths/program.rs
@@ -27,23 +27,37 @@
 /// A stage that begins at a layer, and the stage before it.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
-    option: usize,
+    option: u32,
     first_layer: u32,
-    predecessor: Option<usize>,
-    /// Candidates of the partial path, as bits; several candidates share a bit.
-    candidates: u128,
+    predecessor: Option<u32>,
+    /// Candidates of the partial path.
+    candidates: CandidateBits,
 }
 
-/// The bit of a candidate in [`Entry::candidates`].
-const fn candidate_bit(candidate: usize) -> u128 {
-    1 << (candidate % 128)
+/// Set of candidates by their index. Indices beyond [`Self::EXACT`] share bits, so that
+/// the set can tell of such a candidate only that it does not contain it.
+#[derive(Debug, Clone, Copy, Default)]
+struct CandidateBits([u64; 4]);
+
+impl CandidateBits {
+    /// Number of candidates up to which the set is exact.
+    const EXACT: usize = 256;
+
+    const fn contains(&self, candidate: usize) -> bool {
+        self.0[candidate / 64 % 4] >> (candidate % 64) & 1 == 1
+    }
+
+    const fn with(mut self, candidate: usize) -> Self {
+        self.0[candidate / 64 % 4] |= 1 << (candidate % 64);
+        self
+    }
 }
 
 /// The cheapest partial path that ends in a failure domain.
 #[derive(Debug, Clone, Copy)]
 struct Exit {
     cost: f64,
-    entry: Option<usize>,
+    entry: Option<u32>,
 }
 
 const NO_EXIT: Exit = Exit { cost: f64::INFINITY, entry: None };
@@ -69,6 +83,8 @@
     arrivals: Vec<[Exit; 2]>,
     /// Whether any option has the request's context.
     has_context: bool,
+    /// Whether all candidates are in the exact range of [`CandidateBits`].
+    is_exact: bool,
 }
 
 /// An option whose layers include the current boundary.
@@ -83,7 +99,7 @@
     /// Index of the option.
     option: usize,
     /// Index of the entry into the option.
-    entered: usize,
+    entered: u32,
     domain: usize,
     end: u32,
     has_context: bool,
@@ -114,6 +130,7 @@
             exits: vec![NO_EXIT; hops.domain_count()],
             arrivals: vec![[NO_EXIT; 2]; hops.domain_count()],
             has_context: options.iter().any(|option| option.has_context),
+            is_exact: options.iter().all(|option| option.candidate < CandidateBits::EXACT),
         }
     }
 
@@ -199,24 +216,23 @@
             return;
         }
         stage.value = value;
-        stage.entered = self.entries.len();
-        let before = arrival.entry.map_or(0, |entry| self.entries[entry].candidates);
+        stage.entered = self.entries.len() as u32;
+        let before = arrival.entry.map(|entry| self.entries[entry as usize].candidates);
         self.entries.push(Entry {
-            option: stage.option,
+            option: stage.option as u32,
             first_layer: layer,
             predecessor: arrival.entry,
-            candidates: before | candidate_bit(option.candidate),
+            candidates: before.unwrap_or_default().with(option.candidate),
         });
     }
 
     /// Whether a candidate runs a stage of the partial path that ends with an entry.
-    fn runs_before(&self, mut entry: Option<usize>, candidate: usize) -> bool {
-        let bit = candidate_bit(candidate);
-        while let Some(stage) = entry.map(|index| &self.entries[index]) {
-            if stage.candidates & bit == 0 {
+    fn runs_before(&self, mut entry: Option<u32>, candidate: usize) -> bool {
+        while let Some(stage) = entry.map(|index| &self.entries[index as usize]) {
+            if !stage.candidates.contains(candidate) {
                 return false;
             }
-            if self.options[stage.option].candidate == candidate {
+            if self.is_exact || self.options[stage.option as usize].candidate == candidate {
                 return true;
             }
             entry = stage.predecessor;
@@ -236,8 +252,8 @@
     /// The cheapest way to a stage in a failure domain, with its cost.
     fn arrival(&self, domain: usize, has_context: bool) -> Exit {
         let mut best = NO_EXIT;
-        for (from, exit) in self.exits.iter().enumerate() {
-            let cost = exit.cost + self.hops.cost(from, domain, has_context);
+        for (exit, hop) in self.exits.iter().zip(self.hops.costs_to(domain, has_context)) {
+            let cost = exit.cost + hop;
             if cost < best.cost {
                 best = Exit { cost, ..*exit };
             }
@@ -246,11 +262,11 @@
     }
 
     /// Follows the predecessors back from the last stage.
-    fn reconstruct(&self, last: usize) -> Option<Vec<(usize, LayerRange)>> {
+    fn reconstruct(&self, last: u32) -> Option<Vec<(usize, LayerRange)>> {
         let (mut end, mut next) = (self.layers, Some(last));
         let mut path = Vec::new();
-        while let Some(entry) = next.map(|index| self.entries[index]) {
-            path.push((entry.option, LayerRange::half_open(entry.first_layer, end)?));
+        while let Some(entry) = next.map(|index| &self.entries[index as usize]) {
+            path.push((entry.option as usize, LayerRange::half_open(entry.first_layer, end)?));
             end = entry.first_layer;
             next = entry.predecessor;
         }
