Long prompts spill over between failure domains before refusal

A request whose context occupies a link for more than 30 ms was refused when no single failure domain had capacity and the link was used to more than 10%. It may now use the link as short requests do if it occupies it for at most half of the target gap.

--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -1,5 +1,6 @@
 //! Search for the path of one request.
 
+use clementine_objects::Millis;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
@@ -33,6 +34,11 @@
 /// [`MAX_TRANSFER_MS`], if no single domain has capacity.
 const LONG_TRANSFER_LINK_UTILIZATION: f64 = 0.1;
 
+/// Fraction of the target gap up to which a long transfer may use the links as others
+/// do rather than be refused. The tokens of the other requests on the link wait for it,
+/// and the rest of their gap is left for their engines.
+const MAX_TRANSFER_GAP_SHARE: f64 = 0.5;
+
 /// Number of engines among which a path is looked for first. The engines outside the
 /// sample are no loss: other requests get other samples.
 const SAMPLE_SIZE: usize = 200;
@@ -120,6 +126,21 @@
         Some(space.path_stages(&path))
     }
 
+    /// Limits of the utilization of links between failure domains, in the order in
+    /// which they are tried. A failure domain that lacks capacity spills over to others
+    /// while the links carry it.
+    fn link_limits(&self) -> &'static [f64] {
+        let transfer_ms = self.transfer_ms();
+        let is_short_for = |gap: Millis| transfer_ms <= gap.0 as f64 * MAX_TRANSFER_GAP_SHARE;
+        if transfer_ms <= MAX_TRANSFER_MS {
+            &[MAX_LINK_UTILIZATION, FALLBACK_LINK_UTILIZATION]
+        } else if self.targets.gap.is_some_and(is_short_for) {
+            &[0.0, LONG_TRANSFER_LINK_UTILIZATION, MAX_LINK_UTILIZATION, FALLBACK_LINK_UTILIZATION]
+        } else {
+            &[0.0, LONG_TRANSFER_LINK_UTILIZATION]
+        }
+    }
+
     /// Whether an engine has KV cache for the request.
     pub(super) fn has_capacity(&self, candidate: &PathCandidate) -> bool {
         let needed = self.demand.prompt_tokens + self.demand.output_tokens;
@@ -211,13 +232,9 @@
 
     /// The cheapest path on some candidates whose costs are multiplied by `factors`.
     fn cheapest_by(&self, usable: &[usize], factors: &[f64]) -> Option<Vec<Stage>> {
-        let limits = if self.search.transfer_ms() > MAX_TRANSFER_MS {
-            [0.0, LONG_TRANSFER_LINK_UTILIZATION]
-        } else {
-            [MAX_LINK_UTILIZATION, FALLBACK_LINK_UTILIZATION]
-        };
         let options = self.stage_options(usable, factors);
-        limits.into_iter().find_map(|limit| self.cheapest_within(&options, limit))
+        let mut limits = self.search.link_limits().iter();
+        limits.find_map(|limit| self.cheapest_within(&options, *limit))
     }
 
     /// The cheapest path over links whose utilization is below a limit.
