--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -29,7 +29,7 @@
 use tokio::time::Instant;
 
 use super::pool_queues::PoolQueues;
-use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
+use super::{DirectMetrics, LogInterval, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -85,10 +85,10 @@
     pub(crate) shares: RefCell<ShareLedger>,
     /// When the last line about shares was logged.
     pub(crate) shares_logged_at: Cell<Option<Tick>>,
-    /// When the last "no path" line was logged, and how many have been suppressed
-    /// since.
-    pub(crate) no_path_logged_at: Cell<Option<Tick>>,
-    pub(crate) no_path_lines_suppressed: Cell<u64>,
+    /// Limits the "no path" lines.
+    pub(crate) no_path_log: LogInterval,
+    /// Limits the lines about engines beyond the loss bound.
+    pub(crate) loss_bound_log: LogInterval,
     routing_table: RefCell<Option<Rc<RoutingTable>>>,
     /// The document from which `routing_table` was decoded.
     config_document: RefCell<Option<Bytes>>,
@@ -137,8 +137,8 @@
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
             shares: RefCell::default(),
             shares_logged_at: Cell::default(),
-            no_path_logged_at: Cell::default(),
-            no_path_lines_suppressed: Cell::default(),
+            no_path_log: LogInterval::default(),
+            loss_bound_log: LogInterval::default(),
             routing_table: RefCell::default(),
             config_document: RefCell::default(),
             shutdown_started_at: Cell::new(None),
