Immediate retries gain no place in the queue; spares are not expected capacity

A caller that returns before it is due is now not queued while slots are scarce; callers for whom no slot is expected are remembered as well.

Engines without layers counted as capacity after the load time for ever, so that spares made requests refused at once before any service time was known. They count only while they can be loading for the first time. While half of the slots are free, or nothing is known of the service time, a request waits as before.

--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -13,7 +13,7 @@
 pub use decision::{AdmissionDecision, Refusal};
 pub use pool_capacity::{PoolLoad, ReturningSlots};
 pub use pool_queue::{MAX_WAITING, PoolDecision, PoolQueue, QueueTicket, RefusalReason};
-pub use pool_request::PoolRequest;
+pub use pool_request::{CallerReturn, PoolRequest};
 pub use promises::{MAX_PROMISES, PROMISE_INTERVAL};
 pub use queue::{AdmissionLimits, AdmissionQueue, Urgency};
 pub use service_time::ServiceTime;
--- a/crates/decide/src/admission/pool_capacity.rs
+++ b/crates/decide/src/admission/pool_capacity.rs
@@ -98,6 +98,12 @@
         self.service_time.is_known().then(|| self.service_time.mean())
     }
 
+    /// Whether the runs in progress tell nothing about a pool in which servers are
+    /// available.
+    pub(super) const fn is_rate_unknown(&self, load: &PoolLoad) -> bool {
+        !self.service_time.is_known() && load.slots > 0
+    }
+
     /// Expected time until `slots` slots of the pool have become free, whichever
     /// entry uses them. `None` if nothing is known.
     pub(super) fn time_until(&self, slots: f64, load: &PoolLoad, now: Tick) -> Option<Millis> {
--- a/crates/decide/src/admission/pool_queue.rs
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -6,7 +6,7 @@
 use super::pool_capacity::PoolCapacity;
 use super::pool_request::QueueOrder;
 use super::promises::Promises;
-use super::{PoolLoad, PoolRequest};
+use super::{CallerReturn, PoolLoad, PoolRequest};
 use crate::ids::Tick;
 use crate::overload::max_capacity_wait;
 use crate::quarantine::Fingerprint;
@@ -31,6 +31,9 @@
 pub enum RefusalReason {
     /// Capacity is not expected in time for the request.
     TooLate,
+    /// The caller was refused and returns before the time that it was told. Were it
+    /// queued, retrying often would gain it a place that others do not get.
+    NotDue,
     /// The queue is full of requests that go before this one.
     QueueFull,
 }
@@ -166,8 +169,9 @@
         load: &PoolLoad,
         now: Tick,
     ) -> PoolDecision<T> {
-        let Some(until) = self.wait_until(&request, load, now) else {
-            return PoolDecision::Refused(RefusalReason::TooLate);
+        let until = match self.wait_until(&request, load, now) {
+            Ok(until) => until,
+            Err(reason) => return PoolDecision::Refused(reason),
         };
         let displaced = match self.make_room(&request, now) {
             Ok(displaced) => displaced,
@@ -261,6 +265,9 @@
         now: Tick,
         rng: &mut impl Rng,
     ) -> Option<Millis> {
+        if self.capacity.is_rate_unknown(load) {
+            return None;
+        }
         let ahead = self.waiting.len() + self.promises.slots_ahead(caller, now);
         let slots = (ahead + 1) as f64 * f64::from(load.entries.max(1));
         let wait = self.capacity.time_until(slots, load, now)?;
@@ -269,13 +276,13 @@
     }
 
     /// Whether a caller returns when it was told to: no earlier, and within two
-    /// intervals. Its promise ends.
-    pub fn redeem_promise(&mut self, caller: Fingerprint, returned: Tick) -> bool {
-        !self.promises.is_empty() && self.promises.redeem(caller, returned)
+    /// intervals. Its promise ends unless it is not due yet.
+    pub fn redeem_promise(&mut self, caller: Fingerprint, returned: Tick) -> CallerReturn {
+        self.promises.redeem(caller, returned)
     }
 
-    /// Number of slots that are promised to callers.
-    pub fn promised(&mut self, now: Tick) -> usize {
+    /// Number of callers that have been told to return.
+    pub fn told_to_return(&mut self, now: Tick) -> usize {
         self.promises.len(now)
     }
 
@@ -286,20 +293,28 @@
         }
     }
 
-    /// How long a request may wait, or `None` if it cannot be served in time.
-    fn wait_until(&self, request: &PoolRequest, load: &PoolLoad, now: Tick) -> Option<Tick> {
+    /// How long a request may wait, or why it may not.
+    fn wait_until(
+        &self,
+        request: &PoolRequest,
+        load: &PoolLoad,
+        now: Tick,
+    ) -> Result<Tick, RefusalReason> {
         if request.begun {
-            return Some(request.deadline);
+            return Ok(request.deadline);
         }
         let usual = request.arrived.after(max_capacity_wait(request.target)).min(request.deadline);
         let latest_start = request.latest_start(self.capacity.first_response());
-        match self.expected_wait(request, load, now) {
-            None => Some(usual),
-            Some(wait) if request.returned || now.after(wait) <= latest_start => {
-                Some(latest_start.max(usual))
-            }
-            Some(_) if self.is_empty() && load.is_half_free() => Some(usual),
-            Some(_) => None,
+        let Some(wait) = self.expected_wait(request, load, now) else { return Ok(usual) };
+        // If the shortage is not one of slots, their rate tells nothing.
+        let is_scarce = !load.is_half_free() && !self.capacity.is_rate_unknown(load);
+        let in_time = now.after(wait) <= latest_start;
+        match request.returned {
+            CallerReturn::AsTold => Ok(latest_start.max(usual)),
+            CallerReturn::Early if is_scarce => Err(RefusalReason::NotDue),
+            _ if in_time => Ok(latest_start.max(usual)),
+            _ if is_scarce => Err(RefusalReason::TooLate),
+            _ => Ok(usual),
         }
     }
 
--- a/crates/decide/src/admission/pool_request.rs
+++ b/crates/decide/src/admission/pool_request.rs
@@ -8,6 +8,20 @@
 /// starve.
 const WAIT_PER_LEVEL: Millis = Millis(2_000);
 
+/// Whether a caller was refused before and told when to return. The order is that in
+/// which requests of a level are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum CallerReturn {
+    /// It returns when it was told to.
+    AsTold,
+    /// It was not told to return, or too long ago, or without a slot for it.
+    #[default]
+    New,
+    /// It returns before it is due. Behind all others, so that callers gain nothing
+    /// by retrying immediately and often.
+    Early,
+}
+
 /// A request as the queue of a pool sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolRequest {
@@ -16,8 +30,8 @@
     pub begun: bool,
     /// Priority level from 0 (highest) to 9 (lowest).
     pub level: u8,
-    /// Whether the caller returned when it was told to, after it had been refused.
-    pub returned: bool,
+    /// Whether the caller was refused before.
+    pub returned: CallerReturn,
     /// Whether the request's workspace is over its share of the capacity.
     pub over_share: bool,
     /// When the request arrived.
@@ -33,7 +47,7 @@
 pub(super) struct QueueOrder {
     not_begun: bool,
     level: u8,
-    not_returned: bool,
+    returned: CallerReturn,
     over_share: bool,
     latest_start: Tick,
     deadline: Tick,
@@ -55,7 +69,7 @@
         QueueOrder {
             not_begun: !self.begun,
             level: self.level.saturating_sub(u8::try_from(levels_waited).unwrap_or(u8::MAX)),
-            not_returned: !self.returned,
+            returned: self.returned,
             over_share: self.over_share,
             latest_start,
             deadline: self.deadline,
--- a/crates/decide/src/admission/promises.rs
+++ b/crates/decide/src/admission/promises.rs
@@ -3,6 +3,7 @@
 use clementine_objects::Millis;
 use rand::{Rng, RngExt};
 
+use super::CallerReturn;
 use crate::ids::Tick;
 use crate::quarantine::Fingerprint;
 
@@ -15,50 +16,55 @@
 const MAX_RETRY_AFTER: Millis = Millis(2_500);
 /// Time after that at which a caller was told to return for which its promise holds.
 const PROMISE_RETENTION: Millis = Millis(2 * PROMISE_INTERVAL.0);
-/// Maximum number of promises of an entry for a pool: 400 slots per second.
+/// Maximum number of callers of a pool that an entry has told to return: 400 per second.
 pub const MAX_PROMISES: usize = 1_024;
 
-/// A slot promised to a caller.
+/// What a refused caller was told.
 #[derive(Debug, Clone, Copy)]
 struct Promise {
     caller: Fingerprint,
-    /// When the caller was told to return.
+    /// When the caller should return, as far as it waits so long.
     told: Tick,
+    /// Whether a slot is promised to it. None is expected for the others within the
+    /// time that they wait; they are known only in order to tell when they return
+    /// early.
+    has_slot: bool,
     /// Number of times that the caller was refused again before it was due.
     repeats: u32,
 }
 
-/// Slots that an entry has promised.
+/// Refused callers that an entry has told to return, and the slots promised to them.
 ///
-/// Invariant: at most [`MAX_PROMISES`] promises (32 bytes each), of which each ends
-/// within [`MAX_RETRY_AFTER`] and [`PROMISE_RETENTION`].
+/// Invariant: at most [`MAX_PROMISES`] callers (32 bytes each), each of them for at most [`MAX_RETRY_AFTER`] and [`PROMISE_RETENTION`].
 #[derive(Debug, Clone, Default)]
 pub(super) struct Promises {
     promises: Vec<Promise>,
 }
 
 impl Promises {
-    /// Number of promises that hold.
+    /// Number of callers that were told to return and may still do so.
     pub(super) fn len(&mut self, now: Tick) -> usize {
         self.promises.retain(|promise| now <= promise.told.after(PROMISE_RETENTION));
         self.promises.len()
     }
 
-    /// Number of callers that were told to return by a time and have not yet.
+    /// Number of slots promised to callers that were told to return by a time.
     pub(super) fn due_by(&self, time: Tick, now: Tick) -> usize {
-        let holding = |promise: &&Promise| now <= promise.told.after(PROMISE_RETENTION);
-        self.promises.iter().filter(holding).filter(|promise| promise.told <= time).count()
+        let slots = self.promises.iter().filter(|promise| promise.has_slot);
+        let holding = slots.filter(|promise| now <= promise.told.after(PROMISE_RETENTION));
+        holding.filter(|promise| promise.told <= time).count()
     }
 
-    /// Number of slots behind which a refused caller is told to return. A caller that
-    /// is not due yet keeps its one promise, but is told a later time with each
+    /// Number of promised slots behind which a refused caller is told to return. A
+    /// caller that is not due yet has at most one promise, and is told a later time with each
     /// refusal: it may also be another one that sends the same request.
     pub(super) fn slots_ahead(&mut self, caller: Fingerprint, now: Tick) -> usize {
         self.promises.retain(|promise| promise.caller != caller || promise.told > now);
-        let ahead = self.len(now);
+        self.len(now);
+        let ahead = self.promises.iter().filter(|promise| promise.has_slot).count();
         let Some(promise) = self.of(caller) else { return ahead };
         promise.repeats += 1;
-        ahead + promise.repeats as usize - 1
+        ahead + (promise.repeats as usize).saturating_sub(usize::from(promise.has_slot))
     }
 
     fn of(&mut self, caller: Fingerprint) -> Option<&mut Promise> {
@@ -66,8 +72,8 @@
     }
 
     /// Promises a caller a slot that is expected after `wait`, and returns the time
-    /// after which it should return. A caller that returns earlier than that, because
-    /// it waits for `max_wait` at most, gets no promise.
+    /// after which it should return. A caller that will not wait for that, because it
+    /// waits for `max_wait` at most, gets no promise.
     pub(super) fn add(
         &mut self,
         caller: Fingerprint,
@@ -80,36 +86,35 @@
         let expected = now.after(wait);
         let interval = Tick(expected.0 - expected.0 % PROMISE_INTERVAL.0);
         let delay = interval.after(jitter).since(now).max(MIN_RETRY_AFTER);
-        if delay > MAX_RETRY_AFTER {
-            return Millis(MAX_RETRY_AFTER.0 - jitter.0);
-        }
-        if delay <= max_wait {
-            self.set(caller, now.after(delay));
-        }
+        let has_slot = delay <= MAX_RETRY_AFTER && delay <= max_wait;
+        let delay =
+            if delay > MAX_RETRY_AFTER { Millis(MAX_RETRY_AFTER.0 - jitter.0) } else { delay };
+        // A caller that does not wait so long measures its time itself, so that it may
+        // return a little before `max_wait`.
+        let latest = Millis(max_wait.0.saturating_sub(PROMISE_INTERVAL.0));
+        let due = if has_slot { delay } else { delay.min(latest) };
+        self.set(caller, now.after(due), has_slot);
         delay
     }
 
-    fn set(&mut self, caller: Fingerprint, told: Tick) {
-        let has_room = self.promises.len() < MAX_PROMISES;
-        match self.of(caller) {
-            Some(promise) => promise.told = told,
-            None if has_room => {
-                self.promises.push(Promise { caller, told, repeats: 0 });
-            }
-            None => {}
+    fn set(&mut self, caller: Fingerprint, told: Tick, has_slot: bool) {
+        let repeats = self.of(caller).map_or(0, |promise| promise.repeats);
+        self.remove(caller);
+        if self.promises.len() < MAX_PROMISES {
+            self.promises.push(Promise { caller, told, has_slot, repeats });
         }
     }
 
-    /// Takes the promise to a caller that has returned, and returns whether it has
-    /// returned when it was told to. The promise to a caller that is not due yet is
-    /// kept.
-    pub(super) fn redeem(&mut self, caller: Fingerprint, returned: Tick) -> bool {
-        let Some(told) = self.of(caller).map(|promise| promise.told) else { return false };
-        if returned < told {
-            return false;
+    /// Whether a caller returns when it was told to. The promise ends unless the
+    /// caller is not due yet.
+    pub(super) fn redeem(&mut self, caller: Fingerprint, returned: Tick) -> CallerReturn {
+        let Some(promise) = self.of(caller).copied() else { return CallerReturn::New };
+        if returned < promise.told {
+            return CallerReturn::Early;
         }
         self.remove(caller);
-        returned <= told.after(PROMISE_RETENTION)
+        let in_time = returned <= promise.told.after(PROMISE_RETENTION);
+        if promise.has_slot && in_time { CallerReturn::AsTold } else { CallerReturn::New }
     }
 
     /// Takes back the promise to a caller.
--- a/crates/decide/src/fleet/engine.rs
+++ b/crates/decide/src/fleet/engine.rs
@@ -81,6 +81,12 @@
         (free_mb * BYTES_PER_MB / per_token).max(0.0)
     }
 
+    /// Time that an accelerator takes to load as many layers as it holds.
+    pub fn max_load_time(&self, accelerator: &AcceleratorSpec) -> Millis {
+        let fraction = self.model_fraction(self.max_layers(accelerator, 0.0));
+        Millis((self.load_time.0 as f64 * fraction).ceil() as u64)
+    }
+
     /// Fraction of the model that `count` layers make up.
     pub fn model_fraction(&self, count: u32) -> f64 {
         f64::from(count) / f64::from(self.layers.max(1))
--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -52,6 +52,8 @@
     /// Last time that a response or an event was received from the server;
     /// initially the time at which it was listed.
     pub last_seen: Tick,
+    /// When this start of the server was first listed.
+    pub listed_at: Tick,
     /// Last reported slowdown factor and the time of the report.
     slowdown: Option<(f64, Tick)>,
     /// Last time that the server accepted a liveness probe.
@@ -85,6 +87,7 @@
             remote_in_flight: 0,
             remote_tokens: 0.0,
             last_seen: now,
+            listed_at: now,
             slowdown: None,
             connected_at: None,
             refused_at: None,
--- a/crates/decide/src/fleet/pool_load.rs
+++ b/crates/decide/src/fleet/pool_load.rs
@@ -3,18 +3,17 @@
 
 use clementine_objects::Millis;
 
-use super::{Fleet, Member};
+use super::{EngineSpec, Fleet, Member};
 use crate::admission::{PoolLoad, ReturningSlots};
 use crate::ids::{PoolId, Tick};
 
 impl Fleet {
-    /// Load of a pool that a number of entries use. `load_time` is the time to load
-    /// the model's layers, for pools that serve a model: an engine without layers is
-    /// expected to have them after this time at the latest.
+    /// Load of a pool that a number of entries use. `engine` is given for pools that
+    /// serve a model.
     pub fn pool_load(
         &self,
         pool: &PoolId,
-        load_time: Option<Millis>,
+        engine: Option<&EngineSpec>,
         entries: usize,
         now: Tick,
     ) -> PoolLoad {
@@ -22,7 +21,7 @@
             PoolLoad { entries: u32::try_from(entries).unwrap_or(u32::MAX), ..PoolLoad::default() };
         for member in self.pool(pool) {
             load.in_flight_elsewhere += member.remote_in_flight;
-            let Some(after) = accepts_in(member, load_time, now) else { continue };
+            let Some(after) = accepts_in(member, engine, now) else { continue };
             if after.0 > 0 {
                 let slots = returning_slots(member, now);
                 load.returning.push(ReturningSlots { after, slots });
@@ -36,13 +35,17 @@
     }
 }
 
-/// Time until a server accepts requests, or `None` if that is not known.
-fn accepts_in(member: &Member, load_time: Option<Millis>, now: Tick) -> Option<Millis> {
+/// Time until a server accepts requests, or `None` if that is not known. An engine
+/// without layers is expected to load some when it starts, and counts as a spare after
+/// the time that this takes.
+fn accepts_in(member: &Member, engine: Option<&EngineSpec>, now: Tick) -> Option<Millis> {
     let accepts = member.accepts_in(now)?;
-    match load_time.filter(|_| member.backend.layers.is_none()) {
-        Some(load_time) => Some(accepts.max(load_time)),
-        None => Some(accepts),
-    }
+    let Some(engine) = engine.filter(|_| member.backend.layers.is_none()) else {
+        return Some(accepts);
+    };
+    let accelerator = engine.accelerator(member.backend.accelerator.as_ref()?)?;
+    let loaded_at = member.listed_at.after(engine.max_load_time(accelerator));
+    (loaded_at > now).then(|| accepts.max(loaded_at.since(now)))
 }
 
 /// Slots that a server brings back. One that names a limit gets one request at a
--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use clementine_decide::admission::{
-    PoolDecision, PoolQueue, PoolRequest, QueueTicket, RefusalReason,
+    CallerReturn, PoolDecision, PoolQueue, PoolRequest, QueueTicket, RefusalReason,
 };
 use clementine_decide::ids::Tick;
+use clementine_decide::quarantine::Fingerprint;
 use clementine_objects::Millis;
 use spdlog::info;
 use tokio::sync::Notify;
@@ -75,37 +76,48 @@
     let now = shared.now();
     let request = pool_request(shared, ctx, None);
     let load = shared.pool_load(&ctx.pool);
-    let (delay, promised) = shared.queues.with(&ctx.pool, |queue| {
+    let (delay, told) = shared.queues.with(&ctx.pool, |queue| {
         let mut rng = shared.rng.borrow_mut();
-        let delay = queue.promise(ctx.suspects.request(), &request, &load, now, &mut *rng);
-        (delay, queue.promised(now))
+        let delay = queue.promise(caller(ctx), &request, &load, now, &mut *rng);
+        (delay, queue.told_to_return(now))
     });
     let delay = delay?;
     shared.metrics.count_told_to_return();
     info!(
-        "admission: id={} pool={} told to return after_ms={} promised={}",
-        ctx.req.id, ctx.pool, delay.0, promised
+        "admission: id={} pool={} told to return after_ms={} told={}",
+        ctx.req.id, ctx.pool, delay.0, told
     );
     Some(delay.duration())
 }
 
 /// Whether the caller has returned when it was told to, after it had been refused.
-fn redeem_promise(shared: &SharedState, ctx: &RequestContext) -> bool {
-    let caller = ctx.suspects.request();
+fn redeem_promise(shared: &SharedState, ctx: &RequestContext) -> CallerReturn {
+    let caller = caller(ctx);
     let arrived = arrival(shared, ctx);
     let returned = shared.queues.with(&ctx.pool, |queue| queue.redeem_promise(caller, arrived));
-    if returned {
-        shared.metrics.count_returned_as_told();
+    match returned {
+        CallerReturn::AsTold => shared.metrics.count_caller_return("as-told"),
+        CallerReturn::Early => shared.metrics.count_caller_return("early"),
+        CallerReturn::New => {}
     }
     returned
 }
 
+/// Recognizes a caller that returns. Requests without a body have too much in common
+/// to be recognized by their content.
+fn caller(ctx: &RequestContext) -> Fingerprint {
+    if ctx.req.body.is_empty() {
+        return Fingerprint::of_request(&ctx.req.id, ctx.req.head.uri.path(), &[]);
+    }
+    ctx.suspects.request()
+}
+
 fn arrival(shared: &SharedState, ctx: &RequestContext) -> Tick {
     Tick(shared.now().0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0))
 }
 
 fn forget_promise(shared: &SharedState, ctx: &RequestContext) {
-    shared.queues.with(&ctx.pool, |queue| queue.forget_promise(ctx.suspects.request()));
+    shared.queues.with(&ctx.pool, |queue| queue.forget_promise(caller(ctx)));
 }
 
 /// The request as the queue sees it. `resume_until` is given for a stream of which
@@ -121,7 +133,7 @@
     let workspace = ctx.workspace.as_ref().map(|workspace| &workspace.id);
     PoolRequest {
         begun: resume_until.is_some(),
-        returned: false,
+        returned: CallerReturn::New,
         level: ctx.priority(),
         over_share: shared.queues.shares.is_over_share(workspace, now),
         arrived: arrival(shared, ctx),
@@ -139,7 +151,7 @@
     joined: Instant,
     wait: Duration,
     expected: Option<Millis>,
-    returned: bool,
+    returned: CallerReturn,
     finished: bool,
 }
 
@@ -240,6 +252,7 @@
 const fn refusal_name(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::TooLate => "too-late",
+        RefusalReason::NotDue => "not-due",
         RefusalReason::QueueFull => "queue-full",
     }
 }
@@ -249,8 +262,7 @@
     name: &'static str,
     waited: Duration,
     expected: Option<Millis>,
-    /// Whether the caller had returned when it was told to.
-    returned: bool,
+    returned: CallerReturn,
 }
 
 impl Decision {
@@ -266,7 +278,7 @@
             self.waited.as_millis(),
             expected,
             shared.queues.with(&ctx.pool, |queue| queue.len()),
-            self.returned
+            self.returned == CallerReturn::AsTold
         );
     }
 }
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -18,7 +18,7 @@
     admissions: Counter<u64>,
     capacity_wait: Histogram<f64>,
     told_to_return: Counter<u64>,
-    returned_as_told: Counter<u64>,
+    caller_returns: Counter<u64>,
     retries: Counter<u64>,
     repaths: Counter<u64>,
     backends_down: Counter<u64>,
@@ -59,9 +59,9 @@
                 "direct_callers_told_to_return",
                 "Refused callers that were told when a slot is expected for them",
             ),
-            returned_as_told: counter(
-                "direct_callers_returned_as_told",
-                "Refused callers that returned when a slot was expected for them",
+            caller_returns: counter(
+                "direct_callers_returned",
+                "Refused callers that returned when they were told to, or early",
             ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
@@ -131,9 +131,9 @@
         self.told_to_return.add(1, &[]);
     }
 
-    /// Counts a refused caller that returned when it was told to.
-    pub(crate) fn count_returned_as_told(&self) {
-        self.returned_as_told.add(1, &[]);
+    /// Counts a refused caller that returned.
+    pub(crate) fn count_caller_return(&self, time: &'static str) {
+        self.caller_returns.add(1, &[KeyValue::new("time", time)]);
     }
 
     /// Counts a retry.
--- a/crates/direct/src/shared/pool_queues.rs
+++ b/crates/direct/src/shared/pool_queues.rs
@@ -115,7 +115,7 @@
             json!({
                 "pool": pool,
                 "waiting": queue.len(),
-                "promised": queue.promised(now),
+                "told_to_return": queue.told_to_return(now),
                 "running": queue.running(),
                 "service_ms": queue.service_time(),
             })
@@ -150,9 +150,9 @@
     pub(super) fn pool_load(&self, pool: &PoolId) -> PoolLoad {
         let table = self.routing_table();
         let engine = table.and_then(|table| table.pools.get(pool)?.engine.clone());
-        let load_time = engine.filter(|engine| engine.layers > 0).map(|engine| engine.load_time);
+        let engine = engine.filter(|engine| engine.layers > 0);
         let entries = self.known_entries();
-        self.fleet.borrow().pool_load(pool, load_time, entries, self.now())
+        self.fleet.borrow().pool_load(pool, engine.as_deref(), entries, self.now())
     }
 
     /// Number of entries that serve requests. While no other one is heard, the last
