--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use clementine_decide::admission::{
-    PoolDecision, PoolQueue, PoolRequest, QueueTicket, RefusalReason,
+    CallerReturn, PoolDecision, PoolQueue, PoolRequest, QueueTicket, RefusalReason,
 };
 use clementine_decide::ids::Tick;
+use clementine_decide::quarantine::Fingerprint;
 use clementine_objects::Millis;
 use spdlog::info;
 use tokio::sync::Notify;
@@ -77,31 +78,42 @@
     let now = shared.now();
     let request = pool_request(shared, ctx, None);
     let load = shared.pool_load(&ctx.pool);
-    let (delay, promised) = shared.queues.with(&ctx.pool, |queue| {
+    let (delay, told) = shared.queues.with(&ctx.pool, |queue| {
         let mut rng = shared.rng.borrow_mut();
-        let delay = queue.promise(ctx.suspects.request(), &request, &load, now, &mut *rng);
-        (delay, queue.promised(now))
+        let delay = queue.promise(caller(ctx), &request, &load, now, &mut *rng);
+        (delay, queue.told_to_return(now))
     });
     let delay = delay?;
     shared.metrics.count_told_to_return();
     info!(
-        "admission: id={} pool={} told to return after_ms={} promised={}",
-        ctx.req.id, ctx.pool, delay.0, promised
+        "admission: id={} pool={} told to return after_ms={} told={}",
+        ctx.req.id, ctx.pool, delay.0, told
     );
     Some(delay.duration())
 }
 
 /// Whether the caller has returned when it was told to, after it had been refused.
-fn redeem_promise(shared: &SharedState, ctx: &RequestContext) -> bool {
-    let caller = ctx.suspects.request();
+fn redeem_promise(shared: &SharedState, ctx: &RequestContext) -> CallerReturn {
+    let caller = caller(ctx);
     let arrived = arrival(shared, ctx);
     let returned = shared.queues.with(&ctx.pool, |queue| queue.redeem_promise(caller, arrived));
-    if returned {
-        shared.metrics.count_returned_as_told();
+    match returned {
+        CallerReturn::AsTold => shared.metrics.count_caller_return("as-told"),
+        CallerReturn::Early => shared.metrics.count_caller_return("early"),
+        CallerReturn::New => {}
     }
     returned
 }
 
+/// Recognizes a caller that returns. Requests without a body have too much in common
+/// to be recognized by their content.
+fn caller(ctx: &RequestContext) -> Fingerprint {
+    if ctx.req.body.is_empty() {
+        return Fingerprint::of_request(&ctx.req.id, ctx.req.head.uri.path(), &[]);
+    }
+    ctx.suspects.request()
+}
+
 fn arrival(shared: &SharedState, ctx: &RequestContext) -> Tick {
     Tick(shared.now().0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0))
 }
@@ -109,7 +121,7 @@
 /// Records that a request has found capacity. `is_first_route` is false for a stream
 /// that needs another path: its work has been counted before.
 fn record_found(shared: &SharedState, ctx: &RequestContext, is_first_route: bool) {
-    shared.queues.with(&ctx.pool, |queue| queue.forget_promise(ctx.suspects.request()));
+    shared.queues.with(&ctx.pool, |queue| queue.forget_promise(caller(ctx)));
     if is_first_route {
         shared.record_admitted(ctx);
     }
@@ -127,7 +139,7 @@
     let deadline = resume_until.map_or(ctx.deadline, |until| until.min(ctx.deadline));
     PoolRequest {
         begun: resume_until.is_some(),
-        returned: false,
+        returned: CallerReturn::New,
         level: ctx.priority(),
         over_share: shared.shares.borrow().is_over_share(ctx.share_key(), now),
         arrived: arrival(shared, ctx),
@@ -145,7 +157,7 @@
     joined: Instant,
     wait: Duration,
     expected: Option<Millis>,
-    returned: bool,
+    returned: CallerReturn,
     finished: bool,
 }
 
@@ -252,6 +264,7 @@
     match reason {
         RefusalReason::TooLate => "too-late",
         RefusalReason::OverShare => "over-share",
+        RefusalReason::NotDue => "not-due",
         RefusalReason::QueueFull => "queue-full",
     }
 }
@@ -261,8 +274,7 @@
     name: &'static str,
     waited: Duration,
     expected: Option<Millis>,
-    /// Whether the caller had returned when it was told to.
-    returned: bool,
+    returned: CallerReturn,
 }
 
 impl Decision {
@@ -278,7 +290,7 @@
             self.waited.as_millis(),
             expected,
             shared.queues.with(&ctx.pool, |queue| queue.len()),
-            self.returned
+            self.returned == CallerReturn::AsTold
         );
     }
 }
