--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -9,6 +9,7 @@
 use clementine_decide::config::{ConfigUpdate, LocalConfig};
 use clementine_decide::dedup::DedupTable;
 use clementine_decide::ids::{AgentRef, IncarnationId};
+use clementine_decide::limits::{LimitBoard, LimitReport, LimitTotals};
 use clementine_decide::quarantine::{CrashLog, SuspectGate};
 use clementine_decide::stage::StageLimits;
 use clementine_net::Dialer;
@@ -48,6 +49,8 @@
     pub(super) responses: RefCell<ResponseStore>,
     /// Requests that were running when backend servers crashed.
     pub(super) crash_log: RefCell<CrashLog>,
+    /// What entries use of the limits of workspaces.
+    limit_board: RefCell<LimitBoard>,
     /// Admits requests that are suspected of crashing a backend server.
     pub(super) suspect_gate: Rc<RefCell<SuspectGate>>,
     pub(super) idle_connections: IdleConnections,
@@ -91,6 +94,7 @@
             admission: RefCell::new(AdmissionQueue::new(limits)),
             responses: RefCell::new(ResponseStore::new(response_limits)),
             crash_log: RefCell::default(),
+            limit_board: RefCell::default(),
             suspect_gate: Rc::default(),
             idle_connections: IdleConnections::default(),
             backend_up: Cell::new(false),
@@ -156,6 +160,12 @@
         self.config.borrow().update_since(revision)
     }
 
+    /// Records what an entry uses of the limits of workspaces and returns what all other
+    /// entries use.
+    pub(crate) fn exchange_limits(&self, report: LimitReport) -> LimitTotals {
+        self.limit_board.borrow_mut().exchange(report, self.clock.now())
+    }
+
     /// Returns the deduplication table for a kind of request.
     pub(super) const fn dedup(&self, repeat: Repeat) -> &RefCell<DedupTable> {
         match repeat {
--- a/crates/entry/src/callers/authorize.rs
+++ b/crates/entry/src/callers/authorize.rs
@@ -33,6 +33,7 @@
         let workspace = self.workspace(req)?;
         let level = priority_level(&snapshot.catalog, &workspace, req)?;
         let deadline = self.deadline(&workspace, req)?;
+        let limit_place = self.check_limits(&workspace)?;
         let body = self.body(req, deadline).await?;
         Ok(CallerRequest {
             id,
@@ -43,6 +44,7 @@
             body,
             deadline,
             level,
+            _limit_place: limit_place,
         })
     }
 
