--- a/crates/direct/tests/capacity_queue.rs
+++ b/crates/direct/tests/capacity_queue.rs
@@ -35,7 +35,7 @@
     wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
     sleep(Duration::from_millis(600)).await;
     let streams = (0..SLOTS).map(|n| send_stream(entry.callers, format!("first-{n}")));
-    assert!(join_all(streams).await.iter().all(|(response, _)| response.complete));
+    assert!(join_all(streams).await.iter().all(|(response, _)| is_served(response)));
     (engines, entry)
 }
 
@@ -55,6 +55,10 @@
     (response, started.elapsed())
 }
 
+fn is_served(response: &CallerResponse) -> bool {
+    response.status == 200 && response.complete
+}
+
 /// Ids with a prefix of the requests that ran, in order.
 fn ran(engines: &[Backend], prefix: &str) -> Vec<String> {
     let ids = engines.iter().flat_map(|engine| engine.run_request_ids.borrow().clone());
@@ -82,7 +86,7 @@
     }
     let responses = join_all(sent).await;
     let responses: Vec<_> = responses.into_iter().map(|sent| sent.expect("sent")).collect();
-    let served = responses.iter().filter(|(response, _)| response.complete).count();
+    let served = responses.iter().filter(|(response, _)| is_served(response)).count();
     assert!(served >= 2, "{served} served although slots become free in time");
     let order = ran(&engines, "wait");
     assert!(order.is_sorted(), "served in order of arrival: {order:?}");
@@ -111,16 +115,16 @@
     told.sort_by(f64::total_cmp);
     assert!(told.len() >= 8, "{told:?}");
     // Three requests wait, and at most five slots become free in 440 ms.
-    assert!(told[0] >= 0.2, "behind those that wait: {told:?}");
+    assert!((0.2..=0.9).contains(&told[0]), "just behind those that wait: {told:?}");
     let within = |from: f64| told.iter().filter(|at| (from..from + 0.45).contains(*at)).count();
     let most = told.iter().filter(|at| **at < 2.0).map(|at| within(*at)).max().unwrap_or(0);
-    assert!(most <= SLOTS + 2, "{most} told to return within the time of {SLOTS} slots: {told:?}");
+    assert!(most <= SLOTS, "{most} told to return within the time of {SLOTS} slots: {told:?}");
 }
 
 /// Guards against callers who return as told and are refused again while new requests
 /// are admitted.
 #[test]
-async fn a_caller_that_returns_as_told_is_served_before_new_ones() {
+async fn callers_that_return_as_told_are_served_before_new_ones() {
     let (engines, entry) = start_engines_with_known_service_time().await;
     use_all_slots(&engines, entry.callers).await;
     let new_requests = spawn_local(async move {
@@ -130,11 +134,14 @@
         }
     });
     sleep(Duration::from_millis(150)).await;
-    let (first, _) = send_stream_with(entry.callers, "returns-1".into(), "returns").await;
-    let told = first.retry_after.expect("refused, because three requests wait");
-    sleep(Duration::from_secs_f64(told.parse().expect("seconds"))).await;
-    let (second, _) = send_stream_with(entry.callers, "returns-2".into(), "returns").await;
-    assert!(second.complete, "told {told} s: {second:?}");
+    let returning = ["one", "two", "three", "four"].map(async |body| {
+        let (first, _) = send_stream_with(entry.callers, format!("{body}-1"), body).await;
+        let told = first.retry_after.expect("refused, because three requests wait");
+        sleep(Duration::from_secs_f64(told.parse().expect("seconds"))).await;
+        let (second, _) = send_stream_with(entry.callers, format!("{body}-2"), body).await;
+        assert!(is_served(&second), "{body}, told {told} s: {second:?}");
+    });
+    join_all(returning).await;
     new_requests.await.expect("new requests are sent");
 }
 
@@ -150,7 +157,7 @@
     };
     let (left, (response, _)) = tokio::join!(leaves, stays);
     assert!(left.is_err(), "the caller left while its request was waiting");
-    assert!(response.complete, "{response:?}");
+    assert!(is_served(&response), "{response:?}");
     assert!(ran(&engines, "leaves").is_empty());
 }
 
