--- a/crates/ctl/src/cmd/check.rs
+++ b/crates/ctl/src/cmd/check.rs
@@ -7,6 +7,7 @@
 use clementine_objects::{Catalog, Change, check_catalog, validate_catalog};
 
 use super::change::print_summary;
+use super::check_routing::{self, PoolSize, parse_pool_size};
 use crate::error::CliError;
 use crate::files::DeclaredObjects;
 use crate::server::ServerClient;
@@ -26,10 +27,15 @@
 differences are reported as well: objects that are added (+), changed (~), or in
 force but not in the files (-), which `apply` keeps.
 
+With `--routing`, FILE is the routing configuration of entries that reach backend
+servers themselves (`clementine-entry direct`), a JSON document. `--servers` tells the
+number of servers of a pool, with which the attempts of routes are compared.
+
 Exits with 1 if it reports anything.
 
 Usage:
-    clementinectl check FILE... [--against FILE|server]";
+    clementinectl check FILE... [--against FILE|server]
+    clementinectl check --routing FILE [--against FILE] [--servers POOL=N]...";
 
 #[derive(Debug)]
 struct Args {
@@ -51,11 +57,24 @@
         .value_name("FILE|server")
         .help("Configuration in force: a YAML file, or `server`")
         .value_parser(value_parser!(PathBuf));
+    let routing = Arg::new("routing")
+        .long("routing")
+        .help("FILE is a routing configuration of `clementine-entry direct`")
+        .action(ArgAction::SetTrue);
+    let servers = Arg::new("servers")
+        .long("servers")
+        .value_name("POOL=N")
+        .help("Number of servers of a pool; can be repeated")
+        .action(ArgAction::Append)
+        .requires("routing")
+        .value_parser(parse_pool_size);
     Command::new(NAME)
         .about("Report errors and entries without effect")
         .long_about(USAGE)
         .arg(files)
         .arg(against)
+        .arg(routing)
+        .arg(servers)
 }
 
 /// Runs the subcommand.
@@ -64,6 +83,18 @@
         files: matches.get_many("file").into_iter().flatten().cloned().collect(),
         against: matches.get_one("against").cloned(),
     };
+    if matches.get_flag("routing") {
+        let [file] = args.files.as_slice() else {
+            return Ok(usage_error("`--routing` takes one FILE"));
+        };
+        let sizes = matches.get_many::<PoolSize>("servers").into_iter().flatten().cloned();
+        return match args.against.as_deref() {
+            Some(base) if base == Path::new(SERVER) => {
+                Ok(usage_error("`--against` takes a file with `--routing`"))
+            }
+            against => check_routing::run(file, against, sizes),
+        };
+    }
     let declared = match DeclaredObjects::read(&args.files) {
         Ok(declared) => declared,
         Err(CliError::Invalid { errors }) => {
@@ -84,6 +115,11 @@
     Ok(if is_same { code } else { ExitCode::from(1) })
 }
 
+fn usage_error(message: &str) -> ExitCode {
+    eprintln!("clementinectl: {message}");
+    ExitCode::from(2)
+}
+
 async fn catalog_in_force(client: &ServerClient, against: &Path) -> Result<Catalog, CliError> {
     if against == Path::new(SERVER) {
         return Ok(client.objects().await?.catalog());
@@ -102,7 +138,7 @@
 }
 
 /// Prints lines. Returns the exit code: 1 if there are any.
-fn report(lines: &[String]) -> ExitCode {
+pub(super) fn report(lines: &[String]) -> ExitCode {
     for line in lines {
         println!("{line}");
     }
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod args;
 mod change;
 mod check;
+mod check_routing;
 mod completions;
 mod delete;
 mod diff;
--- a/crates/ctl/src/files/mod.rs
+++ b/crates/ctl/src/files/mod.rs
@@ -81,7 +81,8 @@
     }
 }
 
-fn read_text(path: &Path) -> Result<String, CliError> {
+/// Reads a file; `-` is standard input.
+pub(crate) fn read_text(path: &Path) -> Result<String, CliError> {
     if path == Path::new("-") {
         return std::io::read_to_string(std::io::stdin()).context(IoSnafu { path });
     }
--- a/crates/e2e/tests/config.rs
+++ b/crates/e2e/tests/config.rs
@@ -85,6 +85,29 @@
     assert_eq!(cluster.revision(0).await, revision);
 }
 
+/// The routing of entries that reach backend servers themselves needs no server to check.
+#[actix_rt::test]
+async fn check_reports_contradicting_limits_of_routing() {
+    const ROUTING: &str = r#"{"version":1,"routes":[{"name":"a","host":"h","prefix":"/a/",
+        "kind":"safe","timeout-ms":300,"target-latency-ms":500,"service":"plain","max-attempts":4}],
+        "services":[{"name":"plain","health-path":"/health","max-conns":9}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+        "idle-timeout-ms":15000}}"#;
+    let cluster = Cluster::start(ClusterSpec::new(1).engines(1, "0ms")).await;
+    let args = ["check", "--routing", "-", "--servers", "plain=3"];
+    let (clean, output) = cluster.run_ctl(&args, ROUTING).await;
+    assert!(!clean, "{output}");
+    for expected in [
+        "route `a`: timeout: 300ms is below the target latency 500ms",
+        "route `a`: max-attempts: 4 is more than the 3 servers of pool `plain`",
+    ] {
+        assert!(output.contains(expected), "{output}");
+    }
+    let sound = ROUTING.replace("300", "900").replace(":4}", ":2}");
+    let (clean, output) = cluster.run_ctl(&args, &sound).await;
+    assert!(clean && output.is_empty(), "{output}");
+}
+
 #[actix_rt::test]
 async fn change_with_lost_store_responses_is_reported_correctly() {
     let cluster = Cluster::start(ClusterSpec::new(1).engines(1, "0ms")).await;
--- a/crates/objects/src/check/mod.rs
+++ b/crates/objects/src/check/mod.rs
@@ -2,9 +2,11 @@
 
 mod finding;
 mod limits;
+mod routing;
 mod unused;
 
 pub use finding::Finding;
+pub use routing::{DeclaredRoute, DeclaredRouting, check_routing};
 
 use crate::Catalog;
 
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -15,7 +15,7 @@
 pub use catalog::{
     Catalog, CatalogDigest, Change, ChangeConflict, ChangeRecord, Snapshot, SnapshotError,
 };
-pub use check::{Finding, check_catalog};
+pub use check::{DeclaredRoute, DeclaredRouting, Finding, check_catalog, check_routing};
 pub use ids::{
     ChangeId, Millis, ModelName, NameError, PoolName, PriorityName, Revision, RouteName,
     WorkspaceName,
--- a/crates/objects/tests/findings.rs
+++ b/crates/objects/tests/findings.rs
@@ -1,6 +1,11 @@
 //! Findings in valid catalogs, one case per rule.
 
-use clementine_objects::{Catalog, Object, check_catalog, validate_catalog};
+use std::collections::BTreeMap;
+
+use clementine_objects::{
+    Catalog, DeclaredRoute, DeclaredRouting, Millis, Object, check_catalog, check_routing,
+    validate_catalog,
+};
 
 const BASE: &str = include_str!("../../../examples/klyuchar.yaml");
 /// Digest of a token that no workspace of the example has.
@@ -104,3 +109,64 @@
         assert_eq!(findings, expected, "{documents}");
     }
 }
+
+/// A streaming route with limits that fit together.
+fn route(name: &str, prefix: &str) -> DeclaredRoute {
+    DeclaredRoute {
+        name: name.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        timeout: Millis(9_000),
+        target_latency: Millis(500),
+        target_gap: Some(Millis(200)),
+        max_attempts: 2,
+        is_repeatable: true,
+        pools: vec![("model".into(), 1)],
+    }
+}
+
+/// Findings in a routing configuration with two servers in the pool `model`.
+fn routing_findings(routes: Vec<DeclaredRoute>) -> Vec<String> {
+    let routing = DeclaredRouting { routes, pools: vec!["model".into()] };
+    let servers = BTreeMap::from([("model".into(), 2)]);
+    check_routing(&routing, &servers).iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn routes_with_limits_that_fit_have_no_findings() {
+    let other_host = DeclaredRoute { host: "i".into(), ..route("c", "/a/") };
+    let routes = vec![route("a", "/a/"), route("b", "/a/b/"), other_host];
+    assert_eq!(routing_findings(routes), [""; 0]);
+}
+
+#[test]
+fn findings_in_routing_name_route_and_field() {
+    type Change = fn(&mut DeclaredRoute);
+    let changed = |change: Change| {
+        let mut changed = route("a", "/a/");
+        change(&mut changed);
+        routing_findings(vec![changed])
+    };
+    let cases: [(Change, &str); 7] = [
+        (|r| r.prefix = "/a".into(), "prefix: never matches, `/a` must begin and end with `/`"),
+        (|r| r.timeout = Millis(400), "timeout: 400ms is below the target latency 500ms"),
+        (|r| r.target_gap = Some(Millis(10_000)), "target-gap: 10s is above the timeout 9s"),
+        (|r| r.max_attempts = 0, "max-attempts: 0 acts like 1"),
+        (
+            |r| r.is_repeatable = false,
+            "max-attempts: 2 has no effect, a request that may have run is not run again",
+        ),
+        (|r| r.max_attempts = 3, "max-attempts: 3 is more than the 2 servers of pool `model`"),
+        (
+            |r| r.pools.push(("other".into(), 0)),
+            "split: pool `other` has weight 0 and gets no requests",
+        ),
+    ];
+    for (change, expected) in cases {
+        assert_eq!(changed(change), [format!("route `a`: {expected}")]);
+    }
+    let shadowed = routing_findings(vec![route("a", "/a/"), route("b", "/a/")]);
+    let expected = "route `a`: prefix: never matches, route `b` has the same host and prefix";
+    assert_eq!(shadowed, [expected]);
+    assert_eq!(routing_findings(Vec::new()), ["pool `model`: name: no route uses it"]);
+}
