--- a/crates/direct/tests/lost_responses.rs
+++ b/crates/direct/tests/lost_responses.rs
@@ -13,6 +13,7 @@
     list_server, send_request_with_headers, signed, signed_head, start_configured_store,
     start_entry,
 };
+use futures::future::join_all;
 use tokio::time::sleep;
 
 /// Maximum number of runs that the routes for requests that may be repeated allow.
@@ -90,8 +91,9 @@
 
 async fn check(path: &'static str, max_runs: u32) {
     for (loss, script) in LOSSES {
-        for then in [Then::Refuse, Then::RefuseConnections, Then::LoseAgain] {
-            let (status, retry_after, runs) = lose(path, script, then).await;
+        let cases = [Then::Refuse, Then::RefuseConnections, Then::LoseAgain];
+        let outcomes = join_all(cases.map(|then| lose(path, script, then))).await;
+        for (then, (status, retry_after, runs)) in cases.into_iter().zip(outcomes) {
             let what = format!("{path} {loss}, then {then:?}: status {status}, {runs} runs");
             // A stream whose head was relayed ends with its connection.
             let begun = path.starts_with("/stream/") && loss == "body cut off";
