Index of the prompt prefixes that engines hold, and its use in the path search

Requests that share the beginning of their prompts were spread over engines without regard to which of them have its KV cache, so each engine prefilled it again. PrefixIndex records the engines and layers of this entry's runs; the path search subtracts the saved prefill time where the engine has the cache in all layers that it would run.

A record belongs to one period of the engine's KV cache, which ends with a restart, other layers, a failed liveness check or the removal from the list.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -6,6 +6,7 @@
 use crate::ids::Tick;
 use crate::paths::{Backlog, PathCandidate};
 use crate::peers::BackendHash;
+use crate::prefixes::CacheGeneration;
 use crate::signals::ServerSignals;
 
 /// Backoff after the first failure, doubled after each consecutive failure.
@@ -72,6 +73,10 @@
     /// Whether the server's row is that of a restored store and may be out of
     /// date.
     unconfirmed: bool,
+    /// When this start of the server was listed.
+    listed_at: Tick,
+    /// Number of times that the engine has lost its KV cache since it was listed.
+    cache_losses: u32,
 }
 
 impl Member {
@@ -97,6 +102,8 @@
             down: false,
             leaving: false,
             unconfirmed: false,
+            listed_at: now,
+            cache_losses: 0,
         }
     }
 
@@ -148,6 +155,9 @@
     pub const fn set_down(&mut self, down: bool) -> bool {
         let changed = self.down != down;
         self.down = down;
+        if changed && down {
+            self.cache_losses += 1;
+        }
         changed
     }
 
@@ -178,11 +188,33 @@
 
     /// Applies an engine's report of its loaded layers and of the number of load
     /// orders that it has started.
-    pub const fn apply_report(&mut self, layers: Option<LayerRange>, orders_started: u64) {
-        self.backend.layers = layers;
+    pub fn apply_report(&mut self, layers: Option<LayerRange>, orders_started: u64) {
+        self.set_layers(layers);
         self.backend.orders_started = orders_started;
     }
 
+    /// Applies a changed row of the list.
+    pub(super) fn update(&mut self, backend: Backend) {
+        self.set_layers(backend.layers);
+        self.backend = backend;
+    }
+
+    fn set_layers(&mut self, layers: Option<LayerRange>) {
+        if self.backend.layers != layers {
+            self.cache_losses += 1;
+        }
+        self.backend.layers = layers;
+    }
+
+    /// The period in which the engine has kept its KV cache.
+    pub const fn cache_generation(&self) -> CacheGeneration {
+        CacheGeneration {
+            incarnation: self.incarnation,
+            listed_at: self.listed_at,
+            losses: self.cache_losses,
+        }
+    }
+
     /// Records the slowdown factor that an engine reported.
     pub const fn record_slowdown(&mut self, factor: f64, now: Tick) {
         self.slowdown = Some((factor, now));
@@ -278,6 +310,7 @@
             free_slots: self.free_slots(now),
             prefill_backlog_ms: self.prefill_backlog.at(now),
             cached_prompt_tokens: 0.0,
+            cached_layers: None,
         })
     }
 }
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -50,7 +50,7 @@
                 if member.backend == backend {
                     return ListUpdate::Unchanged;
                 }
-                member.backend = backend;
+                member.update(backend);
                 ListUpdate::Changed
             }
             _ => {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod paths;
 pub mod peers;
 pub mod placement;
+pub mod prefixes;
 pub mod publish;
 pub mod quarantine;
 pub mod retry;
--- a/crates/decide/src/paths/candidate.rs
+++ b/crates/decide/src/paths/candidate.rs
@@ -38,8 +38,19 @@
     /// Prefill work that was sent to the engine and is not done yet, in ms.
     pub prefill_backlog_ms: f64,
     /// Leading prompt tokens of the request whose KV cache the engine already has,
-    /// so that they need no prefill there.
+    /// so that they need no prefill there in `cached_layers`.
     pub cached_prompt_tokens: f64,
+    /// Layers for which the engine has that KV cache.
+    pub cached_layers: Option<LayerRange>,
+}
+
+impl PathCandidate {
+    /// Leading prompt tokens that need no prefill if the engine runs these layers.
+    pub fn cached_tokens(&self, layers: LayerRange) -> f64 {
+        let covers =
+            |cached: LayerRange| cached.first() <= layers.first() && layers.end() <= cached.end();
+        if self.cached_layers.is_some_and(covers) { self.cached_prompt_tokens } else { 0.0 }
+    }
 }
 
 /// What a path is searched for.
--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -1,5 +1,7 @@
 //! Cost of the stages and hops of a path.
 
+use clementine_objects::LayerRange;
+
 use super::queue::{Queues, step_ms};
 use super::{Demand, Link, PathCandidate, PathPurpose, PathSearch};
 use crate::fleet::EngineSpec;
@@ -24,6 +26,8 @@
 struct StageCost {
     fixed: f64,
     per_layer: f64,
+    /// Part of `per_layer` that is saved in layers with cached prompt tokens.
+    saved_per_layer: f64,
 }
 
 /// Costs of one search.
@@ -93,7 +97,10 @@
             return self.search.decode_cost(engine) * self.search.spec.model_fraction(layers);
         }
         let cost = self.stages[candidate];
-        cost.fixed + cost.per_layer * f64::from(layers)
+        let range = LayerRange::half_open(from, to);
+        let is_cached = range.is_some_and(|range| engine.cached_tokens(range) > 0.0);
+        let saved = if is_cached { cost.saved_per_layer } else { 0.0 };
+        cost.fixed + (cost.per_layer - saved) * f64::from(layers)
     }
 
     /// Cost of a hop, or `None` if the link can't be used.
@@ -110,12 +117,24 @@
 }
 
 impl PathSearch<'_> {
-    /// Time in ms that an engine needs to prefill the request in `layers` layers.
+    /// Time in ms that an engine needs to prefill the whole request in `layers`
+    /// layers.
     pub(super) fn prefill_ms(&self, candidate: &PathCandidate, layers: u32) -> f64 {
-        let tokens = (self.demand.prompt_tokens - candidate.cached_prompt_tokens).max(0.0);
+        let tokens = self.demand.prompt_tokens;
         tokens * candidate.prefill_ms_per_token * self.spec.model_fraction(layers)
     }
 
+    /// Part of the prefill time in ms that an engine saves because it has the KV
+    /// cache of leading prompt tokens.
+    pub(super) fn saved_ms(&self, candidate: &PathCandidate, layers: LayerRange) -> f64 {
+        self.saved_fraction(candidate.cached_tokens(layers))
+            * self.prefill_ms(candidate, layers.count())
+    }
+
+    fn saved_fraction(&self, cached_tokens: f64) -> f64 {
+        (cached_tokens / self.demand.prompt_tokens.max(1.0)).min(1.0)
+    }
+
     /// Whether an engine already has the request's KV cache for exactly these
     /// layers.
     pub(super) fn has_cached_context(&self, candidate: &PathCandidate, from: u32, to: u32) -> bool {
@@ -153,6 +172,7 @@
     /// expected wait for the prefills of other requests.
     fn stage_cost(&self, candidate: &PathCandidate, wait_ms: f64, factor: f64) -> StageCost {
         let prefill = self.prefill_ms(candidate, 1);
+        let saved = self.saved_fraction(candidate.cached_prompt_tokens) * prefill;
         let decode = self.decode_cost(candidate) * self.spec.model_fraction(1);
         match self.purpose {
             PathPurpose::NewRequest => {
@@ -163,6 +183,7 @@
                 StageCost {
                     fixed: (candidate.prefill_backlog_ms + waits) * weight,
                     per_layer: (prefill + decode) * weight,
+                    saved_per_layer: saved * weight,
                 }
             }
             PathPurpose::Repair => {
@@ -171,6 +192,8 @@
                 StageCost {
                     fixed: (candidate.prefill_backlog_ms + wait_ms) * weight,
                     per_layer: self.repair_load() * prefill * weight + decode,
+                    // The repairs of others have other prompts.
+                    saved_per_layer: saved * weight,
                 }
             }
         }
--- a/crates/decide/src/paths/load.rs
+++ b/crates/decide/src/paths/load.rs
@@ -55,7 +55,8 @@
             PathPurpose::NewRequest => 1.0,
             PathPurpose::Repair => self.repair_load(),
         };
-        let ms = load * self.prefill_ms(candidate, stage.layers.count());
+        let ms = load * self.prefill_ms(candidate, stage.layers.count())
+            - self.saved_ms(candidate, stage.layers);
         Some(PrefillWork { id: stage.id.clone(), ms })
     }
 
--- a/crates/decide/src/paths/targets.rs
+++ b/crates/decide/src/paths/targets.rs
@@ -44,6 +44,7 @@
             let wait = queues.wait_ms(engine);
             times.first_event += engine.prefill_backlog_ms + wait;
             times.first_event += self.prefill_ms(engine, stage.layers.count());
+            times.first_event -= self.saved_ms(engine, stage.layers);
             times.token += step_ms(engine) * fraction + wait;
             if let Some(previous) = previous {
                 times.token += self.delay_ms(&previous.domain, &engine.domain);
--- a/crates/decide/tests/engine_fixtures/mod.rs
+++ b/crates/decide/tests/engine_fixtures/mod.rs
@@ -101,6 +101,7 @@
         free_slots: 192,
         prefill_backlog_ms: 0.0,
         cached_prompt_tokens: 0.0,
+        cached_layers: None,
     }
 }
 
--- a/crates/decide/tests/path_spread.rs
+++ b/crates/decide/tests/path_spread.rs
@@ -72,6 +72,7 @@
                     free_slots: 192,
                     prefill_backlog_ms: 0.0,
                     cached_prompt_tokens: 0.0,
+                    cached_layers: None,
                 });
                 from = if end == LAYERS { 0 } else { end };
             }
