--- a/crates/decide/src/paths/spread.rs
+++ b/crates/decide/src/paths/spread.rs
@@ -5,8 +5,8 @@
 use super::PathCandidate;
 use super::space::SearchSpace;
 
-/// Upper bound of the fraction of KV cache in use by which a preference is scaled.
-const MAX_CACHE_USE: f64 = 0.95;
+/// Upper bound of the fraction in use by which a preference is scaled.
+const MAX_USE: f64 = 0.95;
 
 /// How strongly a choice prefers low costs: the probability of each engine or failure
 /// domain is in proportion to its cost to the power of the negated value.
@@ -20,16 +20,11 @@
 }
 
 impl Preference {
-    /// Makes the preference the stronger, the less KV cache is free: a request holds
-    /// its KV cache on slow engines for longer, which others then lack.
+    /// Makes the preference the stronger, the less KV cache is free and the fewer slots
+    /// of first engines are: a request holds both for longer on slow engines, and others
+    /// then lack them.
     pub(super) fn scaled_by_use(self, candidates: &[PathCandidate]) -> Self {
-        let mut sums = (0.0, 0.0);
-        for candidate in candidates {
-            let layers = f64::from(candidate.layers.count());
-            sums.0 += candidate.used_tokens * layers;
-            sums.1 += candidate.capacity_tokens * layers;
-        }
-        let free = 1.0 - (sums.0 / f64::max(sums.1, 1.0)).min(MAX_CACHE_USE);
+        let free = 1.0 - cache_use(candidates).max(slot_use(candidates)).min(MAX_USE);
         Self { domain: self.domain / free, engine: self.engine / free }
     }
 
@@ -47,6 +42,22 @@
     }
 }
 
+/// Fraction of the engines' KV cache that is in use.
+fn cache_use(candidates: &[PathCandidate]) -> f64 {
+    let layers = |candidate: &PathCandidate| f64::from(candidate.layers.count());
+    let used: f64 = candidates.iter().map(|engine| engine.used_tokens * layers(engine)).sum();
+    let size: f64 = candidates.iter().map(|engine| engine.capacity_tokens * layers(engine)).sum();
+    used / size.max(1.0)
+}
+
+/// Fraction of the slots of the engines that hold the first layer that is in use.
+fn slot_use(candidates: &[PathCandidate]) -> f64 {
+    let first = || candidates.iter().filter(|engine| engine.layers.contains(0));
+    let used: f64 = first().map(|engine| engine.running).sum();
+    let free: f64 = first().map(|engine| f64::from(engine.free_slots)).sum();
+    used / (used + free).max(1.0)
+}
+
 /// Draws a factor by which a cost is multiplied. The lowest product falls on each of
 /// several costs with the probability that the preference gives it.
 fn factor(preference: f64, rng: &mut impl Rng) -> f64 {
