A request is not refused at once while freed capacity is being offered

Capacity can grow by many slots at once, and the waiting requests try one after another. A request that arrived meanwhile was refused by the rate at which slots usually become free. It now waits for its turn for an eighth of its target.

--- a/crates/decide/src/admission/pool_queue.rs
+++ b/crates/decide/src/admission/pool_queue.rs
@@ -306,8 +306,10 @@
         let usual = request.arrived.after(max_capacity_wait(request.target)).min(request.deadline);
         let latest_start = request.latest_start(self.capacity.first_response());
         let Some(wait) = self.expected_wait(request, load, now) else { return Ok(usual) };
-        // If the shortage is not one of slots, their rate tells nothing.
-        let is_scarce = !load.is_half_free() && !self.capacity.is_rate_unknown(load);
+        // If the shortage is not one of slots, their rate tells nothing. While capacity
+        // that has just grown is being offered, there may be enough for this request.
+        let is_scarce =
+            self.trying.is_none() && !load.is_half_free() && !self.capacity.is_rate_unknown(load);
         let in_time = now.after(wait) <= latest_start;
         match request.returned {
             CallerReturn::AsTold => Ok(latest_start.max(usual)),
--- a/crates/decide/tests/pool_queue.rs
+++ b/crates/decide/tests/pool_queue.rs
@@ -208,6 +208,22 @@
     assert_eq!(decision, PoolDecision::Refused(RefusalReason::TooLate));
 }
 
+/// Guards against refusal of a request that arrives while capacity that has just grown
+/// is being offered to those before it, for example when an engine is up again.
+#[test]
+fn a_request_is_not_refused_at_once_while_freed_capacity_is_offered() {
+    let (mut queue, now) = steady_queue(2);
+    let (first, _) = queued(&queue.offer(request(now.0), "first", &full_load(), now));
+    let refused = queue.offer(request(now.0), "r", &full_load(), now);
+    assert_eq!(refused, PoolDecision::Refused(RefusalReason::TooLate));
+    queue.record_freed();
+    assert_eq!(queue.next_ready(now), Some(&"first"));
+    let (_, until) = queued(&queue.offer(request(now.0), "second", &full_load(), now));
+    assert_eq!(until, now.after(Millis(75)));
+    queue.record_try(first, true);
+    assert_eq!(queue.next_ready(now), Some(&"second"));
+}
+
 /// Guards against a longer wait than before where nothing is known, and against
 /// refusal of a request for which capacity is expected in time.
 #[test]
