--- a/crates/direct/tests/messages.rs
+++ b/crates/direct/tests/messages.rs
@@ -116,3 +116,42 @@
     let decoded: LoadStatus = rmp_serde::from_slice(&bytes).expect("load is decoded");
     assert_eq!(decoded, LoadStatus::default());
 }
+
+/// Load in the next status message that an entry sends to the socket.
+async fn next_load(socket: &UdpSocket) -> LoadStatus {
+    let mut buf = vec![0; 16 * 1024];
+    loop {
+        let (size, _) = socket.recv_from(&mut buf).await.expect("received");
+        let Ok(PeerDatagram::Status(message)) = rmp_serde::from_slice(&buf[..size]) else {
+            continue;
+        };
+        if let PeerReport::Entry { load, .. } = message.report {
+            return load;
+        }
+    }
+}
+
+/// Guards against work that is not recorded or not sent when capacity is scarce, and
+/// against sums that are sent while there is capacity.
+#[test]
+async fn an_entry_without_capacity_reports_the_work_of_workspaces() {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _backend = Backend::start("plain-1", "plain", &store).await;
+    let entry = start_entry("one", &store).await;
+    wait_until("the entry is registered", async || message_address(&store, "one").is_some()).await;
+    let address = message_address(&store, "one").expect("registered");
+    let socket = UdpSocket::bind(common::loopback_any_port()).await.expect("bind");
+    socket.send_to(&valid_message(), address).await.expect("sent");
+    wait_until("a request is served", async || {
+        send_request(entry.callers, "POST", "/safe/x", "x").await.status == 200
+    })
+    .await;
+    assert!(next_load(&socket).await.shares.is_empty());
+    assert_eq!(send_request(entry.callers, "POST", "/stream/x", "x").await.status, 503);
+    wait_until("the entry reports", async || !next_load(&socket).await.shares.is_empty()).await;
+    let shares = next_load(&socket).await.shares;
+    assert!(matches!(&shares.pools[..], [pool] if pool.scarce && pool.workspaces.len() == 1));
+    let work = shares.pools[0].workspaces[0];
+    assert!(work.demand > 0.0 && work.admitted < f32::EPSILON, "{work:?}");
+}
