Test of the prefills that repairs share at twice the load

The test of repairs at 120 streams a second also passed with the cheapest path for each, so it did not show that they spread. The work of the engines is computed by the test itself.

--- a/crates/decide/tests/path_spread.rs
+++ b/crates/decide/tests/path_spread.rs
@@ -177,10 +177,14 @@
                 let path = search.choose_path(&mut self.rng).expect("a path").stages;
                 let load = search.path_load(&path);
                 let mut stages = Vec::new();
-                for prefill in &load.prefills {
-                    let n = self.index(&prefill.id);
-                    work[n] += prefill.ms / ENTRIES as f64;
+                for stage in path.iter().filter(|stage| !search.current_path.contains(stage)) {
+                    let n = self.index(&stage.id);
+                    let fraction = spec.model_fraction(stage.layers.count());
+                    let tokens = DEMAND.prompt_tokens;
+                    work[n] += tokens * self.engines[n].prefill_ms_per_token * fraction;
                     stages.push(n);
+                }
+                for prefill in &load.prefills {
                     let mut engines = view.iter_mut();
                     let engine = engines.find(|engine| engine.id == prefill.id).expect("known");
                     engine.prefill_backlog_ms += prefill.ms;
@@ -280,3 +284,17 @@
     let late = pauses.iter().filter(|ms| **ms + DETECTION_MS > GAP.0 as f64).count();
     assert!(late * 20 < pauses.len(), "{late} of {} late", pauses.len());
 }
+
+/// Guards against repairs that all take the cheapest engine: at this load, the last of
+/// them would wait for 364 ms and more after the loss of any of the busiest engines.
+#[test]
+fn repairs_share_the_prefills_at_twice_the_load() {
+    let mut fleet = Fleet::new(1);
+    fleet.serve(240, 5_000);
+    let mut engines: Vec<usize> = (0..fleet.engines.len()).collect();
+    engines.sort_by(|a, b| fleet.total(*b).total_cmp(&fleet.total(*a)));
+    for lost in &engines[..6] {
+        let longest = fleet.repair(*lost).into_iter().fold(0.0, f64::max);
+        assert!(longest < 250.0, "{}: {longest:.0} ms", fleet.engines[*lost].id);
+    }
+}
