Requests of sticky routes go where their prompts are cached

The entry records which engines have prefilled the leading parts of its streams' prompts, from the first event until the last run with them has ended or the pool's retention period is over, and passes the records to the path search. The configuration adds prompt-retention-ms to services and reads sticky of routes.

--prefix-affinity=off turns it off; other values are refused at the start. Metrics count the tokens saved and the paths that are others because of it, which are also logged, at most two lines a second.

--- a/crates/decide/src/prefixes/holders.rs
+++ b/crates/decide/src/prefixes/holders.rs
@@ -86,11 +86,9 @@
         let Some(index) = self.position(cache) else { return };
         let holder = &mut self.holders[index];
         holder.running = holder.running.saturating_sub(1);
-        if holder.running == 0 {
-            holder.kept_until = now.after(retention);
-            if !holder.is_held(now) {
-                self.holders.remove(index);
-            }
+        holder.kept_until = holder.kept_until.max(now.after(retention));
+        if holder.running == 0 && !holder.is_held(now) {
+            self.holders.remove(index);
         }
     }
 }
--- a/crates/decide/src/prefixes/index.rs
+++ b/crates/decide/src/prefixes/index.rs
@@ -73,7 +73,7 @@
     }
 
     /// Records that a request no longer runs on the engines, which keep its prompt
-    /// for the pool's `retention` period.
+    /// for the pool's `retention` period; zero if the request was not prefilled.
     pub fn end(
         &mut self,
         prefix: &PromptPrefix,
--- a/crates/decide/src/routing/rule.rs
+++ b/crates/decide/src/routing/rule.rs
@@ -52,6 +52,9 @@
     pub max_attempts: u32,
     /// Whether callers need no API key.
     pub public: bool,
+    /// Whether requests that have the beginning of their prompts in common should run
+    /// on the same servers.
+    pub sticky: bool,
 }
 
 /// A pool with its share of a route's requests.
--- a/crates/decide/src/routing/table.rs
+++ b/crates/decide/src/routing/table.rs
@@ -20,6 +20,9 @@
     pub max_connections: u32,
     /// Engine settings, for pools that serve a model.
     pub engine: Option<Rc<EngineSpec>>,
+    /// Time for which engines keep a prompt after the last request with it; zero if
+    /// they don't.
+    pub prompt_retention: Millis,
 }
 
 /// Reasons why a configuration is invalid.
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use clementine_decide::outcome::ErrorKind;
+use clementine_decide::prefixes::{PrefixAffinity, PromptPrefix};
 use clementine_decide::quarantine::{Fingerprint, RunSuspects};
-use clementine_decide::routing::{RequestKind, RoutingTable, WorkspaceRule};
+use clementine_decide::routing::{RequestKind, RouteRule, RoutingTable, WorkspaceRule};
 use clementine_http1::{BufferedRequest, ServerConn};
 use clementine_objects::Millis;
 use clementine_platform::requests::CallerRequest;
@@ -66,7 +67,17 @@
     let timeout = req.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = arrived + Millis::duration(timeout);
     shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
-    Ok(RequestContext { req, rule, workspace, pool, suspects, arrived, deadline })
+    let prefix = Rc::new(prefix(shared, &req, &rule));
+    Ok(RequestContext { req, rule, workspace, pool, suspects, prefix, arrived, deadline })
+}
+
+/// Leading parts of the prompt for which affinity applies.
+fn prefix(shared: &SharedState, req: &CallerRequest, rule: &RouteRule) -> PromptPrefix {
+    if rule.sticky && shared.settings.prefix_affinity == PrefixAffinity::On {
+        PromptPrefix::new(&req.leading_parts)
+    } else {
+        PromptPrefix::default()
+    }
 }
 
 /// What may be the cause if a backend server crashes under a request. A public route
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clementine_decide::prefixes::PrefixAffinity;
 use clementine_platform::settings::{InstanceSettings, InstanceSettingsError, settings_path};
 use clementine_process::admin::serve_admin;
 use clementine_process::http::bind_reusable;
@@ -58,11 +59,16 @@
 ///
 /// Returns an error if the settings are unreadable or invalid, or an address
 /// cannot be bound.
-pub fn run(level: Level, metrics_port: Option<u16>) -> Result<(), DirectError> {
+pub fn run(
+    level: Level,
+    metrics_port: Option<u16>,
+    prefix_affinity: PrefixAffinity,
+) -> Result<(), DirectError> {
     start_logging(LogTarget::Stdout, LogFormat::Text, level).map_err(StartError::from)?;
     let path = settings_path();
     let loaded = InstanceSettings::load(&path)?;
     let mut settings = loaded.clone();
+    settings.prefix_affinity = prefix_affinity;
     settings.metrics_address = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
     actix_rt::System::new().block_on(async {
         let running = start(settings)?;
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -45,6 +45,7 @@
             "refused_share": self.refusal_rate.borrow().refused_share(),
             "requests_quarantined": requests_quarantined,
             "prompt_parts_quarantined": parts_quarantined,
+            "prompt_prefixes": self.prefixes.borrow().prefix_count(),
             "backends": backends,
             "links": links,
         })
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -26,6 +26,8 @@
     store_failures: Counter<u64>,
     malformed_messages: Counter<u64>,
     malformed_signals: Counter<u64>,
+    prefix_tokens_saved: Counter<u64>,
+    prefix_placements: Counter<u64>,
 }
 
 impl DirectMetrics {
@@ -78,6 +80,14 @@
                 "direct_malformed_messages",
                 "Messages of other entries that could not be decoded",
             ),
+            prefix_tokens_saved: counter(
+                "direct_prefix_tokens_saved",
+                "Prompt tokens expected not to be prefilled, because engines hold them",
+            ),
+            prefix_placements: counter(
+                "direct_prefix_placements",
+                "Paths that would be others if engines held no leading parts of prompts",
+            ),
         }
     }
 
@@ -149,6 +159,16 @@
         self.malformed_signals.add(1, &[KeyValue::new("signal", signal)]);
     }
 
+    /// Counts prompt tokens that are expected not to be prefilled.
+    pub(crate) fn count_prefix_tokens_saved(&self, tokens: f64) {
+        self.prefix_tokens_saved.add(tokens.round() as u64, &[]);
+    }
+
+    /// Counts a path that was chosen because engines hold leading parts of the prompt.
+    pub(crate) fn count_prefix_placement(&self) {
+        self.prefix_placements.add(1, &[]);
+    }
+
     /// Counts a message of another entry that could not be decoded.
     pub(crate) fn count_malformed_message(&self) {
         self.malformed_messages.add(1, &[]);
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of the process.
 
 mod dump;
+mod log_limit;
 mod metrics;
 mod outbox;
 mod queue;
@@ -13,6 +14,7 @@
 mod table_sync;
 
 pub(crate) use clementine_decide::peers::UrgentMessage;
+pub(crate) use log_limit::LogLimit;
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::Outbox;
 pub(crate) use queue::BoundedQueue;
--- a/crates/direct/src/shared/request_context.rs
+++ b/crates/direct/src/shared/request_context.rs
@@ -5,6 +5,7 @@
 
 use clementine_decide::ids::{BackendId, PoolId, WorkspaceId};
 use clementine_decide::paths::PathStage;
+use clementine_decide::prefixes::PromptPrefix;
 use clementine_decide::quarantine::RunSuspects;
 use clementine_decide::routing::{RouteRule, WorkspaceRule};
 use clementine_objects::Millis;
@@ -23,6 +24,9 @@
     pub(crate) pool: PoolId,
     /// What may be the cause if a backend server crashes while it runs the request.
     pub(crate) suspects: RunSuspects,
+    /// Leading parts of the prompt that engines may hold; empty if affinity doesn't
+    /// apply.
+    pub(crate) prefix: Rc<PromptPrefix>,
     pub(crate) arrived: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is
     /// earlier.
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -13,6 +13,7 @@
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
 use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
+use clementine_decide::prefixes::PrefixIndex;
 use clementine_decide::quarantine::CrashLog;
 use clementine_decide::routing::RoutingTable;
 use clementine_http1::{ReadLimits, ServerConn};
@@ -26,7 +27,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
+use super::{DirectMetrics, LogLimit, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -44,6 +45,10 @@
     pub(crate) fleet: RefCell<Fleet>,
     /// Usage of the links between failure domains.
     pub(crate) links: RefCell<LinkUsage>,
+    /// Leading parts of prompts that engines hold.
+    pub(crate) prefixes: RefCell<PrefixIndex>,
+    /// Limits the log lines on requests that are placed by what engines hold.
+    pub(crate) prefix_log_limit: LogLimit,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
     /// The planner's lease.
@@ -100,6 +105,8 @@
             codec,
             fleet: RefCell::default(),
             links: RefCell::default(),
+            prefixes: RefCell::default(),
+            prefix_log_limit: LogLimit::default(),
             peers: RefCell::default(),
             lease: RefCell::new(LeaseState::new(
                 LeaseLimits::default(),
--- a/crates/direct/src/streams/mod.rs
+++ b/crates/direct/src/streams/mod.rs
@@ -2,6 +2,7 @@
 
 mod open;
 mod outcomes;
+mod prefix_hold;
 mod progress;
 mod recover;
 mod relay;
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -125,6 +125,7 @@
                 }
                 self.progress.record_event(&event);
                 self.record_backend_activity();
+                self.route.borrow().record_event();
                 conn.send_chunk(event.bytes).await?;
             }
         }
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -13,6 +13,7 @@
 
 use spdlog::info;
 
+use super::prefix_hold::{PrefixHold, choose_path};
 use crate::shared::{RequestContext, Reservation, SharedState};
 
 /// Requirements for the route of an attempt.
@@ -51,6 +52,8 @@
     pub(super) path: Vec<PathStage>,
     /// Number of hops of the path between failure domains.
     pub(super) domain_crossings: usize,
+    /// Records that the engines hold leading parts of the prompt.
+    prefix_hold: Option<PrefixHold>,
     /// Counts as load on the backend servers until the route is dropped.
     _reservation: Reservation,
 }
@@ -62,6 +65,13 @@
         self.path.iter().map(|stage| &stage.id).chain(single)
     }
 
+    /// Records an event of the request.
+    pub(super) fn record_event(&self) {
+        if let Some(hold) = &self.prefix_hold {
+            hold.record_event();
+        }
+    }
+
     /// Finds a route that keeps the first engine of the given route and avoids an
     /// engine that is down.
     pub(super) fn around(
@@ -121,8 +131,12 @@
     current_path: &[PathStage],
 ) -> Option<StreamRoute> {
     let demand = demand(engine, ctx.req.prompt_size, requirements.events_sent);
-    let candidates =
-        shared.fleet.borrow().path_candidates(&ctx.pool, engine, shared.now(), requirements.avoid);
+    let fleet = shared.fleet.borrow();
+    let now = shared.now();
+    let mut candidates = fleet.path_candidates(&ctx.pool, engine, now, requirements.avoid);
+    let is_any_cached =
+        shared.prefixes.borrow().mark_cached(&ctx.prefix, &fleet, &mut candidates, now);
+    drop(fleet);
     let links = shared.links.borrow();
     let search = PathSearch {
         spec: engine,
@@ -134,9 +148,9 @@
         entries: shared.peers.borrow().serving_count() as u32,
         allowed_first: requirements.allowed_first,
         current_path,
-        now: shared.now(),
+        now,
     };
-    let Some(path) = search.choose_path(&mut *shared.rng.borrow_mut()) else {
+    let Some(path) = choose_path(shared, ctx, &search, is_any_cached) else {
         log_no_path(shared, ctx, engine, &candidates, demand);
         return None;
     };
@@ -146,10 +160,18 @@
     let domain_crossings = load.crossings.len();
     let first = path.first()?;
     let (id, address) = (first.id.clone(), first.address);
+    let prefix_hold = PrefixHold::begin(shared, ctx, &path);
     let backends = path.iter().map(|stage| stage.id.clone()).collect();
     let reservation =
         Reservation::new(shared, backends, demand.prompt_tokens + demand.output_tokens);
-    Some(StreamRoute { first: id, address, path, domain_crossings, _reservation: reservation })
+    Some(StreamRoute {
+        first: id,
+        address,
+        path,
+        domain_crossings,
+        prefix_hold,
+        _reservation: reservation,
+    })
 }
 
 /// What the caller still expects. Time that the request has waited is gone.
@@ -227,6 +249,7 @@
         address,
         path: Vec::new(),
         domain_crossings: 0,
+        prefix_hold: None,
         _reservation: reservation,
     })
 }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use clementine_decide::prefixes::PrefixAffinity;
 use clementine_direct::{Running, start};
 use clementine_objects::Millis;
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
@@ -60,6 +61,7 @@
         readiness_address: loopback_any_port(),
         internal_ports: Some((0, 0)),
         metrics_address: None,
+        prefix_affinity: PrefixAffinity::default(),
         store_address: store.address,
         link_bytes_per_s: 1e8,
         bounds: InstanceBounds {
--- a/crates/entry/src/cmd/direct.rs
+++ b/crates/entry/src/cmd/direct.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 
 use clap::{ArgMatches, Command};
+use clementine_decide::prefixes::PrefixAffinity;
 use clementine_process::settings::{SettingsReader, setting};
 use spdlog::Level;
 
@@ -28,6 +29,12 @@
             "PORT",
             "Port for /metrics, /state and /readyz [default: none]",
         ))
+        .arg(setting(
+            "prefix-affinity",
+            "on|off",
+            "Send requests of sticky routes to engines that hold the beginning of their prompts \
+             [default: on]",
+        ))
 }
 
 /// Runs the subcommand.
@@ -35,6 +42,7 @@
     let mut reader = SettingsReader::new(matches);
     let level = reader.or("log-level", Level::Info);
     let metrics_port = reader.optional("metrics-port");
+    let prefix_affinity = reader.or("prefix-affinity", PrefixAffinity::default());
     let level = reader.finish(level)?;
-    Ok(clementine_direct::run(level, metrics_port)?)
+    Ok(clementine_direct::run(level, metrics_port, prefix_affinity)?)
 }
--- a/crates/entry/tests/command_line.rs
+++ b/crates/entry/tests/command_line.rs
@@ -63,6 +63,16 @@
     assert_eq!(run(&["direct", "--no-such-flag"], "").status.code(), Some(2));
 }
 
+/// Guards against a mistyped value that leaves the setting at its default.
+#[test]
+fn unknown_prefix_affinity_is_an_error_that_names_the_values() {
+    let output = run(&["direct", "--prefix-affinity=of"], "");
+    assert_eq!(output.status.code(), Some(1));
+    let text = stderr(&output);
+    assert!(text.contains("prefix-affinity"), "{text}");
+    assert!(text.contains("`of` is neither `on` nor `off`"), "{text}");
+}
+
 #[test]
 fn check_reports_all_errors_of_a_file() {
     let path = std::env::temp_dir().join(format!("clementine-check-{}", std::process::id()));
