--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -93,7 +93,7 @@
         let saved = self.search.saved_ms(candidate, layers) / f64::from(layers.count());
         let per_layer = option.per_layer - saved * self.stage_weight(candidate, factor);
         let can_be_first = option.can_be_first && layers.first() == 0;
-        Some(StageOption { layers, per_layer, can_be_first, ..option })
+        Some(StageOption { layers, can_be_first, per_layer, ..option })
     }
 
     /// Factor by which the times of a stage are multiplied.
--- a/crates/decide/src/prefixes/affinity.rs
+++ b/crates/decide/src/prefixes/affinity.rs
@@ -9,7 +9,7 @@
 use super::{EngineCache, PrefixIndex, PromptPrefix};
 use crate::fleet::Fleet;
 use crate::ids::Tick;
-use crate::paths::{PathCandidate, PathSearch, PathStage};
+use crate::paths::{ChosenPath, PathCandidate, PathSearch, PathStage};
 
 /// Fraction of an engine's KV cache in use beyond which nothing is expected to be
 /// cached there: engines evict cached prompts before they refuse requests.
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -13,6 +13,7 @@
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
 use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
+use clementine_decide::prefixes::PrefixIndex;
 use clementine_decide::quarantine::CrashLog;
 use clementine_decide::routing::RoutingTable;
 use clementine_decide::shares::ShareLedger;
@@ -48,6 +49,10 @@
     pub(crate) fleet: RefCell<Fleet>,
     /// Usage of the links between failure domains.
     pub(crate) links: RefCell<LinkUsage>,
+    /// Leading parts of prompts that engines hold.
+    pub(crate) prefixes: RefCell<PrefixIndex>,
+    /// Limits the log lines on requests that are placed by what engines hold.
+    pub(crate) prefix_log: LogInterval,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
     /// The planner's lease.
@@ -114,6 +119,8 @@
             codec,
             fleet: RefCell::default(),
             links: RefCell::default(),
+            prefixes: RefCell::default(),
+            prefix_log: LogInterval::default(),
             peers: RefCell::default(),
             lease: RefCell::new(LeaseState::new(
                 LeaseLimits::default(),
