--- a/crates/decide/tests/prefix_paths.rs
+++ b/crates/decide/tests/prefix_paths.rs
@@ -108,7 +108,7 @@
             || search.choose_cached_path(&mut SmallRng::seed_from_u64(seed)).expect("a path");
         let chosen = choose();
         assert_eq!(chosen, choose());
-        let on_holder = chosen.path[0].id.as_str() == "engine-0";
+        let on_holder = chosen.path.stages[0].id.as_str() == "engine-0";
         let expected = if on_holder { CACHED_TOKENS } else { 0.0 };
         assert!((chosen.saved_tokens - expected).abs() < 1e-6, "{chosen:?}");
         assert!(on_holder || !chosen.is_displaced);
@@ -133,7 +133,7 @@
         let rng = &mut SmallRng::seed_from_u64(seed);
         let chosen = search.choose_cached_path(rng).expect("a path");
         assert!(!chosen.is_displaced && chosen.saved_tokens == 0.0);
-        first += u32::from(chosen.path[0].id.as_str() == "engine-0");
+        first += u32::from(chosen.path.stages[0].id.as_str() == "engine-0");
     }
     assert!((400..600).contains(&first), "{first} of 1,000 on one of two equal engines");
 }
@@ -199,7 +199,7 @@
         for seed in 0..100 {
             let rng = &mut SmallRng::seed_from_u64(seed);
             let chosen = search.choose_cached_path(rng).expect("a path");
-            assert!(chosen.path.iter().all(|stage| stage.id != holder), "{name}");
+            assert!(chosen.path.stages.iter().all(|stage| stage.id != holder), "{name}");
         }
     }
 }
