--- a/crates/decide/tests/prefix_index.rs
+++ b/crates/decide/tests/prefix_index.rs
@@ -143,6 +143,23 @@
     }
 }
 
+/// Guards against a refused request that prolongs the record of an earlier one, or ends
+/// the retention period of one that ended meanwhile.
+#[test]
+fn a_request_that_is_not_prefilled_leaves_the_retention_period_as_it_is() {
+    let mut engines = Engines::new();
+    let parts = prefix(&[(1, 800)]);
+    let cache = engines.run(&parts, Tick(0));
+    engines.index.begin(&parts, std::slice::from_ref(&cache), Tick(500));
+    engines.end(&parts, &cache, KEPT, Tick(1_000));
+    engines.end(&parts, &cache, Millis(0), Tick(1_500));
+    assert_eq!(engines.cached(&parts, Tick(3_999)), [800, 0]);
+    engines.index.begin(&parts, std::slice::from_ref(&cache), Tick(3_900));
+    engines.end(&parts, &cache, Millis(0), Tick(3_950));
+    assert_eq!(engines.cached(&parts, Tick(3_999)), [800, 0]);
+    assert_eq!(engines.cached(&parts, Tick(4_000)), [0, 0]);
+}
+
 /// Guards against records of a cache that the engine has lost.
 #[test]
 fn an_engine_that_loses_its_cache_loses_its_records() {
--- a/crates/direct/tests/operations_page.rs
+++ b/crates/direct/tests/operations_page.rs
@@ -109,6 +109,9 @@
         "lines_held_back=",
         "paused reason=no-answer request=",
         "outcome=backend_lost runs=1",
+        "placed by cached parts tokens_saved=",
+        "direct_prefix_tokens_saved",
+        "direct_prefix_placements",
     ] {
         assert!(page.contains(part), "docs/OPERATIONS.md does not contain `{part}`");
     }
