--- a/crates/direct/tests/operations_page.rs
+++ b/crates/direct/tests/operations_page.rs
@@ -115,6 +115,9 @@
         "told to return after_ms=",
         "direct_callers_told_to_return",
         "direct_callers_returned{time=\"as-told\"}",
+        "placed by cached parts tokens_saved=",
+        "direct_prefix_tokens_saved",
+        "direct_prefix_placements",
     ] {
         assert!(page.contains(part), "docs/OPERATIONS.md does not contain `{part}`");
     }
