--- a/crates/direct/src/streams/recover.rs
+++ b/crates/direct/src/streams/recover.rs
@@ -16,7 +16,7 @@
     /// It goes on, possibly by another path.
     Continue,
     /// An attempt with this route takes its place.
-    Replace(StreamRoute),
+    Replace(Box<StreamRoute>),
     /// It is ended, and no other attempt is made.
     GiveUp,
 }
@@ -58,7 +58,7 @@
         self.record_executed_on(&route.borrow().first);
         match self.choose_route_for(progress) {
             Some(next) if differs(&next, &route.borrow()) && self.take_from_budget(progress) => {
-                Recovery::Replace(next)
+                Recovery::Replace(Box::new(next))
             }
             _ => Recovery::Continue,
         }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -221,7 +221,7 @@
                 };
                 match recovery {
                     Recovery::Continue => not_before = Instant::now() + RECOVERY_INTERVAL,
-                    Recovery::Replace(next) => break Err((problem, Some(next))),
+                    Recovery::Replace(next) => break Err((problem, Some(*next))),
                     Recovery::GiveUp => break Err((problem, None)),
                 }
             }
