Tests silence an engine whose layers another one holds

A prompt that is cached for some layers of an engine now makes these layers a stage of their own; the test says so exactly.

--- a/crates/decide/tests/prefix_paths.rs
+++ b/crates/decide/tests/prefix_paths.rs
@@ -76,11 +76,19 @@
     assert_eq!(cheapest(&engines(400.0), short).as_str(), "engine-1");
 }
 
-/// Guards against a saving in layers that the engine has not run for the prompt.
+/// Guards against a saving in layers that the engine has not run for the prompt: with one,
+/// the engine would run all layers.
 #[test]
 fn layers_without_the_prompt_save_nothing() {
     let mut engines = engines(100.0);
-    engines[0].cached_layers = Some(range(0, LAYERS / 2));
+    let (cached, other) = (range(0, LAYERS / 2), range(LAYERS / 2, LAYERS));
+    engines[0].cached_layers = Some(cached);
+    let (spec, links) = (spec(), LinkUsage::default());
+    let path = search(&spec, &engines, &links).cheapest_path().expect("a path");
+    let stages: Vec<_> = path.iter().map(|stage| (stage.id.as_str(), stage.layers)).collect();
+    assert_eq!(stages, [("engine-0", cached), ("engine-1", other)]);
+    // The wait for half of the layers is longer than what is saved in them.
+    engines[0].prefill_backlog_ms = 500.0;
     assert_eq!(cheapest(&engines, DEMAND).as_str(), "engine-1");
 }
 
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -302,6 +302,11 @@
         from < to
     }
 
+    /// Whether another server hosts the same layers.
+    pub fn has_layers_of(&self, other: &Self) -> bool {
+        self.layer_range == other.layer_range
+    }
+
     fn layers_json(&self) -> Value {
         let (from, to) = self.layer_range.get();
         json!({"from": from, "to": to, "version": 1})
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -93,8 +93,10 @@
         .find(|e| !e.run_paths.borrow().is_empty())
         .expect("an engine that started a run");
     let path = first.run_paths.borrow()[0].clone();
-    let on_path = |e: &&Backend| e.id != first.id && path.contains(&e.address.to_string());
-    let silenced = engines.iter().find(on_path).expect("another engine on the path");
+    let on_path = |e: &Backend| path.contains(&e.address.to_string());
+    let has_spare = |e: &Backend| engines.iter().any(|o| !on_path(o) && o.has_layers_of(e));
+    let mut others = engines.iter().filter(|e| e.id != first.id && on_path(e));
+    let silenced = others.find(|e| has_spare(e)).expect("an engine on the path with a spare");
     silenced.unresponsive.set(true);
     first.waiting_on.set(Some(silenced.address));
     silenced.id.clone()
