--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -5,6 +5,8 @@
 //! expected pause of the stream, at engines and links to which all other entries send
 //! as many repairs as this one.
 
+use clementine_objects::LayerRange;
+
 use super::program::StageOption;
 use super::queue::step_ms;
 use super::space::SearchSpace;
@@ -75,8 +77,34 @@
             ..option
         });
         let new = usable.iter().zip(factors);
+        let cached = new.clone().filter_map(|(index, factor)| self.cached_option(*index, *factor));
         let new = new.map(|(index, factor)| self.stage_option(*index, *factor));
-        current.chain(new).collect()
+        current.chain(new).chain(cached).collect()
+    }
+
+    /// A stage in the layers for which the engine has the KV cache of leading prompt
+    /// tokens, which it need not prefill. `None` if it has none.
+    fn cached_option(&self, index: usize, factor: f64) -> Option<StageOption> {
+        let candidate = &self.search.candidates[index];
+        let layers = candidate.cached_layers.filter(|_| candidate.cached_prompt_tokens > 0.0)?;
+        let option = self.stage_option(index, factor);
+        let first = layers.first().max(option.layers.first());
+        let layers = LayerRange::half_open(first, layers.end().min(option.layers.end()))?;
+        let saved = self.search.saved_ms(candidate, layers) / f64::from(layers.count());
+        let per_layer = option.per_layer - saved * self.stage_weight(candidate, factor);
+        let can_be_first = option.can_be_first && layers.first() == 0;
+        Some(StageOption { layers, can_be_first, per_layer, ..option })
+    }
+
+    /// Factor by which the times of a stage are multiplied.
+    fn stage_weight(&self, candidate: &PathCandidate, factor: f64) -> f64 {
+        match self.search.purpose {
+            PathPurpose::NewRequest => factor * cache_factor(candidate),
+            PathPurpose::Repair => {
+                let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
+                factor / (1.0 - used).max(MIN_FREE_CACHE)
+            }
+        }
     }
 
     /// Expected time of the prefills after the loss of a candidate, up to the bound, or
@@ -92,18 +120,16 @@
         let candidate = &search.candidates[index];
         let (prefill, decode) = (search.prefill_ms(candidate, 1), search.decode_cost(candidate));
         let (backlog, wait) = (candidate.prefill_backlog_ms, self.waits_ms[index]);
+        let weight = self.stage_weight(candidate, factor);
         let (fixed, per_layer) = match search.purpose {
             PathPurpose::NewRequest => {
                 // Each step waits, and the others wait for this request's prefill as
                 // long.
                 let waits = wait * (1.0 + search.demand.output_tokens) * SHARED_WAIT_WEIGHT;
-                let weight = factor * cache_factor(candidate);
                 let repair = self.expected_repair_ms(index);
                 ((backlog + waits + repair) * weight, (prefill + decode) * weight)
             }
             PathPurpose::Repair => {
-                let used = candidate.used_tokens / candidate.capacity_tokens.max(1.0);
-                let weight = factor / (1.0 - used).max(MIN_FREE_CACHE);
                 ((backlog + wait) * weight, search.repair_load() * prefill * weight + decode)
             }
         };
@@ -126,12 +152,20 @@
 }
 
 impl PathSearch<'_> {
-    /// Time in ms that an engine needs to prefill the request in `layers` layers.
+    /// Time in ms that an engine needs to prefill the whole request in `layers`
+    /// layers.
     pub(super) fn prefill_ms(&self, candidate: &PathCandidate, layers: u32) -> f64 {
-        let tokens = (self.demand.prompt_tokens - candidate.cached_prompt_tokens).max(0.0);
+        let tokens = self.demand.prompt_tokens;
         tokens * candidate.prefill_ms_per_token * self.spec.model_fraction(layers)
     }
 
+    /// Part of the prefill time in ms that an engine saves because it has the KV
+    /// cache of leading prompt tokens.
+    pub(super) fn saved_ms(&self, candidate: &PathCandidate, layers: LayerRange) -> f64 {
+        let cached = candidate.cached_tokens(layers) / self.demand.prompt_tokens.max(1.0);
+        cached.min(1.0) * self.prefill_ms(candidate, layers.count())
+    }
+
     /// Cost of the decode phase in one layer on an engine. A new request makes each
     /// step of the requests that run there longer.
     fn decode_cost(&self, candidate: &PathCandidate) -> f64 {
--- a/crates/decide/src/paths/load.rs
+++ b/crates/decide/src/paths/load.rs
@@ -54,7 +54,10 @@
             PathPurpose::NewRequest => 1.0,
             PathPurpose::Repair => self.repair_load(),
         };
-        let ms = load * self.prefill_ms(self.candidate(stage)?, stage.layers.count());
+        let candidate = self.candidate(stage)?;
+        // The repairs of others have other prompts.
+        let ms = load * self.prefill_ms(candidate, stage.layers.count())
+            - self.saved_ms(candidate, stage.layers);
         Some(PrefillWork { id: stage.id.clone(), ms })
     }
 
--- a/crates/decide/src/paths/targets.rs
+++ b/crates/decide/src/paths/targets.rs
@@ -45,6 +45,7 @@
             let wait = self.waits_ms[index];
             times.first_event += engine.prefill_backlog_ms + wait;
             times.first_event += search.prefill_ms(engine, layers.count());
+            times.first_event -= search.saved_ms(engine, layers);
             times.token += step_ms(engine) * fraction + wait;
             if let Some(previous) = previous {
                 times.token += search.delay_ms(&previous.domain, &engine.domain);
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -46,6 +46,7 @@
             "pools_scarce": self.shares.borrow().scarce_pools(now),
             "requests_quarantined": requests_quarantined,
             "prompt_parts_quarantined": parts_quarantined,
+            "prompt_prefixes": self.prefixes.borrow().prefix_count(),
             "backends": backends,
             "links": links,
             "queues": self.queues.dump(now),
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -129,6 +129,7 @@
                     }
                     self.progress.record_event(&event);
                     self.record_backend_activity();
+                    self.route.borrow().record_event();
                 }
                 if !self.deliver(conn, event).await? {
                     return Ok(AttemptOutcome::DeadlinePassed);
