Test of prompt prefixes declares a gap without a loss bound

All streams took one path only while the cost had no expected repair time: with it, a second stream on an engine whose layers have one other holder adds as much as it saves. Affinity gives way to the loss bound by design; the test of affinity alone uses a target gap without a bound.

--- a/crates/direct/tests/prompt_prefixes.rs
+++ b/crates/direct/tests/prompt_prefixes.rs
@@ -24,11 +24,14 @@
 /// of one engine.
 const FOLLOWERS: usize = 4;
 
-/// Engines that read 15 tokens per ms, and a route that may be sticky.
+/// Engines that read 15 tokens per ms, and a route that may be sticky. Its target gap is
+/// too short for a loss bound, which goes before affinity: the time to repair a loss grows
+/// with each stream on an engine, and would soon outweigh what is saved.
 fn config_with(sticky: bool) -> String {
     config(1, LAYERS)
         .replace(r#""read_per_s":196000.0"#, r#""read_per_s":15000.0"#)
         .replace(r#""prompt":800"#, r#""prompt":10"#)
+        .replace(r#""target-gap-ms":200"#, r#""target-gap-ms":100"#)
         .replace(r#""resumable""#, &format!(r#""sticky":{sticky},"resumable""#))
 }
 
