--- a/crates/agent/src/backend/call.rs
+++ b/crates/agent/src/backend/call.rs
@@ -66,8 +66,8 @@
 }
 
 /// Sends the request and reads the response. Returns `None` if the connection failed,
-/// the body was truncated, also inside an event, or the response names another request. Up to `late_copies`
-/// such responses are skipped before.
+/// the body or its last event was truncated, or the response names another request. Up
+/// to `late_copies` responses that do are skipped before.
 async fn round_trip(
     conn: &mut ClientConn,
     head: RequestHead,
--- a/crates/decide/src/admission/promises.rs
+++ b/crates/decide/src/admission/promises.rs
@@ -35,7 +35,8 @@
 
 /// Refused callers that an entry has told to return, and the slots promised to them.
 ///
-/// Invariant: at most [`MAX_PROMISES`] callers (32 bytes each), each of them for at most [`MAX_RETRY_AFTER`] and [`PROMISE_RETENTION`].
+/// Invariant: at most [`MAX_PROMISES`] callers (32 bytes each), each of them for at most
+/// [`MAX_RETRY_AFTER`] and [`PROMISE_RETENTION`].
 #[derive(Debug, Clone, Default)]
 pub(super) struct Promises {
     promises: Vec<Promise>,
