Log how an outage of the store ended: the last failed call and the delay after it

The log named only the first failure of an outage. Whether an entry that still had an older configuration waited for a call or between two calls could not be told.

--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -66,7 +66,9 @@
     let mut follower =
         TableFollower { shared, table, name, sync, observer, loaded: false, checks_behind: 0 };
     let mut backoff = INITIAL_BACKOFF;
+    let mut outage = None;
     loop {
+        let called_at = Instant::now();
         match follower.step().await {
             Ok(changed) => {
                 if let Some(bytes) = changed {
@@ -75,6 +77,9 @@
                 if !sync.set_reachable(true) {
                     info!("store: following table `{}` again at {}", name, sync.position());
                 }
+                if let Some(outage) = outage.take() {
+                    log_outage(name, &outage);
+                }
                 backoff = INITIAL_BACKOFF;
             }
             Err(error) => {
@@ -83,7 +88,9 @@
                     warn!("store: cannot follow table `{}`: {}", name, error);
                 }
                 let jitter = shared.rng.borrow_mut().random_range(0.5..1.0);
-                sleep(backoff.mul_f64(jitter)).await;
+                let delay = backoff.mul_f64(jitter);
+                outage.get_or_insert(Outage::new(called_at)).record_failure(called_at, delay);
+                sleep(delay).await;
                 let limit =
                     if shared.is_standby_follower() { STANDBY_MAX_BACKOFF } else { MAX_BACKOFF };
                 backoff = (backoff * 2).min(limit);
@@ -92,6 +99,51 @@
     }
 }
 
+/// Consecutive failed calls for a table.
+struct Outage {
+    /// When the first failed call was sent.
+    started: Instant,
+    failures: u32,
+    /// When the last failed call was sent.
+    last_sent: Instant,
+    /// Duration of the last failed call.
+    last_call: Duration,
+    /// Delay after the last failed call.
+    last_delay: Duration,
+}
+
+impl Outage {
+    const fn new(started: Instant) -> Self {
+        Self {
+            started,
+            failures: 0,
+            last_sent: started,
+            last_call: Duration::ZERO,
+            last_delay: Duration::ZERO,
+        }
+    }
+
+    fn record_failure(&mut self, sent: Instant, delay: Duration) {
+        self.failures += 1;
+        self.last_sent = sent;
+        self.last_call = sent.elapsed();
+        self.last_delay = delay;
+    }
+}
+
+/// Logs how an outage ended, to tell a late detection of its end from a long delay.
+fn log_outage(table: &str, outage: &Outage) {
+    info!(
+        "store: table `{}` failures={} outage_ms={} last_sent_ms_ago={} last_call_ms={} last_delay_ms={}",
+        table,
+        outage.failures,
+        outage.started.elapsed().as_millis(),
+        outage.last_sent.elapsed().as_millis(),
+        outage.last_call.as_millis(),
+        outage.last_delay.as_millis()
+    );
+}
+
 /// Follows one table.
 struct TableFollower<'a, O> {
     shared: &'a SharedState,
