Tests that fail: a configuration changed after the store was silent is late

Three entries, each in a failure domain of its own, are to have a new configuration 3 s after the store responds again. The log tells which wait it was: last_call_ms=4901 and 2401 (a long poll that the store never answers), last_delay_ms=75 to 522.

--- a/crates/direct/tests/common/store.rs
+++ b/crates/direct/tests/common/store.rs
@@ -49,6 +49,9 @@
     changed: Rc<Notify>,
     /// How polls for changes are answered.
     pub poll_mode: Rc<Cell<PollMode>>,
+    /// Whether the store receives calls and answers none, and the number of times
+    /// that this began.
+    silence: Rc<Cell<(bool, u32)>>,
     /// Number of calls received.
     pub calls: Rc<Cell<u32>>,
     /// Maximum number of rows in a page.
@@ -95,6 +98,7 @@
             state: Rc::default(),
             changed: Rc::default(),
             poll_mode: Rc::default(),
+            silence: Rc::default(),
             calls: Rc::default(),
             page_rows: Rc::new(Cell::new(usize::MAX)),
             remove_after_page: Rc::default(),
@@ -121,6 +125,13 @@
         }
     }
 
+    /// Stops answering, or answers again. Calls that were received or in progress
+    /// during the silence never get a response.
+    pub fn set_silent(&self, silent: bool) {
+        let (_, begun) = self.silence.get();
+        self.silence.set((silent, begun + u32::from(silent)));
+    }
+
     /// Writes a row unconditionally.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.write(table, key, Some(value.as_bytes().to_vec()));
@@ -177,9 +188,14 @@
         while conn.wait_request(&limits).await.is_ok() {
             let Ok(request) = conn.read_request(&limits).await else { return };
             self.calls.set(self.calls.get() + 1);
+            let silence = self.silence.get();
+            if silence.0 {
+                return conn.wait_closed().await;
+            }
             let is_poll = request.head.uri.path() == "/-/rows-feed";
             let (status, body) = self.handle(&request).await;
-            if is_poll && self.poll_mode.get() == PollMode::NoResponse && !opened_in_no_response {
+            let poll_lost = is_poll && self.poll_mode.get() == PollMode::NoResponse;
+            if self.silence.get() != silence || poll_lost && !opened_in_no_response {
                 return conn.wait_closed().await;
             }
             let status = StatusCode::from_u16(status).expect("valid status");
