A lost response to a long poll is detected in time for the configuration

Callers were refused with 401 by an entry that still had an older configuration 3 s after an outage of the store. A poll that the store receives while it is silent is never answered; an entry waited for it 4.9 s, the planner 2.4 s, and polled in the same way throughout the outage. The planner's shorter poll helped only where the others had 0.9 s left after its message.

All entries poll for 1.5 s now (2.4 s with the time limit of the response), and without waiting while the store does not respond: 0.9 s and a delay of 1.2 s at most after the last failed call. The planner needs no poll of its own length, so that nothing is polled again when the lease changes hands.

--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -13,14 +13,10 @@
 use super::passed_on::{decode_rows, encode_rows};
 use crate::shared::{SharedState, TableSync, UrgentMessage};
 
-/// Maximum time for which the store may hold a long poll. A poll that hangs is
-/// usually detected earlier: the other entries announce newer changes than it has
-/// returned.
-const POLL_WAIT: Duration = Duration::from_secs(4);
-/// Maximum time for which the store may hold a long poll of the holder of the
-/// planner's lease. Shorter than [`POLL_WAIT`], so that at least one entry
-/// receives changes soon when the polls of all entries hang.
-const PLANNER_POLL_WAIT: Duration = Duration::from_millis(1_500);
+/// Maximum time for which the store may hold a long poll. A poll whose response is
+/// lost is only detected at its time limit; a change has to be applied within 3 s
+/// after the store responds again.
+const POLL_WAIT: Duration = Duration::from_millis(1_500);
 /// Interval at which an entry that relies on its neighbors checks whether it still
 /// can, and whether it has missed a change.
 const NEIGHBOR_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -168,8 +164,8 @@
         if !self.shared.must_follow_store() {
             return self.wait_for_neighbors().await;
         }
-        let wait =
-            if self.shared.held_lease_version().is_some() { PLANNER_POLL_WAIT } else { POLL_WAIT };
+        // During an outage, a call that does not wait detects its end sooner.
+        let wait = if self.sync.is_reachable() { POLL_WAIT } else { Duration::ZERO };
         self.poll(wait).await
     }
 
--- a/crates/direct/src/planner/lease.rs
+++ b/crates/direct/src/planner/lease.rs
@@ -52,7 +52,7 @@
             };
             next_attempt = Instant::now() + interval.mul_f64(jitter);
         }
-        task.handle_transition();
+        task.log_transition();
         sleep(PEER_CHECK_INTERVAL).await;
     }
     let released = shared.lease.borrow_mut().release(shared.now());
@@ -119,16 +119,13 @@
         }
     }
 
-    /// Handles that the lease was acquired or lost: logs it, and restarts the
-    /// long polls of the store, because the holder uses a shorter wait.
-    fn handle_transition(&mut self) {
+    /// Logs that the lease was acquired or lost.
+    fn log_transition(&mut self) {
         let fence = self.shared.lease.borrow().fence(self.shared.now());
         if fence.is_some() == self.held {
             return;
         }
         self.held = fence.is_some();
-        self.shared.config_sync.request_repoll();
-        self.shared.backend_list_sync.request_repoll();
         info!("planner: lease {} fence={:?}", if self.held { "held" } else { "lost" }, fence);
     }
 }
--- a/crates/direct/src/shared/table_sync.rs
+++ b/crates/direct/src/shared/table_sync.rs
@@ -27,7 +27,6 @@
     passed_on: BoundedQueue<TableChanges>,
     /// Whether the last call to the store for this table failed.
     unreachable: Cell<bool>,
-    repoll_requested: Cell<bool>,
     wakeup: Notify,
 }
 
@@ -63,9 +62,14 @@
         !self.unreachable.replace(!reachable)
     }
 
+    /// Whether the store responded to the last call for this table.
+    pub(crate) fn is_reachable(&self) -> bool {
+        !self.unreachable.get()
+    }
+
     /// Whether a snapshot has been read and the store has responded since.
     pub(crate) fn is_followed(&self) -> bool {
-        self.position.get() > StoreVersion::default() && !self.unreachable.get()
+        self.position.get() > StoreVersion::default() && self.is_reachable()
     }
 
     /// Version up to which all changes have been received.
@@ -124,21 +128,12 @@
             && position < changes.version
     }
 
-    /// Requests that the poll in progress is abandoned and sent again.
-    pub(crate) fn request_repoll(&self) {
-        self.repoll_requested.set(true);
-        self.wakeup.notify_one();
-    }
-
-    /// Waits until the poll in progress has to be sent again: on request, or
-    /// because it has not returned a change that another entry has received. A
-    /// response that may still be in transit gets the grace period to arrive.
+    /// Waits until the poll in progress has to be sent again, because it has not
+    /// returned a change that another entry has received. A response that may still
+    /// be in transit gets the grace period to arrive.
     pub(crate) async fn repoll_needed(&self) {
         loop {
             self.wakeup.notified().await;
-            if self.repoll_requested.take() {
-                return;
-            }
             sleep(DELIVERY_GRACE).await;
             if self.is_behind() {
                 return;
