Test that fails: an entry that follows its neighbors sends requests to a server that left

Found by looking for other waits that are longer than the time in which a change must be applied. The configuration is not late there: a neighbor offers it after 1.5 s.

--- a/crates/direct/tests/common/store.rs
+++ b/crates/direct/tests/common/store.rs
@@ -52,6 +52,8 @@
     /// Whether the store receives calls and answers none, and the number of times
     /// that this began.
     silence: Rc<Cell<(bool, u32)>>,
+    /// Whether the store refuses all calls.
+    pub refuses: Rc<Cell<bool>>,
     /// Number of calls received.
     pub calls: Rc<Cell<u32>>,
     /// Maximum number of rows in a page.
@@ -99,6 +101,7 @@
             changed: Rc::default(),
             poll_mode: Rc::default(),
             silence: Rc::default(),
+            refuses: Rc::default(),
             calls: Rc::default(),
             page_rows: Rc::new(Cell::new(usize::MAX)),
             remove_after_page: Rc::default(),
@@ -193,7 +196,10 @@
                 return conn.wait_closed().await;
             }
             let is_poll = request.head.uri.path() == "/-/rows-feed";
-            let (status, body) = self.handle(&request).await;
+            let (status, body) = match self.refuses.get() {
+                true => (503, json!({})),
+                false => self.handle(&request).await,
+            };
             let poll_lost = is_poll && self.poll_mode.get() == PollMode::NoResponse;
             if self.silence.get() != silence || poll_lost && !opened_in_no_response {
                 return conn.wait_closed().await;
--- a/crates/direct/tests/store_silent.rs
+++ b/crates/direct/tests/store_silent.rs
@@ -7,7 +7,7 @@
 use actix_rt::test;
 use clementine_direct::{Running, start};
 use clementine_platform::settings::InstanceSettings;
-use common::{PollMode, Store, config, send_request, settings, wait_until};
+use common::{Backend, PollMode, Store, config, send_request, settings, start_entry, wait_until};
 use futures::future::join_all;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -22,6 +22,11 @@
 /// calls, so that the silence ends at different moments of them.
 const SILENCES_MS: [u64; 10] = [300, 1_100, 1_900, 2_700, 3_400, 4_200, 5_000, 5_700, 6_300, 7_100];
 
+/// Number of stores that refuse calls, the shortest time for which one does, and the
+/// difference between two of them in ms.
+const REFUSING_STORES: u64 = 32;
+const SHORTEST_REFUSAL_MS: u64 = 6_000;
+const REFUSAL_STEP_MS: u64 = 130;
 /// Moments after the start at which open connections fall silent, spread over the
 /// time of a long poll.
 const MOMENTS_MS: [u64; 7] = [0, 700, 1_400, 2_100, 2_800, 3_500, 4_200];
@@ -55,6 +60,46 @@
     responses.iter().filter(|response| response.status == 404).count()
 }
 
+/// Starts three entries in one failure domain. The first two follow the store, the
+/// third one follows them.
+async fn start_neighbors(store: &Store) -> Vec<Running> {
+    let mut entries = Vec::new();
+    for name in ["a-one", "b-two", "c-three"] {
+        entries.push(start_entry(name, store).await);
+    }
+    entries
+}
+
+/// Removes a server after the store has refused calls, and returns how many entries
+/// still send requests to it after the bound.
+async fn count_late_after_refusals(refusal: Duration) -> usize {
+    let store = Store::start().await;
+    store.put("op", "config", &config(1, 12));
+    let _server = Backend::start("plain-1", "plain", &store).await;
+    let entries = start_neighbors(&store).await;
+    sleep(SETTLE_TIME).await;
+    store.refuses.set(true);
+    sleep(refusal).await;
+    store.refuses.set(false);
+    let end = Instant::now();
+    sleep(CHANGE_DELAY).await;
+    store.remove("servers", "plain-1");
+    sleep_until(end + RECOVERY_BOUND).await;
+    let requests = entries.iter().map(|e| send_request(e.callers, "POST", "/safe/x", "x"));
+    let responses = join_all(requests).await;
+    responses.iter().filter(|response| response.status == 200).count()
+}
+
+#[test]
+async fn server_that_left_after_refusals_gets_no_request_of_an_entry_that_follows_neighbors() {
+    let refusals = (0..REFUSING_STORES).map(|n| SHORTEST_REFUSAL_MS + n * REFUSAL_STEP_MS);
+    let counts =
+        refusals.map(async |ms| (ms, count_late_after_refusals(Duration::from_millis(ms)).await));
+    let late: Vec<(u64, usize)> = join_all(counts).await;
+    let late: Vec<&(u64, usize)> = late.iter().filter(|(_, late)| *late > 0).collect();
+    assert!(late.is_empty(), "refusal in ms and number of late entries: {late:?}");
+}
+
 async fn count_late_after_silence(silence: Duration) -> usize {
     let store = Store::start().await;
     store.put("op", "config", &config(1, 12));
