An entry that waits to call the store again accepts changes from its neighbors

An entry that follows the store in place of its neighbors waits for up to 4 s after failed calls. When the store came back, its neighbors passed the changes on within 1.2 s, and it read none of them until its delay was over: it sent requests to a server that had left 3 s before. The delay ends now as soon as the neighbors follow the store again.

--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -8,7 +8,7 @@
 use clementine_platform::store::{ChangeBatch, Row, Snapshot, StoreError};
 use rand::RngExt;
 use spdlog::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::passed_on::{decode_rows, encode_rows};
 use crate::shared::{SharedState, TableSync, UrgentMessage};
@@ -86,7 +86,7 @@
                 let jitter = shared.rng.borrow_mut().random_range(0.5..1.0);
                 let delay = backoff.mul_f64(jitter);
                 outage.get_or_insert(Outage::new(called_at)).record_failure(called_at, delay);
-                sleep(delay).await;
+                follower.wait_to_retry(delay).await;
                 let limit =
                     if shared.is_standby_follower() { STANDBY_MAX_BACKOFF } else { MAX_BACKOFF };
                 backoff = (backoff * 2).min(limit);
@@ -218,6 +218,15 @@
         changed.then(|| total_bytes(&batch.rows))
     }
 
+    /// Waits before the next call, or until neighbors follow the store again and pass
+    /// the changes on.
+    async fn wait_to_retry(&self, delay: Duration) {
+        let retry_at = Instant::now() + delay;
+        while Instant::now() < retry_at && (!self.loaded || self.shared.must_follow_store()) {
+            sleep_until(retry_at.min(Instant::now() + NEIGHBOR_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Applies the changes that neighbors pass on. Reads changes from the store if
     /// other entries have received some that do not arrive.
     async fn wait_for_neighbors(&mut self) -> Result<Option<usize>, StoreError> {
--- a/crates/direct/tests/common/store.rs
+++ b/crates/direct/tests/common/store.rs
@@ -196,10 +196,8 @@
                 return conn.wait_closed().await;
             }
             let is_poll = request.head.uri.path() == "/-/rows-feed";
-            let (status, body) = match self.refuses.get() {
-                true => (503, json!({})),
-                false => self.handle(&request).await,
-            };
+            let (status, body) =
+                if self.refuses.get() { (503, json!({})) } else { self.handle(&request).await };
             let poll_lost = is_poll && self.poll_mode.get() == PollMode::NoResponse;
             if self.silence.get() != silence || poll_lost && !opened_in_no_response {
                 return conn.wait_closed().await;
