Count calls to engines, and whether the engine had asked to be left alone

Requests of callers that reach a server in its retry delay are seen in its own figures. Whether reports, orders and health checks keep to the delay could not be told.

--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -31,34 +31,76 @@
 
 /// A call to an engine failed.
 #[derive(Debug, Snafu)]
-#[snafu(display("{reason}"))]
-pub(crate) struct CallError {
-    reason: CompactString,
+pub(crate) enum CallError {
+    #[snafu(display("the engine is not listed"))]
+    Unlisted,
+    #[snafu(display("{reason}"))]
+    Failed { reason: CompactString },
 }
 
 fn call_error(error: impl std::fmt::Display) -> CallError {
-    CallError { reason: error.to_compact_string() }
+    CallError::Failed { reason: error.to_compact_string() }
+}
+
+/// Kind of a call to an engine, for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallKind {
+    Report,
+    Order,
+    HealthCheck,
+}
+
+impl CallKind {
+    /// Name of the kind in metrics.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::Order => "order",
+            Self::HealthCheck => "health-check",
+        }
+    }
+}
+
+/// Begins a call to an engine: counts it, and returns the engine's address.
+fn begin_call(
+    shared: &SharedState,
+    engine: &BackendId,
+    kind: CallKind,
+) -> Result<SocketAddr, CallError> {
+    let address = match shared.fleet.borrow().get(engine) {
+        Some(member) => member.backend.address,
+        None => return UnlistedSnafu.fail(),
+    };
+    shared.metrics.count_engine_call(kind.name(), shared.is_paused(engine));
+    Ok(address)
 }
 
 /// Fetches an engine's report over a new connection.
 pub(crate) async fn fetch_report(
     shared: &SharedState,
-    engine: SocketAddr,
+    engine: &BackendId,
     limit: Duration,
 ) -> Result<EngineReport, CallError> {
+    let address = begin_call(shared, engine, CallKind::Report)?;
     let call = async {
-        let connected = ClientConn::connect(engine, limit, &shared.codec).await;
-        fetch_report_on(connected.map_err(call_error)?, engine).await
+        let connected = ClientConn::connect(address, limit, &shared.codec).await;
+        read_report(connected.map_err(call_error)?, address).await
     };
     timeout(limit, call).await.map_err(call_error)?
 }
 
 /// Fetches an engine's report over an open connection.
 pub(super) async fn fetch_report_on(
-    mut conn: ClientConn,
-    engine: SocketAddr,
+    shared: &SharedState,
+    conn: ClientConn,
+    engine: &BackendId,
 ) -> Result<EngineReport, CallError> {
-    conn.queue(report_request(engine), Bytes::new()).map_err(call_error)?;
+    let address = begin_call(shared, engine, CallKind::Report)?;
+    timeout(CALL_TIMEOUT, read_report(conn, address)).await.map_err(call_error)?
+}
+
+async fn read_report(mut conn: ClientConn, address: SocketAddr) -> Result<EngineReport, CallError> {
+    conn.queue(report_request(address), Bytes::new()).map_err(call_error)?;
     conn.read_head().await.map_err(call_error)?;
     let body = conn.read_body(MAX_REPORT_BYTES).await.map_err(call_error)?;
     EngineReport::decode(&body).map_err(call_error)
@@ -67,27 +109,29 @@
 /// Orders an engine to load a range of layers.
 pub(crate) async fn place_layers(
     shared: &SharedState,
-    engine: SocketAddr,
+    engine: &BackendId,
     order: &PlaceOrder,
 ) -> Result<OrderResponse, CallError> {
-    send_order(shared, engine, order.request(engine).map_err(call_error)?).await
+    let address = begin_call(shared, engine, CallKind::Order)?;
+    send_order(shared, address, order.request(address).map_err(call_error)?).await
 }
 
 /// Orders the first engine of a run's path to move the run to another path.
 pub(crate) async fn change_path(
     shared: &SharedState,
-    engine: SocketAddr,
+    engine: &BackendId,
     order: &RepathOrder,
 ) -> Result<OrderResponse, CallError> {
-    send_order(shared, engine, order.request(engine).map_err(call_error)?).await
+    let address = begin_call(shared, engine, CallKind::Order)?;
+    send_order(shared, address, order.request(address).map_err(call_error)?).await
 }
 
 async fn send_order(
     shared: &SharedState,
-    engine: SocketAddr,
+    address: SocketAddr,
     (head, body): (RequestHead, Bytes),
 ) -> Result<OrderResponse, CallError> {
-    let response = fetch_head(shared, engine, ORDER_TIMEOUT, head, body).await?;
+    let response = fetch_head(shared, address, ORDER_TIMEOUT, head, body).await?;
     Ok(OrderResponse::from(response.status))
 }
 
@@ -103,12 +147,13 @@
 /// Checks a server's health at the path that the configuration sets.
 pub(super) async fn check_health(
     shared: &SharedState,
-    engine: SocketAddr,
+    engine: &BackendId,
     path: &str,
 ) -> Result<HealthResponse, CallError> {
-    let request = health_request(engine, path)
+    let address = begin_call(shared, engine, CallKind::HealthCheck)?;
+    let request = health_request(address, path)
         .ok_or_else(|| call_error("the health check path is not a valid URI"))?;
-    let response = fetch_head(shared, engine, HEALTH_TIMEOUT, request, Bytes::new()).await?;
+    let response = fetch_head(shared, address, HEALTH_TIMEOUT, request, Bytes::new()).await?;
     Ok(HealthResponse {
         health: Health::from(&response),
         server: responding_server(&response),
@@ -119,13 +164,13 @@
 /// Sends a request and returns the head of the response. The body is not read.
 async fn fetch_head(
     shared: &SharedState,
-    engine: SocketAddr,
+    address: SocketAddr,
     limit: Duration,
     head: RequestHead,
     body: Bytes,
 ) -> Result<ResponseHead, CallError> {
     let call = async {
-        let connected = ClientConn::connect(engine, limit, &shared.codec).await;
+        let connected = ClientConn::connect(address, limit, &shared.codec).await;
         let mut conn = connected.map_err(call_error)?;
         conn.queue(head, body).map_err(call_error)?;
         conn.read_head().await.map_err(call_error)
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -51,12 +51,10 @@
     }
     let now = shared.now();
     let alive = match shared.fleet.borrow().get(&id) {
-        Some(member) => member.is_recently_alive(now).then_some(member.backend.address),
+        Some(member) => member.is_recently_alive(now),
         None => return,
     };
-    if let Some(address) = alive
-        && let Ok(report) = fetch_report(&shared, address, BUSY_CHECK_TIMEOUT).await
-    {
+    if alive && let Ok(report) = fetch_report(&shared, &id, BUSY_CHECK_TIMEOUT).await {
         record_report(&shared, &id, &report);
         if report.busy {
             return info!("engines: backend={} is carrying out an order, not down", id);
@@ -79,11 +77,11 @@
     if shared.is_paused(id) {
         return None;
     }
-    let address = shared.fleet.borrow().get(id)?.backend.address;
+    shared.fleet.borrow().get(id)?;
     if !shared.report_requests.borrow_mut().insert(id.clone()) {
         return None;
     }
-    let fetched = fetch_report(shared, address, REPORT_TIMEOUT).await;
+    let fetched = fetch_report(shared, id, REPORT_TIMEOUT).await;
     shared.report_requests.borrow_mut().remove(id);
     match fetched {
         Ok(report) => {
@@ -150,11 +148,11 @@
 /// Fetches the report of an engine that is marked as down, and marks it as up if
 /// that succeeds. Returns whether it does.
 pub(super) async fn check_recovery(shared: &SharedState, id: &BackendId) -> bool {
-    let address = match shared.fleet.borrow().get(id) {
-        Some(member) if member.is_down() && !shared.is_paused(id) => member.backend.address,
-        _ => return false,
-    };
-    let Ok(report) = fetch_report(shared, address, REPORT_TIMEOUT).await else { return false };
+    let down = shared.fleet.borrow().get(id).is_some_and(Member::is_down);
+    if !down || shared.is_paused(id) {
+        return false;
+    }
+    let Ok(report) = fetch_report(shared, id, REPORT_TIMEOUT).await else { return false };
     record_report(shared, id, &report);
     let changed = shared.set_up(id);
     if changed {
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -70,7 +70,7 @@
     let table = shared.routing_table()?;
     let pool = table.pools.get(&server.pool)?;
     shared.record_send(id);
-    let response = check_health(shared, server.address, &pool.health_path).await.ok()?;
+    let response = check_health(shared, id, &pool.health_path).await.ok()?;
     if response.server.as_ref().is_none_or(|responding| responding == id) {
         shared.apply_signals(id, response.signals, ResponseSource::Entry);
     }
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -10,9 +10,8 @@
 use futures::future::join_all;
 use spdlog::info;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
-use super::calls::{CALL_TIMEOUT, fetch_report_on};
+use super::calls::fetch_report_on;
 use super::diagnose::{record_report, report_down};
 use crate::shared::SharedState;
 
@@ -57,7 +56,7 @@
     shared.connection_probes.borrow_mut().remove(&id);
     let result = match connected {
         Ok(conn) => {
-            refresh_slowdown(shared, &id, conn, address);
+            refresh_slowdown(shared, &id, conn);
             ProbeResult::Connected
         }
         Err(ConnectError::Refused { .. }) => ProbeResult::Refused,
@@ -85,12 +84,7 @@
 
 /// Fetches a stale slowdown factor again on a new connection, because an engine that
 /// accepts connections may be slow rather than down.
-fn refresh_slowdown(
-    shared: &Rc<SharedState>,
-    id: &BackendId,
-    conn: ClientConn,
-    address: SocketAddr,
-) {
+fn refresh_slowdown(shared: &Rc<SharedState>, id: &BackendId, conn: ClientConn) {
     let now = shared.now();
     let fleet = shared.fleet.borrow();
     let Some(member) = fleet.get(id) else { return };
@@ -101,7 +95,7 @@
     spawn_local(async move {
         // A missing report has no consequence here: if the engine has failed, the
         // engines that wait on its output report it as stalled.
-        if let Ok(Ok(report)) = timeout(CALL_TIMEOUT, fetch_report_on(conn, address)).await {
+        if let Ok(report) = fetch_report_on(&shared, conn, &id).await {
             record_report(&shared, &id, &report);
         }
     });
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -113,15 +112,9 @@
         if self.shared.is_paused(&assignment.id) {
             return;
         }
-        let fleet = self.shared.fleet.borrow();
-        let Some(address) = fleet.get(&assignment.id).map(|member| member.backend.address) else {
-            return;
-        };
-        drop(fleet);
         self.pending.borrow_mut().insert(assignment.id.clone(), assignment.layers);
         let load_timeout = load_timeout(engine, assignment.layers);
-        let task =
-            OrderTask { shared: Rc::clone(&self.shared), assignment, address, fence, load_timeout };
+        let task = OrderTask { shared: Rc::clone(&self.shared), assignment, fence, load_timeout };
         let pending = Rc::clone(&self.pending);
         spawn_local(async move {
             task.run().await;
@@ -139,7 +132,6 @@
 struct OrderTask {
     shared: Rc<SharedState>,
     assignment: Assignment,
-    address: SocketAddr,
     fence: FencingNumber,
     load_timeout: Duration,
 }
@@ -177,7 +169,7 @@
             fence: self.fence,
             evict: self.assignment.urgent && self.assignment.replaces,
         };
-        let response = place_layers(&self.shared, self.address, &order).await;
+        let response = place_layers(&self.shared, &self.assignment.id, &order).await;
         info!(
             "planner: order backend={} layers={} after_orders={} fence={} urgent={} answer={:?}",
             self.assignment.id,
@@ -213,7 +205,7 @@
     }
 
     async fn fetch_report(&self) -> Option<EngineReport> {
-        match fetch_report(&self.shared, self.address, CALL_TIMEOUT).await {
+        match fetch_report(&self.shared, &self.assignment.id, CALL_TIMEOUT).await {
             Ok(report) => Some(report),
             Err(error) => {
                 warn!("planner: backend={} report request failed: {}", self.assignment.id, error);
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -29,6 +29,7 @@
     quarantine_probes: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
+    engine_calls: Counter<u64>,
     malformed_messages: Counter<u64>,
     malformed_signals: Counter<u64>,
     over_share: Counter<u64>,
@@ -100,6 +101,10 @@
                 "direct_requests_over_share",
                 "Requests that arrived beyond the share of their workspace in scarce capacity",
             ),
+            engine_calls: counter(
+                "direct_engine_calls",
+                "Reports requested, orders and health checks, by whether the engine was paused",
+            ),
             malformed_signals: counter(
                 "direct_malformed_signals",
                 "Headers of backend servers that could not be read, by signal",
@@ -207,6 +212,12 @@
         self.store_failures.add(1, &[KeyValue::new("table", table)]);
     }
 
+    /// Counts a call to an engine that is no request of a caller, and whether the engine
+    /// had asked to be left alone.
+    pub(crate) fn count_engine_call(&self, call: &'static str, paused: bool) {
+        self.engine_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("paused", paused)]);
+    }
+
     /// Counts a header of a backend server that could not be read.
     pub(crate) fn count_malformed_signal(&self, signal: &'static str) {
         self.malformed_signals.add(1, &[KeyValue::new("signal", signal)]);
--- a/crates/direct/src/streams/repath.rs
+++ b/crates/direct/src/streams/repath.rs
@@ -32,7 +32,7 @@
         return false;
     };
     let order = RepathOrder { request_id: ctx.req.id.clone(), path: rerouted.path.clone() };
-    let response = change_path(shared, rerouted.address, &order).await;
+    let response = change_path(shared, &rerouted.first, &order).await;
     info!(
         "stream: id={} repath away from backend={} answer={:?} silent_ms={} path={}",
         ctx.req.id,
