--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -87,6 +87,10 @@
     pub extra_headers: Rc<RefCell<Vec<(&'static str, &'static str)>>>,
     /// When it received requests of callers and health checks.
     pub arrivals: Rc<RefCell<Vec<Instant>>>,
+    /// Whether it refuses orders and requests for its report.
+    pub refuses_control: Rc<Cell<bool>>,
+    /// When it received orders and requests for its report.
+    pub control_calls: Rc<RefCell<Vec<Instant>>>,
     /// Body of the requests that crash it when it begins to run them.
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
     /// Part of a prompt on which it crashes inside the first event of the response.
@@ -167,6 +171,8 @@
             holds_refused: Rc::default(),
             extra_headers: Rc::default(),
             arrivals: Rc::default(),
+            refuses_control: Rc::default(),
+            control_calls: Rc::default(),
             crashes_on: Rc::default(),
             crashes_on_part: Rc::default(),
             close_delimited_streams: Rc::default(),
@@ -330,15 +336,16 @@
                     .set(self.received_while_unresponsive.get() || !is_health_check);
                 sleep(Duration::from_mins(1)).await;
             }
-            if !request.head.uri.path().starts_with("/-/") {
-                self.arrivals.borrow_mut().push(Instant::now());
-            }
+            let is_control = request.head.uri.path().starts_with("/-/");
+            let received = if is_control { &self.control_calls } else { &self.arrivals };
+            received.borrow_mut().push(Instant::now());
             if self.crashes_on.get().is_some_and(|body| request.body == body.as_bytes()) {
                 self.record_run(&request);
                 self.record_crash_by(&request);
                 return self.crash_in_style().await;
             }
             let keep_alive = match request.head.uri.path() {
+                _ if is_control && self.refuses_control.get() => self.refuse(&mut conn).await,
                 "/-/report" => self.send_json(&mut conn, 200, &self.report()).await,
                 "/health" => self.handle_health(&mut conn).await,
                 "/-/order" => self.handle_order(&mut conn, &request).await,
--- a/crates/direct/tests/server_signals.rs
+++ b/crates/direct/tests/server_signals.rs
@@ -7,9 +7,15 @@
 
 use actix_rt::test;
 use common::{Backend, Behaviour, send_request, start_configured_store, start_entry, wait_until};
-use tokio::time::sleep;
+use futures::future::join_all;
+use tokio::time::{Instant, sleep};
 
 const LAYERS: u32 = 12;
+/// Time for which engines ask to be left alone.
+const RETRY_DELAY: Duration = Duration::from_secs(3);
+const RETRY_DELAY_HEADER: (&str, &str) = ("retry-after", "3");
+/// Time after such a response for which calls may still arrive.
+const CALL_GRACE: Duration = Duration::from_millis(500);
 /// Time in which entries tell each other what a server has said.
 const EXCHANGE_TIME: Duration = Duration::from_millis(600);
 
@@ -99,3 +105,70 @@
     }
     assert_eq!(server.arrivals.borrow().len(), 1, "only the request that was answered");
 }
+
+/// Guards against orders to engines that have asked to be left alone: streams that lose
+/// another engine of their path must not ask their first one to change it.
+#[test]
+async fn engine_that_names_a_retry_delay_gets_no_orders_to_change_paths() {
+    let store = start_configured_store(LAYERS).await;
+    let mut engines = Vec::new();
+    for n in 0..5 {
+        engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
+    }
+    let entry = start_entry("one", &store).await;
+    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
+    sleep(EXCHANGE_TIME).await;
+    let streams =
+        join_all((0..8).map(|_| send_request(entry.callers, "POST", "/stream/x", "prompt")));
+    let has_run = |engine: &&Backend| !engine.run_paths.borrow().is_empty();
+    let lose_engine = async {
+        let runs = || engines.iter().map(|e| e.run_paths.borrow().len()).sum::<usize>();
+        wait_until("the streams run", async || runs() == 8).await;
+        let crashing = engines.iter().find(|e| !has_run(e)).expect("an engine that is not first");
+        for engine in engines.iter().filter(has_run) {
+            engine.waiting_on.set(Some(crashing.address));
+            engine.refuses_streams.set(true);
+            engine.extra_headers.replace(vec![RETRY_DELAY_HEADER]);
+        }
+        let refused = send_request(entry.callers, "POST", "/stream/x", "prompt").await;
+        assert_eq!(refused.status, 503, "all first engines refuse");
+        let paused_at = Instant::now();
+        sleep(CALL_GRACE).await;
+        crashing.crash();
+        sleep(Duration::from_millis(1_500)).await;
+        paused_at
+    };
+    let (_, paused_at) = tokio::join!(streams, lose_engine);
+    for engine in engines.iter().filter(has_run) {
+        let count = control_calls_in_delay(engine, paused_at);
+        assert_eq!(count, 0, "calls to {} while it is to be left alone", engine.id);
+    }
+}
+
+/// Number of orders and requests for its report that an engine received while it was to
+/// be left alone.
+fn control_calls_in_delay(engine: &Backend, refused_at: Instant) -> usize {
+    let delay = refused_at + CALL_GRACE..refused_at + RETRY_DELAY;
+    engine.control_calls.borrow().iter().filter(|at| delay.contains(at)).count()
+}
+
+/// Guards against orders to engines that have refused one and asked to be left alone.
+#[test]
+async fn engine_that_refuses_control_calls_for_some_time_gets_none_until_then() {
+    /// Calls that the platform tolerates in the time.
+    const MAX_CALLS: usize = 2;
+    let store = start_configured_store(LAYERS).await;
+    let engine = Backend::start("engine-0", "model", &store).await;
+    engine.refuses_control.set(true);
+    engine.extra_headers.replace(vec![RETRY_DELAY_HEADER]);
+    let _entry = start_entry("one", &store).await;
+    wait_until("the planner calls the engine", async || !engine.control_calls.borrow().is_empty())
+        .await;
+    let refused_at = engine.control_calls.borrow()[0];
+    sleep(RETRY_DELAY).await;
+    let count = control_calls_in_delay(&engine, refused_at);
+    assert!(count <= MAX_CALLS, "{count} calls while the engine is to be left alone");
+    engine.refuses_control.set(false);
+    engine.extra_headers.replace(Vec::new());
+    wait_until("the engine hosts layers", async || engine.holds_layers()).await;
+}
