Calls to a server ask first whether it wants to be left alone, and hear each response

An engine that answered an order with 503 and Retry-After got the same order and a request for its report again every 0.7 s: 12 calls in its 3 s of rest. Retry-After, Server-Leaving and limits were read in responses to callers' requests and health checks only, and each caller of an engine had its own check of the delay; a repeated order had none. All calls go through one function now that refuses those to an engine in its delay, and the signals of every response are applied. An engine that refuses a report in this way is not down.

--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::{RequestHead, ResponseHead};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use clementine_decide::ids::BackendId;
-use clementine_decide::signals::ResponseSignals;
+use clementine_decide::signals::ResponseSource;
 use clementine_http1::ClientConn;
 use clementine_platform::engines::{
     EngineReport, Health, OrderResponse, PlaceOrder, RepathOrder, health_request, report_request,
@@ -34,6 +34,8 @@
 pub(crate) enum CallError {
     #[snafu(display("the engine is not listed"))]
     Unlisted,
+    #[snafu(display("the engine has asked to be left alone"))]
+    Paused,
     #[snafu(display("{reason}"))]
     Failed { reason: CompactString },
 }
@@ -61,7 +63,8 @@
     }
 }
 
-/// Begins a call to an engine: counts it, and returns the engine's address.
+/// Begins a call to an engine: counts it, and returns the engine's address. Fails if
+/// the engine has asked to be left alone.
 fn begin_call(
     shared: &SharedState,
     engine: &BackendId,
@@ -71,8 +74,18 @@
         Some(member) => member.backend.address,
         None => return UnlistedSnafu.fail(),
     };
-    shared.metrics.count_engine_call(kind.name(), shared.is_paused(engine));
-    Ok(address)
+    let paused = shared.is_paused(engine);
+    shared.metrics.count_engine_call(kind.name(), paused);
+    if paused { PausedSnafu.fail() } else { Ok(address) }
+}
+
+/// Applies what an engine says in any response, unless the response is that of another
+/// server.
+fn apply_signals(shared: &SharedState, engine: &BackendId, response: &ResponseHead) {
+    let other = responding_server(response).is_some_and(|server| server != *engine);
+    if !other && response.status != StatusCode::MISDIRECTED_REQUEST {
+        shared.apply_signals(engine, response_signals(response), ResponseSource::Entry);
+    }
 }
 
 /// Fetches an engine's report over a new connection.
@@ -84,7 +97,7 @@
     let address = begin_call(shared, engine, CallKind::Report)?;
     let call = async {
         let connected = ClientConn::connect(address, limit, &shared.codec).await;
-        read_report(connected.map_err(call_error)?, address).await
+        read_report(shared, connected.map_err(call_error)?, engine, address).await
     };
     timeout(limit, call).await.map_err(call_error)?
 }
@@ -96,12 +109,19 @@
     engine: &BackendId,
 ) -> Result<EngineReport, CallError> {
     let address = begin_call(shared, engine, CallKind::Report)?;
-    timeout(CALL_TIMEOUT, read_report(conn, address)).await.map_err(call_error)?
+    let call = read_report(shared, conn, engine, address);
+    timeout(CALL_TIMEOUT, call).await.map_err(call_error)?
 }
 
-async fn read_report(mut conn: ClientConn, address: SocketAddr) -> Result<EngineReport, CallError> {
+async fn read_report(
+    shared: &SharedState,
+    mut conn: ClientConn,
+    engine: &BackendId,
+    address: SocketAddr,
+) -> Result<EngineReport, CallError> {
     conn.queue(report_request(address), Bytes::new()).map_err(call_error)?;
-    conn.read_head().await.map_err(call_error)?;
+    let head = conn.read_head().await.map_err(call_error)?;
+    apply_signals(shared, engine, &head);
     let body = conn.read_body(MAX_REPORT_BYTES).await.map_err(call_error)?;
     EngineReport::decode(&body).map_err(call_error)
 }
@@ -113,7 +133,7 @@
     order: &PlaceOrder,
 ) -> Result<OrderResponse, CallError> {
     let address = begin_call(shared, engine, CallKind::Order)?;
-    send_order(shared, address, order.request(address).map_err(call_error)?).await
+    send_order(shared, engine, address, order.request(address).map_err(call_error)?).await
 }
 
 /// Orders the first engine of a run's path to move the run to another path.
@@ -123,15 +143,16 @@
     order: &RepathOrder,
 ) -> Result<OrderResponse, CallError> {
     let address = begin_call(shared, engine, CallKind::Order)?;
-    send_order(shared, address, order.request(address).map_err(call_error)?).await
+    send_order(shared, engine, address, order.request(address).map_err(call_error)?).await
 }
 
 async fn send_order(
     shared: &SharedState,
+    engine: &BackendId,
     address: SocketAddr,
     (head, body): (RequestHead, Bytes),
 ) -> Result<OrderResponse, CallError> {
-    let response = fetch_head(shared, address, ORDER_TIMEOUT, head, body).await?;
+    let response = fetch_head(shared, engine, address, ORDER_TIMEOUT, head, body).await?;
     Ok(OrderResponse::from(response.status))
 }
 
@@ -141,7 +162,6 @@
     pub(super) health: Health,
     /// Id by which the server identifies itself.
     pub(super) server: Option<BackendId>,
-    pub(super) signals: ResponseSignals,
 }
 
 /// Checks a server's health at the path that the configuration sets.
@@ -153,17 +173,15 @@
     let address = begin_call(shared, engine, CallKind::HealthCheck)?;
     let request = health_request(address, path)
         .ok_or_else(|| call_error("the health check path is not a valid URI"))?;
-    let response = fetch_head(shared, address, HEALTH_TIMEOUT, request, Bytes::new()).await?;
-    Ok(HealthResponse {
-        health: Health::from(&response),
-        server: responding_server(&response),
-        signals: response_signals(&response),
-    })
+    let response =
+        fetch_head(shared, engine, address, HEALTH_TIMEOUT, request, Bytes::new()).await?;
+    Ok(HealthResponse { health: Health::from(&response), server: responding_server(&response) })
 }
 
 /// Sends a request and returns the head of the response. The body is not read.
 async fn fetch_head(
     shared: &SharedState,
+    engine: &BackendId,
     address: SocketAddr,
     limit: Duration,
     head: RequestHead,
@@ -175,5 +193,7 @@
         conn.queue(head, body).map_err(call_error)?;
         conn.read_head().await.map_err(call_error)
     };
-    timeout(limit, call).await.map_err(call_error)?
+    let response = timeout(limit, call).await.map_err(call_error)??;
+    apply_signals(shared, engine, &response);
+    Ok(response)
 }
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -54,10 +54,17 @@
         Some(member) => member.is_recently_alive(now),
         None => return,
     };
-    if alive && let Ok(report) = fetch_report(&shared, &id, BUSY_CHECK_TIMEOUT).await {
-        record_report(&shared, &id, &report);
-        if report.busy {
-            return info!("engines: backend={} is carrying out an order, not down", id);
+    if alive {
+        match fetch_report(&shared, &id, BUSY_CHECK_TIMEOUT).await {
+            Ok(report) => {
+                record_report(&shared, &id, &report);
+                if report.busy {
+                    return info!("engines: backend={} is carrying out an order, not down", id);
+                }
+            }
+            // An engine that refuses the report is not down.
+            Err(_) if shared.is_paused(&id) => return,
+            Err(_) => {}
         }
     }
     report_down(&shared, &id, "stalled-run");
@@ -74,9 +81,6 @@
 /// Returns `None` also while another task does the same, or if the engine has asked
 /// to be left alone.
 async fn check_report(shared: &Rc<SharedState>, id: &BackendId) -> Option<EngineReport> {
-    if shared.is_paused(id) {
-        return None;
-    }
     shared.fleet.borrow().get(id)?;
     if !shared.report_requests.borrow_mut().insert(id.clone()) {
         return None;
@@ -90,6 +94,9 @@
         }
         Err(error) => {
             info!("engines: backend={} report request failed: {}", id, error);
+            if shared.is_paused(id) {
+                return None;
+            }
             mark_down(shared, id, "no-report");
             None
         }
@@ -149,7 +156,7 @@
 /// that succeeds. Returns whether it does.
 pub(super) async fn check_recovery(shared: &SharedState, id: &BackendId) -> bool {
     let down = shared.fleet.borrow().get(id).is_some_and(Member::is_down);
-    if !down || shared.is_paused(id) {
+    if !down {
         return false;
     }
     let Ok(report) = fetch_report(shared, id, REPORT_TIMEOUT).await else { return false };
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -6,7 +6,6 @@
 
 use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
-use clementine_decide::signals::ResponseSource;
 use clementine_platform::engines::Health;
 use spdlog::info;
 use tokio::time::sleep;
@@ -63,16 +62,9 @@
 /// A server's response to a health check, or `None` if the check fails or the
 /// server has asked to be left alone.
 async fn health_response(shared: &SharedState, id: &BackendId) -> Option<HealthResponse> {
-    if shared.is_paused(id) {
-        return None;
-    }
-    let server = shared.fleet.borrow().get(id).map(|member| member.backend.clone())?;
+    let pool = shared.fleet.borrow().get(id)?.backend.pool.clone();
     let table = shared.routing_table()?;
-    let pool = table.pools.get(&server.pool)?;
+    let path = &table.pools.get(&pool)?.health_path;
     shared.record_send(id);
-    let response = check_health(shared, id, &pool.health_path).await.ok()?;
-    if response.server.as_ref().is_none_or(|responding| responding == id) {
-        shared.apply_signals(id, response.signals, ResponseSource::Entry);
-    }
-    Some(response)
+    check_health(shared, id, path).await.ok()
 }
--- a/crates/direct/src/engines/probe.rs
+++ b/crates/direct/src/engines/probe.rs
@@ -88,7 +88,7 @@
     let now = shared.now();
     let fleet = shared.fleet.borrow();
     let Some(member) = fleet.get(id) else { return };
-    if !member.is_slowdown_stale(now) || member.signals.is_paused(now) {
+    if !member.is_slowdown_stale(now) {
         return;
     }
     let (shared, id) = (Rc::clone(shared), id.clone());
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -103,7 +103,7 @@
             ),
             engine_calls: counter(
                 "direct_engine_calls",
-                "Reports requested, orders and health checks, by whether the engine was paused",
+                "Reports, orders and health checks; those for engines that are paused are not sent",
             ),
             malformed_signals: counter(
                 "direct_malformed_signals",
