The placement of thousands of engines no longer outlasts the planner's lease

Computing the placement took all of that time: for each spare engine and each first layer all engines of the domain were gone through, layer by layer, and that every 200 ms, also while no order could be sent. Orders decided before the lease had run out are rightly not sent; that check stays.

--- a/crates/decide/src/placement/plan.rs
+++ b/crates/decide/src/placement/plan.rs
@@ -15,8 +15,9 @@
 /// bandwidth, so each domain whose engines can hold the model gets its own copy.
 /// The engines of all other domains share one. An engine keeps its layers unless
 /// it is needed for layers that no engine holds. Urgent assignments come first,
-/// in ascending order of layers within each group of engines.
-pub fn plan_layers(layers: u32, hosts: &[LayerHost]) -> Vec<Assignment> {
+/// in ascending order of layers within each group of engines. At most `max`
+/// assignments are returned; the others are not computed.
+pub fn plan_layers(layers: u32, hosts: &[LayerHost], max: usize) -> Vec<Assignment> {
     let mut domains: BTreeMap<&DomainId, Vec<&LayerHost>> = BTreeMap::new();
     for host in hosts.iter().filter(|host| host.max_layers > 0) {
         domains.entry(&host.domain).or_default().push(host);
@@ -26,13 +27,14 @@
     for group in domains.into_values() {
         let capacity: u32 = group.iter().map(|host| host.max_layers).sum();
         if capacity >= layers {
-            assignments.extend(GroupPlanner::new(layers, &group).plan());
+            assignments.extend(GroupPlanner::new(layers, &group).plan(max));
         } else {
             remaining.extend(group);
         }
     }
-    assignments.extend(GroupPlanner::new(layers, &remaining).plan());
+    assignments.extend(GroupPlanner::new(layers, &remaining).plan(max));
     assignments.sort_by_key(|assignment| !assignment.urgent);
+    assignments.truncate(max);
     assignments
 }
 
@@ -44,12 +46,8 @@
     unassigned: Vec<&'a LayerHost>,
     /// Engines that have layers loaded.
     loaded: Vec<(&'a LayerHost, LayerRange)>,
-    /// Layer ranges assigned so far.
-    assigned: Vec<LayerRange>,
-    /// Number of engines per layer.
-    copies: Vec<u32>,
-    /// Total KV cache capacity per layer, in tokens.
-    context_tokens: Vec<f64>,
+    /// Layers that are loaded or assigned.
+    coverage: LayerCoverage,
     assignments: Vec<Assignment>,
 }
 
@@ -60,63 +58,29 @@
         unassigned.sort_by(|a, b| b.max_layers.cmp(&a.max_layers).then_with(|| a.id.cmp(&b.id)));
         let loaded: Vec<_> =
             group.iter().filter_map(|host| host.layers.map(|range| (*host, range))).collect();
-        let mut planner = Self {
-            layers,
-            unassigned,
-            loaded,
-            assigned: Vec::new(),
-            copies: vec![0; layers as usize],
-            context_tokens: vec![0.0; layers as usize],
-            assignments: Vec::new(),
-        };
-        for (host, range) in planner.loaded.clone() {
-            planner.add_coverage(range, host.context_tokens);
+        let mut coverage = LayerCoverage::new(layers);
+        for (host, range) in &loaded {
+            coverage.add(*range, host.context_tokens);
         }
-        planner
+        Self { layers, unassigned, loaded, coverage, assignments: Vec::new() }
     }
 
-    fn plan(mut self) -> Vec<Assignment> {
+    /// Plans the assignments that cover the model, and at most `max_spares` others.
+    fn plan(mut self, max_spares: usize) -> Vec<Assignment> {
         let mut search_from = 0;
-        while let Some((first, count)) = self.first_gap(search_from) {
+        while let Some((first, count)) = self.coverage.first_gap(search_from) {
             match self.take_host_for_gap(count) {
                 Some(host) => self.assign(host, first, true),
                 None => search_from = first + count,
             }
         }
-        while !self.unassigned.is_empty() {
-            let host = self.unassigned.remove(0);
-            let first = self.first_layer_for_spare(host.max_layers);
+        for host in std::mem::take(&mut self.unassigned).into_iter().take(max_spares) {
+            let first = self.coverage.first_layer_for_spare(host.max_layers);
             self.assign(host, first, false);
         }
         self.assignments
     }
 
-    fn add_coverage(&mut self, range: LayerRange, context_tokens: f64) {
-        for layer in range.first()..range.end().min(self.layers) {
-            self.copies[layer as usize] += 1;
-            self.context_tokens[layer as usize] += context_tokens;
-        }
-    }
-
-    fn remove_coverage(&mut self, range: LayerRange, context_tokens: f64) {
-        for layer in range.first()..range.end().min(self.layers) {
-            self.copies[layer as usize] -= 1;
-            self.context_tokens[layer as usize] -= context_tokens;
-        }
-    }
-
-    /// First gap in the coverage at or after a layer, as its first layer and its
-    /// length.
-    fn first_gap(&self, search_from: u32) -> Option<(u32, u32)> {
-        let copies = self.copies.iter().skip(search_from as usize);
-        let first = search_from as usize + copies.take_while(|copies| **copies > 0).count();
-        if first >= self.copies.len() {
-            return None;
-        }
-        let count = self.copies[first..].iter().take_while(|copies| **copies == 0).count();
-        Some((first as u32, count as u32))
-    }
-
     /// Takes the smallest engine that can cover a gap alone, or else the largest
     /// one. Engines without layers are preferred; otherwise an engine is taken
     /// whose layers all have another copy.
@@ -124,42 +88,25 @@
         if let Some(index) = best_fit(self.unassigned.iter().map(|host| host.max_layers), count) {
             return Some(self.unassigned.remove(index));
         }
-        let is_available =
-            |(host, range): &(&LayerHost, LayerRange)| !host.loading && self.is_redundant(*range);
+        let is_available = |(host, range): &(&LayerHost, LayerRange)| {
+            !host.loading && self.coverage.is_redundant(*range)
+        };
         let available: Vec<usize> =
             (0..self.loaded.len()).filter(|index| is_available(&self.loaded[*index])).collect();
         let capacities = available.iter().map(|index| self.loaded[*index].0.max_layers);
         let best = best_fit(capacities, count)?;
         let (host, range) = self.loaded.remove(available[best]);
-        self.remove_coverage(range, host.context_tokens);
+        self.coverage.remove(range, host.context_tokens);
         Some(host)
     }
 
-    /// Whether all layers of a range have more than one copy.
-    fn is_redundant(&self, range: LayerRange) -> bool {
-        let end = range.end().min(self.layers);
-        (range.first()..end).all(|layer| self.copies[layer as usize] > 1)
-    }
-
-    fn first_layer_for_spare(&self, width: u32) -> u32 {
-        let loaded = self.loaded.iter().map(|(_, range)| *range);
-        let ranges: Vec<LayerRange> = loaded.chain(self.assigned.iter().copied()).collect();
-        let coverage = LayerCoverage {
-            copies: &self.copies,
-            context_tokens: &self.context_tokens,
-            ranges: &ranges,
-        };
-        coverage.first_layer_for_spare(width)
-    }
-
     /// Assigns as many layers as fit on an engine, beginning with `first` or, near
     /// the end of the model, with an earlier layer.
     fn assign(&mut self, host: &LayerHost, first: u32, urgent: bool) {
         let width = host.max_layers.min(self.layers);
         let first = first.min(self.layers - width);
         let Some(layers) = LayerRange::half_open(first, first + width) else { return };
-        self.add_coverage(layers, host.context_tokens);
-        self.assigned.push(layers);
+        self.coverage.add(layers, host.context_tokens);
         let replaces = host.layers.is_some();
         self.assignments.push(Assignment { id: host.id.clone(), layers, replaces, urgent });
     }
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use clementine_decide::ids::Tick;
+use clementine_decide::lease::LeaseLimits;
 use clementine_decide::placement::{LayerHost, ListStabilizer, plan_layers};
 use clementine_objects::LayerRange;
 use engine_fixtures::{LAYERS, hosts, range, spec};
@@ -13,7 +14,7 @@
 
 /// Applies all assignments of a plan and returns their number.
 fn apply_plan(hosts: &mut [LayerHost]) -> usize {
-    let assignments = plan_layers(LAYERS, hosts);
+    let assignments = plan_layers(LAYERS, hosts, usize::MAX);
     for assignment in &assignments {
         let host = hosts.iter_mut().find(|h| h.id == assignment.id).expect("a known engine");
         host.layers = Some(assignment.layers);
@@ -21,6 +22,31 @@
     assignments.len()
 }
 
+/// Engines of three accelerator types in three failure domains, without layers.
+fn large_fleet(count: u32) -> Vec<LayerHost> {
+    const DOMAINS: [&str; 3] = ["a", "b", "c"];
+    const MAX_LAYERS: [u32; 3] = [20, 12, 8];
+    let engine = |n: u32| LayerHost {
+        id: format!("e-{n:04}").as_str().into(),
+        domain: DOMAINS[n as usize % 3].into(),
+        max_layers: MAX_LAYERS[n as usize / 3 % 3],
+        context_tokens: 40_000.0 + f64::from(n % 7) * 1_000.0,
+        layers: None,
+        loading: false,
+    };
+    (0..count).map(engine).collect()
+}
+
+/// Guards against a planner that loses its lease while it computes the placement.
+#[test]
+fn placement_of_three_thousand_engines_takes_less_time_than_the_lease_is_valid() {
+    let engines = large_fleet(3_000);
+    let started = std::time::Instant::now();
+    plan_layers(80, &engines, usize::MAX);
+    let limit = LeaseLimits::default().valid_for.duration();
+    assert!(started.elapsed() < limit, "{:?}", started.elapsed());
+}
+
 fn domain_is_covered(hosts: &[LayerHost], domain: &str) -> bool {
     let held = || hosts.iter().filter(|h| h.domain.as_str() == domain).filter_map(|h| h.layers);
     (0..LAYERS).all(|layer| held().any(|range| range.contains(layer)))
@@ -73,7 +99,7 @@
     apply_plan(&mut engines);
     engines.remove(0);
     engines[0].layers = None;
-    let assignments = plan_layers(LAYERS, &engines);
+    let assignments = plan_layers(LAYERS, &engines, usize::MAX);
     let order: Vec<bool> = assignments.iter().map(|assignment| assignment.urgent).collect();
     let mut sorted = order.clone();
     sorted.sort_by_key(|urgent| !urgent);
@@ -207,9 +233,9 @@
 #[test]
 fn loading_engine_gets_no_assignment() {
     let mut engines = [host(0, 4, range(0, 4)), host(1, 4, range(0, 4)), host(2, 7, range(5, 12))];
-    assert_eq!(plan_layers(12, &engines).len(), 1);
+    assert_eq!(plan_layers(12, &engines, usize::MAX).len(), 1);
     for engine in &mut engines {
         engine.loading = true;
     }
-    assert_eq!(plan_layers(12, &engines), []);
+    assert_eq!(plan_layers(12, &engines, usize::MAX), []);
 }
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -61,14 +61,17 @@
     }
 
     fn dispatch_pool(&mut self, pool: &PoolId, engine: &Rc<EngineSpec>, fence: FencingNumber) {
+        let max_pending = engine.max_concurrent_loads.max(1) as usize;
+        let allowed = max_pending.saturating_sub(self.pending.borrow().len());
+        if allowed == 0 {
+            return;
+        }
         let hosts = self.layer_hosts(pool, engine);
         let stabilizer = self.stabilizers.entry(pool.clone()).or_default();
         if !stabilizer.is_stable(engine.layers, &hosts, self.shared.now()) {
             return;
         }
-        let max_pending = engine.max_concurrent_loads.max(1) as usize;
-        let allowed = max_pending.saturating_sub(self.pending.borrow().len());
-        for assignment in plan_layers(engine.layers, &hosts).into_iter().take(allowed) {
+        for assignment in plan_layers(engine.layers, &hosts, allowed) {
             self.start(assignment, engine, fence);
         }
     }
