Log lines of requests name the workspace; one interval for rate-limited lines

Lines about requests over their share, and those about limits in entries with agents, had an interval of their own each; LogInterval serves all of them and counts what it holds back.

--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -126,9 +126,11 @@
 ) {
     shared.metrics.count_request(&ctx.rule.name, outcome);
     info!(
-        "request: id={} route={} pool={} status={} outcome={} runs={} refused_sends={} after_ms={}",
+        "request: id={} route={} workspace={} pool={} status={} outcome={} runs={} \
+         refused_sends={} after_ms={}",
         ctx.req.id,
         ctx.rule.name,
+        ctx.workspace_name(),
         ctx.pool,
         status,
         outcome,
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -2,7 +2,6 @@
 
 mod capacity_wait;
 mod dump;
-mod log_interval;
 mod metrics;
 mod outbox;
 mod pool_queues;
@@ -19,7 +18,6 @@
 
 pub(crate) use capacity_wait::{promise_return, wait_for_capacity};
 pub(crate) use clementine_decide::peers::UrgentMessage;
-pub(crate) use log_interval::LogInterval;
 pub(crate) use metrics::DirectMetrics;
 pub(crate) use outbox::Outbox;
 pub(crate) use pool_run::PoolRun;
--- a/crates/direct/src/shared/request_context.rs
+++ b/crates/direct/src/shared/request_context.rs
@@ -71,6 +71,11 @@
         workspace.unwrap_or(self.rule.priority).min(LOWEST_PRIORITY)
     }
 
+    /// Name of the workspace in the log.
+    pub(crate) fn workspace_name(&self) -> &str {
+        self.workspace.as_ref().map_or("-", |workspace| workspace.id.as_str())
+    }
+
     /// The share of the pool's capacity that the request uses.
     pub(crate) fn share_key(&self) -> ShareKey {
         let workspace = WorkspaceHash::from(self.workspace_id());
--- a/crates/direct/src/shared/shares.rs
+++ b/crates/direct/src/shared/shares.rs
@@ -1,7 +1,6 @@
 //! Records the work of workspaces, from which their shares are derived.
 
 use clementine_decide::fleet::EngineSpec;
-use clementine_decide::ids::Tick;
 use clementine_decide::shares::{Standing, WorkCost};
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -24,16 +23,14 @@
             return;
         }
         self.metrics.count_over_share();
-        let is_recent = |at: Tick| now.since(at) < LOG_INTERVAL;
-        if self.shares_logged_at.get().is_some_and(is_recent) {
+        if self.shares_log.admit(now, LOG_INTERVAL).is_none() {
             return;
         }
-        self.shares_logged_at.set(Some(now));
         info!(
             "shares: id={} pool={} workspace={} over its share demand={:.0} admitted={:.0} share={:.0}",
             ctx.req.id,
             ctx.pool,
-            ctx.workspace.as_ref().map_or("-", |workspace| workspace.id.as_str()),
+            ctx.workspace_name(),
             summary.demand,
             summary.admitted,
             summary.share()
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -22,6 +22,7 @@
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
 use clementine_process::clock::{Clock, PauseWatch};
+use clementine_process::logging::LogInterval;
 use clementine_process::shutdown::Drain;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -30,7 +31,7 @@
 use tokio::time::Instant;
 
 use super::pool_queues::PoolQueues;
-use super::{DirectMetrics, LogInterval, Outbox, RateLimitedStore, RetryBudgets, TableSync};
+use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -88,8 +89,8 @@
     pub(crate) retry_budgets: RefCell<RetryBudgets>,
     /// Work of workspaces, and their shares while capacity is scarce.
     pub(crate) shares: RefCell<ShareLedger>,
-    /// When the last line about shares was logged.
-    pub(crate) shares_logged_at: Cell<Option<Tick>>,
+    /// Limits the lines about requests over their share.
+    pub(crate) shares_log: LogInterval,
     /// Limits the "no path" lines.
     pub(crate) no_path_log: LogInterval,
     /// Limits the lines about engines beyond the loss bound.
@@ -143,7 +144,7 @@
             queues: PoolQueues::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
             shares: RefCell::default(),
-            shares_logged_at: Cell::default(),
+            shares_log: LogInterval::default(),
             no_path_log: LogInterval::default(),
             loss_bound_log: LogInterval::default(),
             routing_table: RefCell::default(),
--- a/crates/entry/src/entry/state.rs
+++ b/crates/entry/src/entry/state.rs
@@ -5,13 +5,14 @@
 
 use awc::Client;
 use clementine_decide::config::LocalConfig;
-use clementine_decide::ids::{IncarnationId, Tick};
+use clementine_decide::ids::IncarnationId;
 use clementine_decide::limits::WorkspaceLimiter;
 use clementine_decide::quarantine::CrashLog;
 use clementine_decide::retry::{RetryBudget, RetryBudgetLimits};
 use clementine_net::Dialer;
 use clementine_process::admin::AdminProcess;
 use clementine_process::clock::{Clock, PauseWatch};
+use clementine_process::logging::LogInterval;
 use clementine_process::shutdown::Drain;
 use clementine_stores::{CallLimiter, CallLimits, DynamoTable, EndpointSlices, S3Objects};
 use opentelemetry::metrics::Meter;
@@ -53,8 +54,8 @@
     pub(crate) limit_boards: LimitBoards,
     /// Notified when a request of a workspace with limits has started.
     pub(crate) limit_used: Notify,
-    /// When the last refusal by a limit was logged.
-    pub(crate) limits_logged_at: Cell<Option<Tick>>,
+    /// Limits the lines about refusals by a limit.
+    pub(crate) limits_log: LogInterval,
     table_limiter: Rc<CallLimiter>,
     objects_limiter: Rc<CallLimiter>,
 }
@@ -88,7 +89,7 @@
             limiter: Rc::new(RefCell::new(WorkspaceLimiter::new(IncarnationId(rand::random())))),
             limit_boards: LimitBoards::new(Rc::clone(&dialer)),
             limit_used: Notify::new(),
-            limits_logged_at: Cell::default(),
+            limits_log: LogInterval::default(),
             fleet: Fleet::new(settings.subset, dialer),
             config: RefCell::default(),
             workspace_index: RefCell::default(),
--- a/crates/entry/src/limits/place.rs
+++ b/crates/entry/src/limits/place.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use clementine_decide::ids::{Tick, WorkspaceId};
+use clementine_decide::ids::WorkspaceId;
 use clementine_decide::limits::WorkspaceLimiter;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::shares::WorkspaceHash;
@@ -49,9 +49,7 @@
             return Ok(Some(Rc::new(LimitPlace { limiter, workspace: hash, clock: self.clock })));
         };
         self.metrics.count_limit_refusal(&refusal.limit.to_string());
-        let is_recent = |at: Tick| now.since(at) < LOG_INTERVAL;
-        if !self.limits_logged_at.get().is_some_and(is_recent) {
-            self.limits_logged_at.set(Some(now));
+        if self.limits_log.admit(now, LOG_INTERVAL).is_some() {
             info!("limits: workspace={} refused limit={}", workspace.name, refusal.limit);
         }
         let message = format!("the workspace exceeds its limit `{}`", refusal.limit);
--- a/crates/direct/src/shared/log_interval.rs
+++ b/crates/process/src/logging/interval.rs
@@ -7,7 +7,7 @@
 
 /// Admits one log line per interval and counts those in between.
 #[derive(Debug, Default)]
-pub(crate) struct LogInterval {
+pub struct LogInterval {
     logged_at: Cell<Option<Tick>>,
     suppressed: Cell<u64>,
 }
@@ -15,7 +15,7 @@
 impl LogInterval {
     /// Returns the number of lines suppressed since the last one if another line may
     /// be logged now.
-    pub(crate) fn admit(&self, now: Tick, interval: Millis) -> Option<u64> {
+    pub fn admit(&self, now: Tick, interval: Millis) -> Option<u64> {
         if self.logged_at.get().is_some_and(|at| now.since(at) < interval) {
             self.suppressed.set(self.suppressed.get() + 1);
             return None;
--- a/crates/process/src/logging/mod.rs
+++ b/crates/process/src/logging/mod.rs
@@ -2,7 +2,9 @@
 //! of the component that logs it.
 
 mod format;
+mod interval;
 mod start;
 
 pub use format::LogFormat;
+pub use interval::LogInterval;
 pub use start::{LogTarget, LoggingError, start_logging};
