Path search computes the free share of the engines once

It was computed for each of up to twelve tries of a search, the cost of a stage twice for engines that hold a prompt, and an engine's slowdown twice. The paths are the same (tests of paths pass).

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -303,8 +303,8 @@
         let context = f64::from(spec.typical_prompt_tokens) / TOKENS_PER_KILOTOKEN;
         let per_request = spec.step_ms_per_request + spec.step_ms_per_kilotoken * context;
         let step = spec.step_ms + per_request * running;
-        let factor = accelerator.step_factor * self.slowdown(now);
         let slowdown = self.slowdown(now);
+        let factor = accelerator.step_factor * slowdown;
         let prefill_ms = slowdown / spec.prefill_tokens_per_ms;
         Some(PathCandidate {
             id: self.backend.id.clone(),
--- a/crates/decide/src/paths/cost.rs
+++ b/crates/decide/src/paths/cost.rs
@@ -70,30 +70,32 @@
             has_context: true,
             can_be_first: layers.first() == 0,
             fixed: 0.0,
+            per_layer: self.search.decode_cost(&self.search.candidates[*candidate]),
             ..self.stage_option(*candidate, 1.0)
         });
-        let current = current.map(|option| StageOption {
-            per_layer: self.search.decode_cost(&self.search.candidates[option.candidate]),
-            ..option
-        });
+        let mut options: Vec<StageOption> = current.collect();
+        let new_from = options.len();
         let new = usable.iter().zip(factors);
-        let cached = new.clone().filter_map(|(index, factor)| self.cached_option(*index, *factor));
-        let new = new.map(|(index, factor)| self.stage_option(*index, *factor));
-        current.chain(new).chain(cached).collect()
+        options.extend(new.map(|(index, factor)| self.stage_option(*index, *factor)));
+        let new = options[new_from..].iter().zip(factors);
+        let cached = new.filter_map(|(option, factor)| self.cached_option(option, *factor));
+        let cached: Vec<StageOption> = cached.collect();
+        options.extend(cached);
+        options
     }
 
     /// A stage in the layers for which the engine has the KV cache of leading prompt
-    /// tokens, which it need not prefill. `None` if it has none.
-    fn cached_option(&self, index: usize, factor: f64) -> Option<StageOption> {
-        let candidate = &self.search.candidates[index];
+    /// tokens, which it need not prefill. `None` if it has none. `option` is the stage
+    /// without that cache.
+    fn cached_option(&self, option: &StageOption, factor: f64) -> Option<StageOption> {
+        let candidate = &self.search.candidates[option.candidate];
         let layers = candidate.cached_layers.filter(|_| candidate.cached_prompt_tokens > 0.0)?;
-        let option = self.stage_option(index, factor);
         let first = layers.first().max(option.layers.first());
         let layers = LayerRange::half_open(first, layers.end().min(option.layers.end()))?;
         let saved = self.search.saved_ms(candidate, layers) / f64::from(layers.count());
         let per_layer = option.per_layer - saved * self.stage_weight(candidate, factor);
         let can_be_first = option.can_be_first && layers.first() == 0;
-        Some(StageOption { layers, can_be_first, per_layer, ..option })
+        Some(StageOption { layers, can_be_first, per_layer, ..*option })
     }
 
     /// Factor by which the times of a stage are multiplied.
--- a/crates/decide/src/paths/search.rs
+++ b/crates/decide/src/paths/search.rs
@@ -7,7 +7,7 @@
 use super::cost::Hops;
 use super::program::{PathProgram, StageOption};
 use super::space::{SearchSpace, Stage};
-use super::spread::Preference;
+use super::spread::{FreeShare, Preference};
 use super::{
     BoundExcess, Demand, LinkUsage, PathCandidate, PathPurpose, PathStage, PathTargets, Relaxation,
 };
@@ -161,6 +161,7 @@
     /// the targets can be met, or by which there is a path at all. Targets take
     /// precedence, because a late request is certain and the loss of an engine is not.
     fn bounded_path(&self, rng: &mut impl Rng) -> Option<Vec<Stage>> {
+        let free = FreeShare::of(self.search.candidates);
         let mut chosen = None;
         let mut tried = None;
         for relaxation in Relaxation::ALL {
@@ -168,7 +169,7 @@
             if tried.replace(admitted.len()) == Some(admitted.len()) {
                 continue;
             }
-            match self.spread_path(&admitted, rng) {
+            match self.spread_path(&admitted, free, rng) {
                 Some((path, true)) => return Some(path),
                 Some((path, false)) => chosen = chosen.or(Some(path)),
                 None => {}
@@ -200,11 +201,15 @@
 
     /// A path on some candidates, spread as widely as the targets allow, and whether it
     /// meets them.
-    fn spread_path(&self, usable: &[usize], rng: &mut impl Rng) -> Option<(Vec<Stage>, bool)> {
+    fn spread_path(
+        &self,
+        usable: &[usize],
+        free: FreeShare,
+        rng: &mut impl Rng,
+    ) -> Option<(Vec<Stage>, bool)> {
         let mut chosen = None;
         for preference in PREFERENCES {
-            let preference = preference.scaled_by_use(self.search.candidates);
-            let path = self.randomized_path(usable, preference, rng)?;
+            let path = self.randomized_path(usable, preference.scaled_by(free), rng)?;
             if self.meets_targets(&path) {
                 return Some((path, true));
             }
--- a/crates/decide/src/paths/spread.rs
+++ b/crates/decide/src/paths/spread.rs
@@ -20,11 +20,10 @@
 }
 
 impl Preference {
-    /// Makes the preference the stronger, the less KV cache is free and the fewer slots
-    /// of first engines are: a request holds both for longer on slow engines, and others
-    /// then lack them.
-    pub(super) fn scaled_by_use(self, candidates: &[PathCandidate]) -> Self {
-        let free = 1.0 - cache_use(candidates).max(slot_use(candidates)).min(MAX_USE);
+    /// Makes the preference the stronger, the less of the engines is free: a request
+    /// holds KV cache and slots for longer on slow engines, and others then lack them.
+    pub(super) fn scaled_by(self, free: FreeShare) -> Self {
+        let FreeShare(free) = free;
         Self { domain: self.domain / free, engine: self.engine / free }
     }
 
@@ -42,6 +41,17 @@
     }
 }
 
+/// Fraction of the engines' KV cache, or of the slots of first engines, that is free,
+/// whichever is smaller. At least 1 - [`MAX_USE`].
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FreeShare(f64);
+
+impl FreeShare {
+    pub(super) fn of(candidates: &[PathCandidate]) -> Self {
+        Self(1.0 - cache_use(candidates).max(slot_use(candidates)).min(MAX_USE))
+    }
+}
+
 /// Fraction of the engines' KV cache that is in use.
 fn cache_use(candidates: &[PathCandidate]) -> f64 {
     let layers = |candidate: &PathCandidate| f64::from(candidate.layers.count());
