--- a/crates/direct/tests/soak/faults.rs
+++ b/crates/direct/tests/soak/faults.rs
@@ -235,3 +235,29 @@
         engine.endless_after.set(None);
     }
 }
+
+/// Lets the store answer nothing for some time, again and again, until the faults end.
+pub async fn silence_store(soak: Rc<Soak>) {
+    let mut rng = SmallRng::seed_from_u64(soak.seed.wrapping_add(3));
+    while !soak.stop_outages.get() {
+        sleep(Duration::from_millis(rng.random_range(800..3_000))).await;
+        soak.store.set_silent(true);
+        sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
+        soak.store.set_silent(false);
+    }
+}
+
+/// Lets engines refuse reports and orders and ask to be left alone, until the faults
+/// end.
+pub async fn refuse_control_calls(soak: Rc<Soak>) {
+    let mut rng = SmallRng::seed_from_u64(soak.seed.wrapping_add(4));
+    while !soak.stop_outages.get() {
+        let engine = soak.engines.choose(&mut rng).expect("nonempty list");
+        engine.extra_headers.replace(vec![("retry-after", "0.7")]);
+        engine.refuses_control.set(true);
+        sleep(Duration::from_millis(rng.random_range(100..1_000))).await;
+        engine.refuses_control.set(false);
+        engine.extra_headers.replace(Vec::new());
+        sleep(Duration::from_millis(rng.random_range(100..800))).await;
+    }
+}
--- a/crates/direct/tests/soak/harness.rs
+++ b/crates/direct/tests/soak/harness.rs
@@ -17,7 +17,10 @@
 use crate::checks::Checks;
 use crate::common::{Backend, Store, config, wait_until};
 use crate::entries::Entry;
-use crate::faults::{break_streams, fault_interval, inject_fault, restart_crashed_servers};
+use crate::faults::{
+    break_streams, fault_interval, inject_fault, refuse_control_calls, restart_crashed_servers,
+    silence_store,
+};
 
 /// Number of layers of the model.
 pub const LAYERS: u32 = 12;
@@ -37,6 +40,8 @@
     pub checks: Checks,
     /// Tells callers to stop.
     pub stop_callers: Cell<bool>,
+    /// Tells the tasks that silence the store and refuse calls to stop.
+    pub stop_outages: Cell<bool>,
 }
 
 impl Soak {
@@ -71,6 +76,7 @@
             config_version: Cell::new(1),
             checks: Checks::default(),
             stop_callers: Cell::new(false),
+            stop_outages: Cell::new(false),
         }
     }
 
@@ -84,13 +90,17 @@
         callers.push(spawn_local(break_streams(Rc::clone(&soak))));
         callers.push(spawn_local(restart_crashed_servers(Rc::clone(&soak))));
         let mut rng = SmallRng::seed_from_u64(soak.seed);
-        let mut active_faults = Vec::new();
+        let mut active_faults = vec![
+            spawn_local(silence_store(Rc::clone(&soak))),
+            spawn_local(refuse_control_calls(Rc::clone(&soak))),
+        ];
         let end = Instant::now() + fault_time;
         while Instant::now() < end {
             active_faults.push(inject_fault(&soak, &mut rng));
             sleep(fault_interval(&mut rng)).await;
             soak.check_unexpected_exits();
         }
+        soak.stop_outages.set(true);
         for fault in active_faults {
             fault.await.expect("fault task ends without panic");
         }
--- a/crates/direct/tests/soak/main.rs
+++ b/crates/direct/tests/soak/main.rs
@@ -1,8 +1,8 @@
 //! Soak test: entry processes under randomly injected, overlapping faults.
 //!
 //! Entries are killed, paused, shut down, restarted and sent changed settings. Their
-//! connections to the store are closed, refused or blackholed. Engines and backend
-//! servers refuse requests, respond with errors, disconnect or drain, and the
+//! connections to the store are closed, refused or blackholed, and the store falls
+//! silent. Engines and backend servers refuse requests, reports and orders, respond with errors, disconnect or drain, and the
 //! configuration changes. Meanwhile callers with persistent connections check every
 //! response, and backend servers record what they ran.
 //!
