--- a/crates/decide/tests/pool_queue_overload.rs
+++ b/crates/decide/tests/pool_queue_overload.rs
@@ -35,9 +35,10 @@
     }
 }
 
-#[derive(Default)]
 struct Replay {
     queue: PoolQueue<u128>,
+    slots: usize,
+    service_time: Millis,
     /// Ends of the runs in progress, by time.
     ends: BTreeMap<u64, usize>,
     running: usize,
@@ -51,33 +52,57 @@
     refused_at_once: usize,
 }
 
+impl Default for Replay {
+    fn default() -> Self {
+        Self {
+            queue: PoolQueue::default(),
+            slots: SLOTS,
+            service_time: SERVICE_TIME,
+            ends: BTreeMap::new(),
+            running: 0,
+            waiting: HashMap::new(),
+            returns: BTreeMap::new(),
+            refusals: HashMap::new(),
+            served: Vec::new(),
+            longest_wait: 0,
+            refused_after_wait: 0,
+            refused_at_once: 0,
+        }
+    }
+}
+
 impl Replay {
     fn load(&self) -> PoolLoad {
-        let (used, slots) = (self.running as u32, SLOTS as u32);
+        let (used, slots) = (self.running as u32, self.slots as u32);
         PoolLoad { entries: 1, used, slots, ..PoolLoad::default() }
     }
 
     fn start(&mut self, caller: u128, now: Tick) {
         self.queue.record_start(1);
         self.running += 1;
-        *self.ends.entry(now.after(SERVICE_TIME).0).or_default() += 1;
+        *self.ends.entry(now.after(self.service_time).0).or_default() += 1;
         self.served.push(caller);
     }
 
     fn end_runs(&mut self, now: Tick) {
         for _ in 0..self.ends.remove(&now.0).unwrap_or(0) {
-            self.queue.record_end(Some(SERVICE_TIME), now);
+            self.queue.record_end(Some(self.service_time), now);
             self.running -= 1;
-            self.queue.record_freed();
-            while let Some(caller) = self.queue.next_ready(now).copied() {
-                let found = self.running < SLOTS;
-                let (ticket, arrived, _) = self.waiting[&caller];
-                self.queue.record_try(ticket, found);
-                if found {
-                    self.waiting.remove(&caller);
-                    self.longest_wait = self.longest_wait.max(now.since(arrived).0);
-                    self.start(caller, now);
-                }
+            self.offer_freed(now);
+        }
+    }
+
+    /// Offers freed slots to those who wait.
+    fn offer_freed(&mut self, now: Tick) {
+        self.queue.record_freed();
+        while let Some(caller) = self.queue.next_ready(now).copied() {
+            let found = self.running < self.slots;
+            let (ticket, arrived, _) = self.waiting[&caller];
+            self.queue.record_try(ticket, found);
+            if found {
+                self.waiting.remove(&caller);
+                self.longest_wait = self.longest_wait.max(now.since(arrived).0);
+                self.start(caller, now);
             }
         }
     }
@@ -110,7 +135,7 @@
     fn arrive(&mut self, caller: u128, now: Tick, rng: &mut SmallRng) {
         let returned = self.queue.redeem_promise(Fingerprint(caller), now);
         let request = PoolRequest { returned, ..request(now) };
-        if self.running < SLOTS && self.queue.may_try(&request, now) {
+        if self.running < self.slots && self.queue.may_try(&request, now) {
             self.queue.forget_promise(Fingerprint(caller));
             return self.start(caller, now);
         }
@@ -189,3 +214,45 @@
     assert!(as_told >= immediately, "{as_told:.2} as told, {immediately:.2} immediately");
     assert!(as_told > leaves, "{as_told:.2} as told, {leaves:.2} never back");
 }
+
+/// Guards against a queue that keeps to the pace of the time in which servers were lost,
+/// and against waits beyond the target while those that are back are slow.
+#[test]
+fn half_of_the_servers_are_back_cold_and_serve_those_who_wait() {
+    /// Service time of cold servers.
+    const COLD: Millis = Millis(600);
+    const LOST: u64 = 3_000;
+    const BACK: u64 = 6_000;
+    const WARM: u64 = 8_000;
+    let mut rng = SmallRng::seed_from_u64(12);
+    let mut replay = Replay::default();
+    let mut callers = 0;
+    for ms in 0..14_000_u64 {
+        let now = Tick(ms);
+        match ms {
+            LOST => replay.slots = SLOTS / 2,
+            BACK => {
+                (replay.slots, replay.service_time) = (SLOTS, COLD);
+                replay.offer_freed(now);
+            }
+            WARM => replay.service_time = SERVICE_TIME,
+            _ => {}
+        }
+        replay.end_runs(now);
+        replay.end_waits(now, &mut rng);
+        for (caller, _) in replay.returns.remove(&ms).unwrap_or_default() {
+            replay.arrive(caller, now, &mut rng);
+        }
+        // 20 requests a second; 25 are the capacity, 12 with half of the servers.
+        if ms % 50 == 0 {
+            replay.arrive(callers, now, &mut rng);
+            callers += 1;
+        }
+        assert!(replay.waiting.is_empty() || replay.running >= replay.slots, "idle slot at {ms}");
+    }
+    assert!(replay.longest_wait <= TARGET.0, "{} ms", replay.longest_wait);
+    // Callers whose first request came 1 s after the servers were warm, or later.
+    let late = (WARM + 1_000).div_ceil(50) as u128..callers;
+    let refused = late.filter(|caller| replay.refusals.contains_key(caller)).count();
+    assert_eq!(refused, 0, "refused though there is room for all");
+}
