--- a/crates/direct/src/follow/table.rs
+++ b/crates/direct/src/follow/table.rs
@@ -130,7 +130,8 @@
 /// Logs how an outage ended, to tell a late detection of its end from a long delay.
 fn log_outage(table: &str, outage: &Outage) {
     info!(
-        "store: table `{}` failures={} outage_ms={} last_sent_ms_ago={} last_call_ms={} last_delay_ms={}",
+        "store: table `{}` failures={} outage_ms={} last_sent_ms_ago={} last_call_ms={} \
+         last_delay_ms={}",
         table,
         outage.failures,
         outage.started.elapsed().as_millis(),
--- a/crates/direct/src/streams/serve.rs
+++ b/crates/direct/src/streams/serve.rs
@@ -54,8 +54,8 @@
     let first_event_ms = progress.first_event_at().map(|at| (at - ctx.arrived).as_millis());
     let stats = &supervisor.stats;
     info!(
-        "stream: id={} route={} workspace={} outcome={} runs={} refused_sends={} repaths={} events={} \
-         first_ms={:?} longest_pause_ms={} legs={} crossings={} after_ms={}",
+        "stream: id={} route={} workspace={} outcome={} runs={} refused_sends={} repaths={} \
+         events={} first_ms={:?} longest_pause_ms={} legs={} crossings={} after_ms={}",
         ctx.req.id,
         ctx.rule.name,
         ctx.workspace_name(),
--- a/crates/direct/tests/store_silent.rs
+++ b/crates/direct/tests/store_outages.rs
@@ -1,4 +1,5 @@
-//! Entries whose calls to the store get no response for some time.
+//! Entries after outages of the store: it answers no calls, refuses them, or loses
+//! open connections.
 
 mod common;
 
@@ -21,7 +22,6 @@
 /// Durations of the silence. They differ by less than the longest delay between two
 /// calls, so that the silence ends at different moments of them.
 const SILENCES_MS: [u64; 10] = [300, 1_100, 1_900, 2_700, 3_400, 4_200, 5_000, 5_700, 6_300, 7_100];
-
 /// Number of stores that refuse calls, the shortest time for which one does, and the
 /// difference between two of them in ms.
 const REFUSING_STORES: u64 = 32;
