--- a/crates/decide/tests/pool_queue_overload.rs
+++ b/crates/decide/tests/pool_queue_overload.rs
@@ -252,7 +252,7 @@
     }
     assert!(replay.longest_wait <= TARGET.0, "{} ms", replay.longest_wait);
     // Callers whose first request came 1 s after the servers were warm, or later.
-    let late = (WARM + 1_000).div_ceil(50) as u128..callers;
+    let late = u128::from((WARM + 1_000).div_ceil(50))..callers;
     let refused = late.filter(|caller| replay.refusals.contains_key(caller)).count();
     assert_eq!(refused, 0, "refused though there is room for all");
 }
