--- a/crates/direct/tests/broken_streams.rs
+++ b/crates/direct/tests/broken_streams.rs
@@ -2,14 +2,8 @@
 
 mod common;
 
-use std::time::Duration;
-
 use actix_rt::test;
-use clementine_direct::Running;
-use common::{
-    Backend, CallerResponse, Store, send_request, start_configured_store, start_entry, wait_until,
-};
-use tokio::time::sleep;
+use common::{CallerResponse, send_request, start_configured_store, start_placed_engines};
 
 const LAYERS: u32 = 12;
 const ENGINES: usize = 6;
@@ -19,17 +13,6 @@
 /// including those that the system buffers.
 const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
 
-async fn start_engines(store: &Store) -> (Vec<Backend>, Running) {
-    let mut engines = Vec::new();
-    for n in 0..ENGINES {
-        engines.push(Backend::start(&format!("engine-{n}"), "model", store).await);
-    }
-    let entry = start_entry("one", store).await;
-    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
-    sleep(Duration::from_millis(600)).await;
-    (engines, entry)
-}
-
 fn event_ids(response: &CallerResponse) -> Vec<u64> {
     let lines = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
     lines.map(|id| id.parse().expect("numeric event ID")).collect()
@@ -38,7 +21,7 @@
 #[test]
 async fn stream_that_ends_with_its_connection_is_complete() {
     let store = start_configured_store(LAYERS).await;
-    let (engines, entry) = start_engines(&store).await;
+    let (engines, entry) = start_placed_engines(&store, ENGINES).await;
     for engine in &engines {
         engine.close_delimited_streams.set(true);
     }
@@ -53,7 +36,7 @@
 async fn stream_that_breaks_off_inside_an_event_is_resumed_before_it() {
     for close_delimited in [false, true] {
         let store = start_configured_store(LAYERS).await;
-        let (engines, entry) = start_engines(&store).await;
+        let (engines, entry) = start_placed_engines(&store, ENGINES).await;
         for engine in &engines {
             engine.close_delimited_streams.set(close_delimited);
             engine.breaks_event_after.set(Some(12));
@@ -68,7 +51,7 @@
 #[test]
 async fn close_delimited_stream_without_events_is_sent_again() {
     let store = start_configured_store(LAYERS).await;
-    let (engines, entry) = start_engines(&store).await;
+    let (engines, entry) = start_placed_engines(&store, ENGINES).await;
     for engine in &engines {
         engine.close_delimited_streams.set(true);
         engine.disconnect_after.set(Some(0));
@@ -82,7 +65,7 @@
 #[test]
 async fn event_without_an_end_is_given_up() {
     let store = start_configured_store(LAYERS).await;
-    let (engines, entry) = start_engines(&store).await;
+    let (engines, entry) = start_placed_engines(&store, ENGINES).await;
     for engine in &engines {
         engine.endless_after.set(Some(5));
     }
--- a/crates/direct/tests/capacity_queue.rs
+++ b/crates/direct/tests/capacity_queue.rs
@@ -9,7 +9,7 @@
 use clementine_direct::Running;
 use common::{
     Backend, Behaviour, CallerResponse, send_request, send_request_with_headers,
-    start_configured_store, start_entry, wait_until,
+    start_configured_store, start_entry, start_placed_engines, wait_until,
 };
 use futures::future::join_all;
 use tokio::task::spawn_local;
@@ -27,13 +27,7 @@
 /// how long its streams take.
 async fn start_engines_with_known_service_time() -> (Vec<Backend>, Running) {
     let store = start_configured_store(LAYERS).await;
-    let mut engines = Vec::new();
-    for n in 0..3 {
-        engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
-    }
-    let entry = start_entry("one", &store).await;
-    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
-    sleep(Duration::from_millis(600)).await;
+    let (engines, entry) = start_placed_engines(&store, 3).await;
     let streams = (0..SLOTS).map(|n| send_stream(entry.callers, format!("first-{n}")));
     assert!(join_all(streams).await.iter().all(|(response, _)| is_served(response)));
     (engines, entry)
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -112,6 +112,30 @@
     running
 }
 
+/// Starts engines and an entry, and waits until the engines host the model.
+pub async fn start_placed_engines(store: &Store, count: usize) -> (Vec<Backend>, Running) {
+    let engines = start_engines(store, count).await;
+    let entry = start_entry("one", store).await;
+    wait_until_placed(&engines).await;
+    (engines, entry)
+}
+
+/// Starts engines without layers.
+pub async fn start_engines(store: &Store, count: usize) -> Vec<Backend> {
+    let mut engines = Vec::new();
+    for n in 0..count {
+        engines.push(Backend::start(&format!("engine-{n}"), "model", store).await);
+    }
+    engines
+}
+
+/// Waits until all engines host layers and the entry has been notified.
+pub async fn wait_until_placed(engines: &[Backend]) {
+    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
+    // Time for the updated list of backend servers to reach the entry.
+    sleep(Duration::from_millis(600)).await;
+}
+
 /// Configuration with three routes: streaming, idempotent and unsafe to repeat.
 pub fn config(version: u64, layers: u32) -> String {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
--- a/crates/direct/tests/server_signals.rs
+++ b/crates/direct/tests/server_signals.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use common::{Backend, Behaviour, send_request, start_configured_store, start_entry, wait_until};
+use common::{
+    Backend, Behaviour, send_request, start_configured_store, start_entry, start_placed_engines,
+    wait_until,
+};
 use futures::future::join_all;
 use tokio::time::{Instant, sleep};
 
@@ -111,13 +114,7 @@
 #[test]
 async fn engine_that_names_a_retry_delay_gets_no_orders_to_change_paths() {
     let store = start_configured_store(LAYERS).await;
-    let mut engines = Vec::new();
-    for n in 0..5 {
-        engines.push(Backend::start(&format!("engine-{n}"), "model", &store).await);
-    }
-    let entry = start_entry("one", &store).await;
-    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
-    sleep(EXCHANGE_TIME).await;
+    let (engines, entry) = start_placed_engines(&store, 5).await;
     let streams =
         join_all((0..8).map(|_| send_request(entry.callers, "POST", "/stream/x", "prompt")));
     let has_run = |engine: &&Backend| !engine.run_paths.borrow().is_empty();
--- a/crates/direct/tests/serving.rs
+++ b/crates/direct/tests/serving.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use actix_rt::test;
-use clementine_direct::Running;
 use common::{
-    Backend, Behaviour, CallerResponse, Store, config, send_request, send_request_with_headers,
-    silence_engine_on_path, start_configured_store, start_entry, wait_until,
+    Backend, Behaviour, CallerResponse, config, send_request, send_request_with_headers,
+    silence_engine_on_path, start_configured_store, start_engines, start_entry,
+    start_placed_engines, wait_until, wait_until_placed,
 };
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -26,30 +26,6 @@
     (1..=20).collect()
 }
 
-/// Starts engines and an entry, and waits until the engines host the model.
-async fn start_placed_engines(store: &Store, count: usize) -> (Vec<Backend>, Running) {
-    let engines = start_engines(store, count).await;
-    let entry = start_entry("one", store).await;
-    wait_until_placed(&engines).await;
-    (engines, entry)
-}
-
-/// Starts engines without layers.
-async fn start_engines(store: &Store, count: usize) -> Vec<Backend> {
-    let mut engines = Vec::new();
-    for n in 0..count {
-        engines.push(Backend::start(&format!("engine-{n}"), "model", store).await);
-    }
-    engines
-}
-
-/// Waits until all engines host layers and the entry has been notified.
-async fn wait_until_placed(engines: &[Backend]) {
-    wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers)).await;
-    // Time for the updated list of backend servers to reach the entry.
-    sleep(Duration::from_millis(600)).await;
-}
-
 #[test]
 async fn stream_runs_on_a_path_that_covers_all_layers() {
     let store = start_configured_store(LAYERS).await;
--- a/crates/direct/tests/soak/main.rs
+++ b/crates/direct/tests/soak/main.rs
@@ -2,9 +2,10 @@
 //!
 //! Entries are killed, paused, shut down, restarted and sent changed settings. Their
 //! connections to the store are closed, refused or blackholed, and the store falls
-//! silent. Engines and backend servers refuse requests, reports and orders, respond with errors, disconnect or drain, and the
-//! configuration changes. Meanwhile callers with persistent connections check every
-//! response, and backend servers record what they ran.
+//! silent. Engines and backend servers refuse requests, reports and orders, respond
+//! with errors, disconnect or drain, and the configuration changes. Meanwhile callers
+//! with persistent connections check every response, and backend servers record what
+//! they ran.
 //!
 //! `SOAK_SEEDS=FIRST-LAST` runs these seeds instead of the default ones.
 //! `SOAK_SECONDS` sets for how long faults are injected.
