The "no path" line names the resource that ran out in each failure domain

The line named the layer with the least free KV cache, also where that layer had room and the slots of the engines that hold layer 0 had run out. It now names what is lacking for this request: a holder of a layer, a first slot, KV cache at a layer, or only a path; direct_path_shortages counts them by resource.

The test of the old line is replaced by two that expect exact texts, one of them for the case that was misreported.

--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -6,7 +6,7 @@
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
     Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, PathTargets,
-    bottlenecks, transfer_bytes,
+    transfer_bytes,
 };
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use quickcheck::quickcheck;
@@ -155,14 +155,48 @@
     assert_eq!(search(&candidates, &LinkUsage::default(), &[], &current_path), Some(current_path));
 }
 
+fn shortages(candidates: &[PathCandidate]) -> Vec<String> {
+    let (spec, links) = (spec(), LinkUsage::default());
+    let search = PathSearch {
+        spec: &spec,
+        candidates,
+        links: &links,
+        demand: DEMAND,
+        targets: PathTargets::default(),
+        purpose: PathPurpose::NewRequest,
+        entries: 1,
+        allowed_first: &[],
+        current_path: &[],
+        now: Tick(0),
+    };
+    assert_eq!(search.cheapest_path(), None);
+    search.shortages().iter().map(ToString::to_string).collect()
+}
+
 #[test]
-fn bottleneck_layer_is_reported() {
+fn layers_without_room_or_holder_are_reported() {
     let mut candidates = two_domains();
     candidates[1].used_tokens = 59_500.0;
     candidates.remove(3);
-    let found: Vec<String> =
-        bottlenecks(LAYERS, &candidates).iter().map(ToString::to_string).collect();
-    assert_eq!(found, ["a:layer=40,holders=1,room=500", "b:layer=40,holders=0,room=0"]);
+    let expected = ["a:cache,layer=40,holders=1,room=500", "b:holders,layer=40"];
+    assert_eq!(shortages(&candidates), expected);
+}
+
+/// Guards against a log line that names a layer with ample KV cache while the slots of
+/// the first engines have run out.
+#[test]
+fn exhausted_slots_of_first_engines_are_reported() {
+    let mut candidates = two_domains();
+    candidates[0].free_slots = 0;
+    candidates[0].used_tokens = 30_000.0;
+    candidates[2].free_slots = 0;
+    candidates[3].used_tokens = 59_900.0;
+    let expected = [
+        "a:first-slots,holders=1",
+        "b:first-slots,holders=1",
+        "b:cache,layer=40,holders=1,room=100",
+    ];
+    assert_eq!(shortages(&candidates), expected);
 }
 
 quickcheck! {
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -22,6 +22,7 @@
     retries: Counter<u64>,
     repaths: Counter<u64>,
     paths_beyond_bound: Counter<u64>,
+    shortages: Counter<u64>,
     backends_down: Counter<u64>,
     crashes: Counter<u64>,
     quarantined_requests: Counter<u64>,
@@ -75,6 +76,10 @@
                 "Paths with an engine whose loss can't be repaired within the target gap, by \
                  relaxation of the bound",
             ),
+            shortages: counter(
+                "direct_path_shortages",
+                "Resources that a failure domain lacked when a request found no path, by resource",
+            ),
             backends_down: counter("direct_backends_down", "Backend servers found down, by reason"),
             crashes: counter(
                 "direct_crashes",
@@ -177,6 +182,11 @@
         self.paths_beyond_bound.add(1, &[KeyValue::new("relaxation", relaxation)]);
     }
 
+    /// Counts a resource that a failure domain lacked when a request found no path.
+    pub(crate) fn count_shortage(&self, resource: &'static str) {
+        self.shortages.add(1, &[KeyValue::new("resource", resource)]);
+    }
+
     /// Counts a backend server that was marked as down.
     pub(crate) fn count_backend_down(&self, reason: &'static str) {
         self.backends_down.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -6,8 +6,7 @@
 use clementine_decide::fleet::{EngineSpec, Member};
 use clementine_decide::ids::{BackendId, DomainId};
 use clementine_decide::paths::{
-    BoundExcess, Demand, PathCandidate, PathLoad, PathPurpose, PathSearch, PathStage, PathTargets,
-    bottlenecks,
+    BoundExcess, Demand, PathLoad, PathPurpose, PathSearch, PathStage, PathTargets,
 };
 use clementine_objects::Millis;
 use clementine_platform::requests::PromptSize;
@@ -152,7 +151,7 @@
         now,
     };
     let Some(chosen) = choose_path(shared, ctx, &search, is_any_cached) else {
-        log_no_path(shared, ctx, engine, &candidates, demand);
+        report_no_path(shared, ctx, &search);
         return None;
     };
     if let Some(excess) = &chosen.excess {
@@ -193,26 +192,23 @@
 /// within the loss bound. The reasons change slowly.
 const PATH_LOG_INTERVAL: Millis = Millis(500);
 
-/// Logs what prevents a path in each failure domain. At most one line per
-/// [`PATH_LOG_INTERVAL`] is logged, with the number of suppressed ones.
-fn log_no_path(
-    shared: &SharedState,
-    ctx: &RequestContext,
-    engine: &EngineSpec,
-    candidates: &[PathCandidate],
-    demand: Demand,
-) {
+/// Counts the resources that prevent a path, and logs them with their failure domains. At
+/// most one line per [`PATH_LOG_INTERVAL`] is logged, with the number of suppressed ones.
+fn report_no_path(shared: &SharedState, ctx: &RequestContext, search: &PathSearch<'_>) {
+    let shortages = search.shortages();
+    for shortage in &shortages {
+        shared.metrics.count_shortage(shortage.resource.name());
+    }
     let Some(suppressed) = shared.no_path_log.admit(shared.now(), PATH_LOG_INTERVAL) else {
         return;
     };
-    let bottlenecks: Vec<String> =
-        bottlenecks(engine.layers, candidates).iter().map(ToString::to_string).collect();
+    let shortages: Vec<String> = shortages.iter().map(ToString::to_string).collect();
     info!(
-        "paths: id={} no path stops={} tokens={:.0} {} lines_held_back={}",
+        "paths: id={} no path engines={} tokens={:.0} {} lines_held_back={}",
         ctx.req.id,
-        candidates.len(),
-        demand.prompt_tokens + demand.output_tokens,
-        bottlenecks.join(" "),
+        search.candidates.len(),
+        search.demand.prompt_tokens + search.demand.output_tokens,
+        shortages.join(" "),
         suppressed
     );
 }
--- a/crates/direct/tests/operations_page.rs
+++ b/crates/direct/tests/operations_page.rs
@@ -105,7 +105,7 @@
         "longest_pause_ms=",
         "waits for backend=",
         "down reason=stalled-run",
-        "no path stops=",
+        "no path engines=",
         "lines_held_back=",
         "paused reason=no-answer request=",
         "outcome=backend_lost runs=1",
