--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -44,10 +44,15 @@
     pub signals: ServerSignals,
     /// Requests of this process that are running on the server.
     pub in_flight: u32,
+    /// Requests of this process that begin at the server and so occupy one of its
+    /// slots; at most `in_flight`.
+    pub first_stages: u32,
     /// Context tokens reserved on the server by requests of this process.
     pub used_tokens: f64,
     /// Requests of other entries on the server, as last reported by them.
     pub remote_in_flight: u32,
+    /// Requests of other entries that begin at the server, as last reported.
+    pub remote_first_stages: u32,
     /// Context tokens reserved on the server by other entries, as last reported.
     pub remote_tokens: f64,
     /// Prefill work that was sent to the engine and is not done yet.
@@ -88,8 +93,10 @@
             backend,
             signals: ServerSignals::default(),
             in_flight: 0,
+            first_stages: 0,
             used_tokens: 0.0,
             remote_in_flight: 0,
+            remote_first_stages: 0,
             remote_tokens: 0.0,
             prefill_backlog: Backlog::default(),
             last_seen: now,
@@ -285,13 +292,14 @@
         self.prefill_backlog.add(ms, now);
     }
 
-    /// Number of further requests that may be sent to the server.
+    /// Number of further requests that may be sent to the server. Those that it runs as
+    /// a later stage of their path occupy no slot.
     fn free_slots(&self, now: Tick) -> u32 {
         if !self.signals.may_send(now) {
             return 0;
         }
         let limit = (f64::from(self.backend.slots) * MAX_SLOT_UTILIZATION) as u32;
-        limit.saturating_sub(self.in_flight + self.remote_in_flight)
+        limit.saturating_sub(self.first_stages + self.remote_first_stages)
     }
 
     /// The engine as input to the path search, or `None` if it has no layers
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -206,6 +206,7 @@
             let load = totals.get(&member.id_hash);
             member.remote_in_flight = load.map_or(0, |load| load.in_flight);
             member.remote_tokens = load.map_or(0.0, |load| load.tokens.into());
+            member.remote_first_stages = load.map_or(0, |load| load.first_stages);
         }
     }
 
--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -31,6 +31,10 @@
     pub in_flight: u32,
     /// Context tokens of the requests in progress.
     pub tokens: u32,
+    /// How many of the requests in progress begin there, and so occupy a slot; at most
+    /// `in_flight`.
+    #[serde(default)]
+    pub first_stages: u32,
 }
 
 /// Traffic on the link between two failure domains.
--- a/crates/decide/src/peers/totals.rs
+++ b/crates/decide/src/peers/totals.rs
@@ -21,10 +21,11 @@
     /// Adds a reported load.
     pub fn add(&mut self, status: &LoadStatus) {
         for load in &status.backends {
-            let zero = BackendLoad { in_flight: 0, tokens: 0, ..*load };
+            let zero = BackendLoad { in_flight: 0, tokens: 0, first_stages: 0, ..*load };
             let total = self.backends.entry(load.backend).or_insert(zero);
             total.in_flight = total.in_flight.saturating_add(load.in_flight);
             total.tokens = total.tokens.saturating_add(load.tokens);
+            total.first_stages = total.first_stages.saturating_add(load.first_stages);
         }
         for load in &status.links {
             *self.links.entry(Link::between(&load.a, &load.b)).or_insert(0.0) += load.bytes_per_ms;
--- a/crates/direct/src/peers/load.rs
+++ b/crates/direct/src/peers/load.rs
@@ -17,6 +17,7 @@
         backend: member.id_hash,
         in_flight: member.in_flight,
         tokens: member.used_tokens as u32,
+        first_stages: member.first_stages,
     });
     LoadStatus {
         backends: backends.collect(),
--- a/crates/direct/src/shared/reservation.rs
+++ b/crates/direct/src/shared/reservation.rs
@@ -12,6 +12,7 @@
 #[derive(Debug)]
 pub(crate) struct Reservation {
     shared: Rc<SharedState>,
+    /// The servers; the request occupies a slot of the first one.
     backends: Vec<BackendId>,
     tokens: f64,
     /// Pool of the servers; `None` if they are not listed any more.
@@ -19,13 +20,15 @@
 }
 
 impl Reservation {
-    /// Adds one request with its context tokens to the load of each backend server.
+    /// Adds one request with its context tokens to the load of each backend server. It
+    /// begins at the first one.
     pub(crate) fn new(shared: &Rc<SharedState>, backends: Vec<BackendId>, tokens: f64) -> Self {
         let mut fleet = shared.fleet.borrow_mut();
         let mut pool = None;
         for id in &backends {
             if let Some(member) = fleet.get_mut(id) {
                 member.in_flight += 1;
+                member.first_stages += u32::from(*id == backends[0]);
                 member.used_tokens += tokens;
                 pool.get_or_insert_with(|| member.backend.pool.clone());
             }
@@ -43,6 +46,8 @@
             // began at zero, so they must not become negative here.
             if let Some(member) = fleet.get_mut(id) {
                 member.in_flight = member.in_flight.saturating_sub(1);
+                let first = u32::from(*id == self.backends[0]);
+                member.first_stages = member.first_stages.saturating_sub(first);
                 member.used_tokens = (member.used_tokens - self.tokens).max(0.0);
             }
         }
