Shortages of a path are found in one pass over the engines' layers

They are counted for each request without a path since, and took layers x engines steps three times over; now the sum of the engines' layers. A reservation tells the first stage by its position.

--- a/crates/decide/src/paths/shortage.rs
+++ b/crates/decide/src/paths/shortage.rs
@@ -69,9 +69,22 @@
     }
 }
 
+/// What the usable engines of a failure domain have left in one layer.
+#[derive(Debug, Clone, Copy, Default)]
+struct LayerRoom {
+    /// Number of engines that have loaded the layer.
+    holders: usize,
+    /// Largest number of free KV cache tokens on any of them.
+    free_tokens: f64,
+    /// Whether one of them has KV cache for the request.
+    has_capacity: bool,
+}
+
 impl PathSearch<'_> {
     /// Returns what each failure domain that has usable engines lacks to run the request
     /// by itself; at least one shortage for each.
+    ///
+    /// The time is in proportion to the sum of the candidates' layers.
     pub fn shortages(&self) -> Vec<Shortage> {
         let mut domains: BTreeMap<&DomainId, Vec<&PathCandidate>> = BTreeMap::new();
         for candidate in self.candidates {
@@ -86,26 +99,43 @@
     }
 
     fn scarce_resources(&self, candidates: &[&PathCandidate]) -> Vec<ScarceResource> {
-        let holders = |layer: u32| candidates.iter().filter(move |c| c.layers.contains(layer));
-        if let Some(layer) = (0..self.spec.layers).find(|layer| holders(*layer).next().is_none()) {
-            return vec![ScarceResource::Holders { layer }];
+        let layers = self.room_by_layer(candidates);
+        if let Some(layer) = layers.iter().position(|room| room.holders == 0) {
+            return vec![ScarceResource::Holders { layer: layer as u32 }];
         }
-        let has_first = !self.current_path.is_empty()
-            || holders(0).any(|candidate| self.can_be_first(candidate));
-        let first =
-            (!has_first).then(|| ScarceResource::FirstSlots { holders: holders(0).count() });
-        let lacks_cache =
-            |layer: &u32| !holders(*layer).any(|candidate| self.has_capacity(candidate));
-        let free = |layer: u32| holders(layer).map(|c| c.capacity_tokens - c.used_tokens);
-        let cache = |layer: u32| ScarceResource::Cache {
-            layer,
-            holders: holders(layer).count(),
-            free_tokens: free(layer).fold(0.0, f64::max),
-        };
-        let max_free = |layer: &u32| free(*layer).fold(0.0, f64::max);
-        let layers = (0..self.spec.layers).filter(lacks_cache);
-        let cache = layers.min_by(|a, b| max_free(a).total_cmp(&max_free(b))).map(cache);
-        let found: Vec<ScarceResource> = first.into_iter().chain(cache).collect();
+        let slots = self.lacks_first_slot(candidates).then(|| ScarceResource::FirstSlots {
+            holders: layers.first().map_or(0, |room| room.holders),
+        });
+        let full = layers.iter().enumerate().filter(|(_, room)| !room.has_capacity);
+        let least = full.min_by(|(_, a), (_, b)| a.free_tokens.total_cmp(&b.free_tokens));
+        let cache = least.map(|(layer, room)| ScarceResource::Cache {
+            layer: layer as u32,
+            holders: room.holders,
+            free_tokens: room.free_tokens,
+        });
+        let found: Vec<ScarceResource> = slots.into_iter().chain(cache).collect();
         if found.is_empty() { vec![ScarceResource::Path] } else { found }
     }
+
+    /// Whether no engine can be the first one of the request. One that runs has its slot.
+    fn lacks_first_slot(&self, candidates: &[&PathCandidate]) -> bool {
+        let holds_first = |candidate: &&&PathCandidate| candidate.layers.contains(0);
+        let mut first = candidates.iter().filter(holds_first);
+        self.current_path.is_empty() && !first.any(|candidate| self.can_be_first(candidate))
+    }
+
+    fn room_by_layer(&self, candidates: &[&PathCandidate]) -> Vec<LayerRoom> {
+        let mut layers = vec![LayerRoom::default(); self.spec.layers as usize];
+        for candidate in candidates {
+            let has_capacity = self.has_capacity(candidate);
+            let free_tokens = candidate.capacity_tokens - candidate.used_tokens;
+            let end = layers.len().min(candidate.layers.end() as usize);
+            for room in &mut layers[end.min(candidate.layers.first() as usize)..end] {
+                room.holders += 1;
+                room.free_tokens = room.free_tokens.max(free_tokens);
+                room.has_capacity |= has_capacity;
+            }
+        }
+        layers
+    }
 }
--- a/crates/direct/src/shared/reservation.rs
+++ b/crates/direct/src/shared/reservation.rs
@@ -25,10 +25,10 @@
     pub(crate) fn new(shared: &Rc<SharedState>, backends: Vec<BackendId>, tokens: f64) -> Self {
         let mut fleet = shared.fleet.borrow_mut();
         let mut pool = None;
-        for id in &backends {
+        for (stage, id) in backends.iter().enumerate() {
             if let Some(member) = fleet.get_mut(id) {
                 member.in_flight += 1;
-                member.first_stages += u32::from(*id == backends[0]);
+                member.first_stages += u32::from(stage == 0);
                 member.used_tokens += tokens;
                 pool.get_or_insert_with(|| member.backend.pool.clone());
             }
@@ -41,13 +41,12 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut fleet = self.shared.fleet.borrow_mut();
-        for id in &self.backends {
+        for (stage, id) in self.backends.iter().enumerate() {
             // The counters of a server that has restarted since the reservation
             // began at zero, so they must not become negative here.
             if let Some(member) = fleet.get_mut(id) {
                 member.in_flight = member.in_flight.saturating_sub(1);
-                let first = u32::from(*id == self.backends[0]);
-                member.first_stages = member.first_stages.saturating_sub(first);
+                member.first_stages = member.first_stages.saturating_sub(u32::from(stage == 0));
                 member.used_tokens = (member.used_tokens - self.tokens).max(0.0);
             }
         }
