Shortages use the layer slice of the loss bound; tests share the search of a new request

room_by_layer repeated `held` of paths/bound.rs, the failure domain was cloned twice for each shortage, and the check for a first slot filtered in two steps. The tests of this change wrote the literal of a default path search again; engine_fixtures has it now. No change of behaviour; assertions unchanged.

--- a/crates/decide/src/paths/bound.rs
+++ b/crates/decide/src/paths/bound.rs
@@ -153,7 +153,7 @@
 }
 
 /// The layers of a candidate in a table of all layers.
-fn held<'a, T>(layers: &'a mut [T], candidate: &PathCandidate) -> &'a mut [T] {
+pub(super) fn held<'a, T>(layers: &'a mut [T], candidate: &PathCandidate) -> &'a mut [T] {
     let end = layers.len().min(candidate.layers.end() as usize);
     let first = end.min(candidate.layers.first() as usize);
     &mut layers[first..end]
--- a/crates/decide/src/paths/shortage.rs
+++ b/crates/decide/src/paths/shortage.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use super::bound::held;
 use super::{PathCandidate, PathSearch};
 use crate::ids::DomainId;
 
@@ -90,12 +91,13 @@
         for candidate in self.candidates {
             domains.entry(&candidate.domain).or_default().push(candidate);
         }
-        let of_domain = |(domain, candidates): (&DomainId, Vec<&PathCandidate>)| {
-            let domain = domain.clone();
+        let mut shortages = Vec::new();
+        for (domain, candidates) in domains {
             let resources = self.scarce_resources(&candidates).into_iter();
-            resources.map(move |resource| Shortage { domain: domain.clone(), resource })
-        };
-        domains.into_iter().flat_map(of_domain).collect()
+            shortages
+                .extend(resources.map(|resource| Shortage { domain: domain.clone(), resource }));
+        }
+        shortages
     }
 
     fn scarce_resources(&self, candidates: &[&PathCandidate]) -> Vec<ScarceResource> {
@@ -119,9 +121,8 @@
 
     /// Whether no engine can be the first one of the request. One that runs has its slot.
     fn lacks_first_slot(&self, candidates: &[&PathCandidate]) -> bool {
-        let holds_first = |candidate: &&&PathCandidate| candidate.layers.contains(0);
-        let mut first = candidates.iter().filter(holds_first);
-        self.current_path.is_empty() && !first.any(|candidate| self.can_be_first(candidate))
+        let has_slot = |c: &&PathCandidate| c.layers.contains(0) && self.can_be_first(c);
+        self.current_path.is_empty() && !candidates.iter().any(has_slot)
     }
 
     fn room_by_layer(&self, candidates: &[&PathCandidate]) -> Vec<LayerRoom> {
@@ -129,8 +130,7 @@
         for candidate in candidates {
             let has_capacity = self.has_capacity(candidate);
             let free_tokens = candidate.capacity_tokens - candidate.used_tokens;
-            let end = layers.len().min(candidate.layers.end() as usize);
-            for room in &mut layers[end.min(candidate.layers.first() as usize)..end] {
+            for room in held(&mut layers, candidate) {
                 room.holders += 1;
                 room.free_tokens = room.free_tokens.max(free_tokens);
                 room.has_capacity |= has_capacity;
--- a/crates/decide/tests/engine_fixtures/mod.rs
+++ b/crates/decide/tests/engine_fixtures/mod.rs
@@ -6,8 +6,10 @@
 use std::net::SocketAddr;
 
 use clementine_decide::fleet::{AcceleratorSpec, Backend, BackendState, EngineSpec};
-use clementine_decide::ids::DomainId;
-use clementine_decide::paths::PathCandidate;
+use clementine_decide::ids::{DomainId, Tick};
+use clementine_decide::paths::{
+    Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathTargets,
+};
 use clementine_decide::placement::{LayerHost, context_tokens_per_engine};
 use clementine_objects::{LayerRange, Millis};
 
@@ -105,6 +107,27 @@
     }
 }
 
+/// Search for the path of a new request without targets, at the only entry.
+pub fn new_request<'a>(
+    spec: &'a EngineSpec,
+    candidates: &'a [PathCandidate],
+    links: &'a LinkUsage,
+    demand: Demand,
+) -> PathSearch<'a> {
+    PathSearch {
+        spec,
+        candidates,
+        links,
+        demand,
+        targets: PathTargets::default(),
+        purpose: PathPurpose::NewRequest,
+        entries: 1,
+        allowed_first: &[],
+        current_path: &[],
+        now: Tick(0),
+    }
+}
+
 pub fn backend(id: &str, pool: &str) -> Backend {
     Backend {
         id: id.into(),
--- a/crates/decide/tests/first_slots.rs
+++ b/crates/decide/tests/first_slots.rs
@@ -4,9 +4,7 @@
 
 use clementine_decide::fleet::{Backend, Fleet};
 use clementine_decide::ids::{BackendId, PoolId, Tick};
-use clementine_decide::paths::{
-    Demand, LinkUsage, PathPurpose, PathSearch, PathStage, PathTargets,
-};
+use clementine_decide::paths::{Demand, LinkUsage, PathSearch, PathStage};
 use clementine_decide::peers::{BackendHash, BackendLoad};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -66,18 +64,9 @@
 fn begin_request(fleet: &mut Fleet, rng: &mut SmallRng) -> Option<Vec<PathStage>> {
     let (spec, links) = (engine_fixtures::spec(), LinkUsage::default());
     let candidates = fleet.path_candidates(&PoolId::from("model"), &spec, NOW, &[]);
-    let search = PathSearch {
-        spec: &spec,
-        candidates: &candidates,
-        links: &links,
-        demand: Demand { prompt_tokens: 20.0, output_tokens: 10.0 },
-        targets: PathTargets::default(),
-        purpose: PathPurpose::NewRequest,
-        entries: 1,
-        allowed_first: &[],
-        current_path: &[],
-        now: NOW,
-    };
+    let demand = Demand { prompt_tokens: 20.0, output_tokens: 10.0 };
+    let search =
+        PathSearch { now: NOW, ..engine_fixtures::new_request(&spec, &candidates, &links, demand) };
     let path = search.choose_path(rng)?.stages;
     for (stage, id) in path.iter().map(|stage| &stage.id).enumerate() {
         let member = fleet.get_mut(id).expect("listed");
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -5,10 +5,9 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
-    Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, PathTargets,
-    transfer_bytes,
+    Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, transfer_bytes,
 };
-use engine_fixtures::{LAYERS, candidate, range, spec};
+use engine_fixtures::{LAYERS, candidate, new_request, range, spec};
 use quickcheck::quickcheck;
 
 const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
@@ -23,16 +22,10 @@
     let is_running = !current_path.is_empty();
     let spec = spec();
     let search = PathSearch {
-        spec: &spec,
-        candidates,
-        links,
-        demand: DEMAND,
-        targets: PathTargets::default(),
         purpose: if is_running { PathPurpose::Repair } else { PathPurpose::NewRequest },
-        entries: 1,
         allowed_first: &first,
         current_path,
-        now: Tick(0),
+        ..new_request(&spec, candidates, links, DEMAND)
     };
     search.cheapest_path()
 }
@@ -157,18 +150,7 @@
 
 fn shortages(candidates: &[PathCandidate]) -> Vec<String> {
     let (spec, links) = (spec(), LinkUsage::default());
-    let search = PathSearch {
-        spec: &spec,
-        candidates,
-        links: &links,
-        demand: DEMAND,
-        targets: PathTargets::default(),
-        purpose: PathPurpose::NewRequest,
-        entries: 1,
-        allowed_first: &[],
-        current_path: &[],
-        now: Tick(0),
-    };
+    let search = new_request(&spec, candidates, &links, DEMAND);
     assert_eq!(search.cheapest_path(), None);
     search.shortages().iter().map(ToString::to_string).collect()
 }
