--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -425,6 +425,30 @@
     Ok(address)
 }
 
+/// Serves connections until `stop` is set; then the address refuses connections.
+pub fn serve_until(
+    address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    handle: impl Fn(Reader) + Send + Sync + 'static,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            match listener.accept() {
+                Ok((io, _)) => {
+                    let _ = io.set_nonblocking(false);
+                    let handle = Arc::clone(&handle);
+                    thread::spawn(move || handle(Reader::new(io)));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(2)),
+            }
+        }
+    });
+    Ok(())
+}
+
 // ---------------------------------------------------------------- store
 
 /// How the store treats the calls that arrive at one of its addresses.
@@ -466,9 +490,7 @@
     pub fn serve(&self, ip: Ipv4Addr) -> StorePort {
         let mode = Arc::new(Mutex::new(StoreMode::Serve));
         let (store, mode_of) = (self.clone(), Arc::clone(&mode));
-        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let address = serve((ip, 0).into(), move |conn| store.connection(conn, &mode_of));
-        let _ = open;
         StorePort { address: address.expect("the store listens"), mode }
     }
 
