--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -8,7 +8,6 @@
 use std::fs;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,11 +15,17 @@
 use lab::*;
 
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
-/// Clients of the zone (`clients = 28` in klyuchar-kiosks, at one front).
-const CLIENTS: usize = 28;
-/// Factor of the burst and its length (x = 1.7, `for_s` = 3 in klyuchar-kiosks).
-const BURST: f64 = 1.7;
-const BURST_FOR: Duration = Duration::from_secs(3);
+/// Clients of the three zones of klyuchar-kiosks, and the fronts of each zone.
+const ZONES: [(&str, usize, &[usize]); 3] =
+    [("bg-south-a", 30, &[0, 1]), ("bg-south-b", 28, &[2]), ("bg-south-c", 34, &[3])];
+/// The front that is left.
+const LEFT: usize = 2;
+/// How long clients send requests.
+const SEND_FOR: Duration = Duration::from_secs(40);
+/// Time after which the platform starts a killed process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// Time between two requests of a client, at least and at most.
+const THINK_MS: (u64, u64) = (100, 1_600);
 /// Size of a request's body (`max-body-bytes` = 4,194,304).
 const BODY: usize = 4 * 1024 * 1024;
 const PART: usize = 16 * 1024;
@@ -28,10 +33,10 @@
 const LINK_BYTES_PER_S: f64 = 125e6;
 /// Memory above which the platform kills a process (`limits.memory-mb`), in bytes.
 const MEMORY: u64 = 260 * 1024 * 1024;
-/// A server's slots, queue and work for a request.
+/// A server's slots and queue, and its work for a request of this size.
 const SLOTS: usize = 6;
 const QUEUE: usize = 24;
-const WORK: Duration = Duration::from_millis(60);
+const WORK: Duration = Duration::from_millis(300);
 
 fn config() -> String {
     format!(
@@ -110,14 +115,32 @@
     unanswered: Vec<String>,
 }
 
-/// Sends requests on one connection until `end`, at the client's part of the link.
+/// Pauses between two requests, for a time that differs from client to client.
+fn think(n: usize, turn: u32) {
+    let spread = (n as u64 * 7_919 + u64::from(turn) * 104_729) % (THINK_MS.1 - THINK_MS.0);
+    thread::sleep(Duration::from_millis(THINK_MS.0 + spread));
+}
+
+/// Sends requests until `end`, at the client's part of the link; connects again when a
+/// connection has ended.
 fn client(n: usize, address: SocketAddr, end: Instant, rate: f64, seen: &Mutex<Seen>) {
-    let Ok(mut conn) = connect(address, Duration::from_secs(10)) else { return };
+    let mut next = 0;
+    while Instant::now() < end {
+        if let Ok(conn) = connect(address, Duration::from_secs(10)) {
+            send_requests(conn, n, &mut next, end, rate, seen);
+        }
+        next += 1;
+        think(n, next);
+    }
+}
+
+fn send_requests(mut conn: Reader, n: usize, next: &mut u32, end: Instant, rate: f64, seen: &Mutex<Seen>) {
     let part = vec![b'x'; PART];
-    for turn in 0.. {
-        // The first request is small: from the second on the connection is a kept one.
-        let body = if turn == 0 { PART } else { BODY };
-        let id = format!("{n:08x}{turn:08x}");
+    // The first request is small: from the second on the connection is a kept one.
+    let mut body = PART;
+    while Instant::now() < end {
+        *next += 1;
+        let id = format!("{n:08x}{next:08x}");
         let head = format!(
             "POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\nX-Api-Key: {KEY}\r\nContent-Length: {body}\r\n\r\n"
         );
@@ -125,6 +148,9 @@
         let mut sent = conn.io.write_all(head.as_bytes());
         for k in 0..body / PART {
             sent = sent.and_then(|()| conn.io.write_all(&part));
+            if sent.is_err() {
+                break;
+            }
             let due = Duration::from_secs_f64((k + 1) as f64 * PART as f64 / rate);
             thread::sleep(due.saturating_sub(begun.elapsed()));
         }
@@ -132,12 +158,12 @@
         let mut seen = seen.lock().unwrap();
         match answer {
             Ok(answer) => *seen.answers.entry(answer.status).or_default() += 1,
-            Err(_) => return seen.unanswered.push(id),
+            Err(_) if body == BODY => return seen.unanswered.push(id),
+            Err(_) => return,
         }
         drop(seen);
-        if Instant::now() >= end {
-            return;
-        }
+        body = BODY;
+        think(n, *next);
     }
 }
 
@@ -151,61 +177,79 @@
         store.put("servers", &format!("i-{n}"), &server_row("wuno96b", address, "bg-south-a", SLOTS as u32, "ready"));
     }
     store.put("op", "config", &config());
-    let entry = case.start_entry(1, "bg-south-a", port.address);
-    case.wait_ready(&entry);
+    let mut entries = Vec::new();
+    for (zone, _, fronts) in ZONES {
+        for front in fronts {
+            entries.push(case.start_entry(1 + *front as u8, zone, port.address));
+        }
+    }
+    for entry in &entries {
+        case.wait_ready(entry);
+    }
     thread::sleep(Duration::from_secs(4));
-    case.record.line(&format!("the entry has {} MB of its own", own_memory(entry.pid) / 1_000_000));
-
-    // The platform kills a process that exceeds its memory.
-    let (peak, killed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
-    let (peak_of, killed_of, pid, record) =
-        (Arc::clone(&peak), Arc::clone(&killed), entry.pid, case.record.clone());
-    let stop = Arc::new(AtomicBool::new(false));
-    let stopped = Arc::clone(&stop);
-    let watch = thread::spawn(move || {
-        while !stopped.load(Ordering::Relaxed) {
-            let memory = own_memory(pid);
-            peak_of.fetch_max(memory as usize, Ordering::Relaxed);
-            if memory > MEMORY {
-                record.line(&format!("the entry has {memory} bytes, more than {MEMORY}: the platform kills it"));
-                let _ = std::process::Command::new("sh").args(["-c", &format!("kill -KILL {pid}")]).status();
-                return killed_of.store(true, Ordering::Relaxed);
-            }
-            thread::sleep(Duration::from_millis(2));
+    if case.trouble {
+        for entry in entries.iter().enumerate().filter(|(n, _)| *n != LEFT).map(|(_, entry)| entry) {
+            case.signal(entry, "KILL");
         }
-    });
+    }
 
     let seen: Arc<Mutex<Seen>> = Arc::default();
-    let burst = (CLIENTS as f64 * BURST) as usize;
-    let clients = if case.trouble { burst } else { CLIENTS };
-    let rate = LINK_BYTES_PER_S / clients as f64;
-    let end = Instant::now() + BURST_FOR;
-    case.record.line(&format!("{clients} clients send requests of {BODY} bytes for {BURST_FOR:?}"));
-    let clients: Vec<_> = (0..clients)
-        .map(|n| {
-            let (seen, address) = (Arc::clone(&seen), entry.callers);
-            thread::spawn(move || client(n, address, end, rate, &seen))
+    let mut at_front = [0usize; 4];
+    let mut places = Vec::new();
+    for (_, clients, fronts) in ZONES {
+        for n in 0..clients {
+            let front = if case.trouble { LEFT } else { fronts[n % fronts.len()] };
+            at_front[front] += 1;
+            places.push(front);
+        }
+    }
+    case.record.line(&format!("clients by front: {at_front:?}, requests of {BODY} bytes"));
+    let end = Instant::now() + SEND_FOR;
+    let clients: Vec<_> = places
+        .into_iter()
+        .enumerate()
+        .map(|(n, front)| {
+            let (seen, address) = (Arc::clone(&seen), entries[front].callers);
+            let rate = LINK_BYTES_PER_S / at_front[front] as f64;
+            let begin = Duration::from_secs_f64(BODY as f64 / rate) * n as u32 / 92;
+            thread::spawn(move || {
+                thread::sleep(begin);
+                client(n, address, end, rate, &seen);
+            })
         })
         .collect();
+    // The platform kills a process that exceeds its memory, and starts it again.
+    let (mut peak, mut kills) = (0, 0);
+    while Instant::now() < end {
+        let memory = own_memory(entries[LEFT].pid);
+        peak = peak.max(memory);
+        if memory > MEMORY {
+            kills += 1;
+            case.record.line(&format!("the front has {memory} bytes, more than {MEMORY}: the platform kills it"));
+            case.signal(&entries[LEFT], "KILL");
+            case.wait_ended(&entries[LEFT]);
+            thread::sleep(RESTART_DELAY);
+            case.launch(&mut entries[LEFT]);
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
     for client in clients {
         let _ = client.join();
     }
-    stop.store(true, Ordering::Relaxed);
-    let _ = watch.join();
 
     let seen = seen.lock().unwrap();
     let ran: HashSet<String> = runs.all().into_iter().map(|run| run.id).collect();
     let lost = seen.unanswered.iter().filter(|id| ran.contains(*id)).count();
     case.record.line(&format!(
-        "answers by status: {:?}; ended without an answer: {}, of which {lost} were run by a server; peak {} MB",
+        "answers by status: {:?}; ended without an answer: {}, of which {lost} were run by a server; the process was killed {kills} times; peak {} MB",
         seen.answers,
         seen.unanswered.len(),
-        peak.load(Ordering::Relaxed) / 1_000_000
+        peak / 1_000_000
     ));
     if ran.is_empty() {
         case.cannot_run("no request reached a server");
     }
-    let broken = (killed.load(Ordering::Relaxed) && lost > 3)
+    let broken = (kills > 0 && lost > 3)
         .then(|| format!("LOST: {lost} requests that were passed on to sound servers got no answer"));
     case.verdict(broken);
 }
