--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -115,13 +115,48 @@
         }
     }
 
+    /// Starts an entry whose standard output goes through a pipe to a process that keeps
+    /// the log, as on a machine with a log collector. Returns the pid of that process.
+    pub fn start_entry_with_collector(&self, n: u8, zone: &str, store: SocketAddr) -> (Entry, u32) {
+        let ip = self.ip(n);
+        let settings = self.folder.join(format!("entry-{n}.conf"));
+        fs::write(&settings, settings_text(n, zone, ip, store)).unwrap();
+        let log = self.folder.join(format!("entry-{n}.log"));
+        let file = File::create(&log).unwrap();
+        let collector =
+            Command::new("cat").stdin(Stdio::piped()).stdout(file).stderr(Stdio::null()).spawn();
+        let mut collector = match collector {
+            Ok(collector) => collector,
+            Err(error) => self.cannot_run(&format!("the log collector does not start: {error}")),
+        };
+        let pipe = collector.stdin.take().unwrap();
+        let entry = Command::new(self.root.join("target/release/clementine-entry"))
+            .args(["direct", "--metrics-port", "9464"])
+            .env("CLEMENTINEHUB_CONFIG", &settings)
+            .current_dir(&self.root)
+            .stdin(Stdio::null())
+            .stdout(pipe)
+            .stderr(Stdio::null())
+            .spawn();
+        let child = match entry {
+            Ok(child) => child,
+            Err(error) => self.cannot_run(&format!("the entry does not start: {error}")),
+        };
+        let (pid, collector_pid) = (child.id(), collector.id());
+        self.record.line(&format!("front-{n} started, pid {pid}; its log goes to pid {collector_pid}"));
+        self.children.lock().unwrap().extend([child, collector]);
+        let address = |port: u16| SocketAddr::from((ip, port));
+        let (callers, readiness) = (address(8227), address(8220));
+        (Entry { name: format!("front-{n}"), callers, readiness, settings, log, pid }, collector_pid)
+    }
+
     /// Sends a signal to the process of an entry.
     pub fn signal(&self, entry: &Entry, signal: &str) {
         self.record.line(&format!("{} gets SIG{signal}", entry.name));
         self.signal_pid(entry.pid, signal);
     }
 
-    fn signal_pid(&self, pid: u32, signal: &str) {
+    pub fn signal_pid(&self, pid: u32, signal: &str) {
         let command = format!("kill -{signal} {pid}");
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
