--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -50,9 +50,8 @@
             }
         }
     };
-    serve((case.ip(n), 8228).into(), handle).unwrap_or_else(|error| {
-        case.cannot_run(&format!("a server cannot listen: {error}"))
-    })
+    serve((case.ip(n), 8228).into(), handle)
+        .unwrap_or_else(|error| case.cannot_run(&format!("a server cannot listen: {error}")))
 }
 
 fn pace(slow: &Slow, name: &str) -> u32 {
@@ -114,7 +113,11 @@
     let (runs, slow) = (Runs::default(), Slow::default());
     for n in 101..=103 {
         let address = server(&case, n, &runs, &slow);
-        store.put("servers", &format!("i-{n}"), &server_row("huvo11a", address, "bg-south-a", 192, "ready"));
+        store.put(
+            "servers",
+            &format!("i-{n}"),
+            &server_row("huvo11a", address, "bg-south-a", 192, "ready"),
+        );
     }
     store.put("op", "config", &config());
     let entry = case.start_entry(1, "bg-south-a", port.address);
@@ -122,14 +125,16 @@
     thread::sleep(Duration::from_secs(4));
 
     let id = "9c41d07be2a35f68";
-    let more = "Model: daka510000\r\nToken-Count: 800,80\r\nPrompt-Prefix: 5c1e07a2:40,e4402b7d:760\r\n";
+    let more =
+        "Model: daka510000\r\nToken-Count: 800,80\r\nPrompt-Prefix: 5c1e07a2:40,e4402b7d:760\r\n";
     let request = client_request("/lohu930/2f", id, 20_000, KEY, more);
     case.record.line(&format!("the client sends request {id} once; the route is not resumable"));
     match exchange(entry.callers, &request, Duration::from_secs(25)) {
         Ok(answer) => {
             let text = answer.text();
             let pieces = text.lines().filter(|line| line.starts_with("data:")).count();
-            let servers: Vec<&str> = text.lines().filter_map(|line| line.split("server ").nth(1)).collect();
+            let servers: Vec<&str> =
+                text.lines().filter_map(|line| line.split("server ").nth(1)).collect();
             let mut servers = servers.clone();
             servers.dedup();
             case.record.line(&format!(
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -76,7 +76,8 @@
         );
         clients.push(thread::spawn(move || {
             let ok = |address: &SocketAddr| {
-                exchange(*address, &request, Duration::from_secs(4)).is_ok_and(|answer| answer.status == 200)
+                exchange(*address, &request, Duration::from_secs(4))
+                    .is_ok_and(|answer| answer.status == 200)
             };
             if addresses.iter().any(ok) {
                 *served.lock().unwrap() += 1;
@@ -102,7 +103,11 @@
     let runs = Runs::default();
     for n in 101..=103 {
         let address = server(&case, n, &runs);
-        store.put("servers", &format!("i-{n}"), &server_row("wuno96b", address, "bg-south-a", 6, "ready"));
+        store.put(
+            "servers",
+            &format!("i-{n}"),
+            &server_row("wuno96b", address, "bg-south-a", 6, "ready"),
+        );
     }
     store.put("op", "config", &config());
     let mut entries: Vec<Entry> =
@@ -116,7 +121,11 @@
             thread::sleep(CHANGE_AT);
             for entry in &entries {
                 let text = fs::read_to_string(&entry.settings).unwrap();
-                fs::write(&entry.settings, text.replace("bounds.grace-s=8\n", "bounds.grace-s=7.5\n")).unwrap();
+                fs::write(
+                    &entry.settings,
+                    text.replace("bounds.grace-s=8\n", "bounds.grace-s=7.5\n"),
+                )
+                .unwrap();
             }
             case.record.line("the settings files change: bounds.grace-s is 7.5, and was 8");
         }
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -100,7 +100,14 @@
 }
 
 impl Server {
-    fn start(case: &Case, store: &Store, beyond: &Arc<Mutex<Vec<String>>>, id: &str, service: &'static Service, address: SocketAddr) -> Self {
+    fn start(
+        case: &Case,
+        store: &Store,
+        beyond: &Arc<Mutex<Vec<String>>>,
+        id: &str,
+        service: &'static Service,
+        address: SocketAddr,
+    ) -> Self {
         let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
         let server = Self {
             id: id.to_owned(),
@@ -118,7 +125,9 @@
             service.name, service.kind, service.megabytes
         ));
         let handler = server.clone();
-        if let Err(error) = serve_until(address, Arc::clone(&server.dead), move |conn| handler.connection(conn)) {
+        if let Err(error) =
+            serve_until(address, Arc::clone(&server.dead), move |conn| handler.connection(conn))
+        {
             case.cannot_run(&format!("a server cannot listen at {address}: {error}"));
         }
         server
@@ -171,7 +180,9 @@
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"bg-south-a\",\"version\":\"v1\",\"slots\":192,\
              \"state\":\"ready\",\"cold-remaining-ms\":0,{}}}",
-            self.service.name, self.address, self.state()
+            self.service.name,
+            self.address,
+            self.state()
         )
     }
 
@@ -201,7 +212,12 @@
             ("GET", "/-/report") => {
                 let state = self.state();
                 let busy = self.loaded.lock().unwrap().loading.is_some();
-                (200, format!("{{{state},\"busy\":{busy},\"queued\":0,\"active\":0,\"kv-used\":0,\"kv-total\":100000,\"pace\":1.0,\"handles\":0}}"))
+                (
+                    200,
+                    format!(
+                        "{{{state},\"busy\":{busy},\"queued\":0,\"active\":0,\"kv-used\":0,\"kv-total\":100000,\"pace\":1.0,\"handles\":0}}"
+                    ),
+                )
             }
             ("POST", "/-/order") => (self.order(req), String::new()),
             _ => (503, String::new()),
@@ -233,7 +249,10 @@
         if needed > self.service.megabytes {
             let reason = format!(
                 "server {} of service {} with {} MB was ordered to hold {} layers, {needed} MB",
-                self.id, self.service.name, self.service.megabytes, to - from
+                self.id,
+                self.service.name,
+                self.service.megabytes,
+                to - from
             );
             self.beyond.lock().unwrap().push(reason);
             self.record.line(&format!("server {} crashes: the layers exceed its memory", self.id));
@@ -255,7 +274,8 @@
     let at = |n: u8| SocketAddr::from((case.ip(n), 8228));
     store.put("op", "config", &config());
     let mut servers = Vec::new();
-    for (n, service) in [(101, &LARGE), (102, &LARGE), (103, &LARGE), (111, &SMALL), (113, &SMALL)] {
+    for (n, service) in [(101, &LARGE), (102, &LARGE), (103, &LARGE), (111, &SMALL), (113, &SMALL)]
+    {
         let server = Server::start(&case, &store, &beyond, &format!("i-{n}"), service, at(n));
         server.keep_row();
         servers.push(server);
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -143,11 +143,15 @@
             Err(error) => self.cannot_run(&format!("the entry does not start: {error}")),
         };
         let (pid, collector_pid) = (child.id(), collector.id());
-        self.record.line(&format!("front-{n} started, pid {pid}; its log goes to pid {collector_pid}"));
+        self.record
+            .line(&format!("front-{n} started, pid {pid}; its log goes to pid {collector_pid}"));
         self.children.lock().unwrap().extend([child, collector]);
         let address = |port: u16| SocketAddr::from((ip, port));
         let (callers, readiness) = (address(8227), address(8220));
-        (Entry { name: format!("front-{n}"), callers, readiness, settings, log, pid }, collector_pid)
+        (
+            Entry { name: format!("front-{n}"), callers, readiness, settings, log, pid },
+            collector_pid,
+        )
     }
 
     /// Sends a signal to the process of an entry.
@@ -741,7 +745,8 @@
     /// Number of rows of a table.
     pub fn count(&self, table: &str) -> usize {
         let state = self.state.0.lock().unwrap();
-        let rows = state.rows.iter().filter(|((t, _, _), (value, _))| t == table && value.is_some());
+        let rows =
+            state.rows.iter().filter(|((t, _, _), (value, _))| t == table && value.is_some());
         rows.count()
     }
 }
@@ -945,7 +950,13 @@
 }
 
 /// The record of a server without layers in the store.
-pub fn server_row(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str) -> String {
+pub fn server_row(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
          \"slots\":{slots},\"state\":\"{state}\",\"cold-remaining-ms\":0,\"sequence\":0}}"
