--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,6 +1,6 @@
 //! A stream that may not be resumed runs at a second server while its first one is slow.
 
-#[path = "../lab/lab.rs"]
+#[path = "lab.rs"]
 mod lab;
 
 use std::io::Write;
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,6 +1,6 @@
 //! Entries do not start any more after a bound of the settings has become a fraction.
 
-#[path = "../lab/lab.rs"]
+#[path = "../1/lab.rs"]
 mod lab;
 
 use std::fs;
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,6 +1,6 @@
 //! An order for a server that is gone reaches the server that has its address now.
 
-#[path = "../lab/lab.rs"]
+#[path = "../1/lab.rs"]
 mod lab;
 
 use std::io::Write;
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the programs of the cases, with their stand-ins, into target/review.
+# Builds the programs of the cases, with their stand-ins (review/1/lab.rs), into target/review.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
