Log line and counter for each decision of the retry budget

The logs told that an attempt had ended, not whether the budget let the next one through, nor from which sums. take_retry is the one place that asks the budget; it logs the request, the window's retries and requests, what is allowed and among how many entries the slack is divided.

--- a/crates/decide/src/retry/sliding_window.rs
+++ b/crates/decide/src/retry/sliding_window.rs
@@ -20,6 +20,17 @@
     pub slack: f64,
 }
 
+/// What a [`WindowBudget`] has counted in the current window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WindowUsage {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Retries taken.
+    pub retries: u32,
+    /// Retries that the budget allows.
+    pub allowed: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     index: u64,
@@ -56,17 +67,23 @@
     /// Takes a retry if at least `reserved_share` of the window's budget remains
     /// afterwards.
     pub fn try_retry(&mut self, reserved_share: f64, now: Tick) -> bool {
-        self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let budget = self.limits.slack + self.limits.ratio * f64::from(requests);
-        let allowed = f64::from(retries + 1) <= budget * (1.0 - reserved_share);
+        let usage = self.usage(now);
+        let allowed = f64::from(usage.retries + 1) <= usage.allowed * (1.0 - reserved_share);
         if allowed {
             self.current_bucket(now).retries += 1;
         }
         allowed
     }
 
+    /// What has been counted in the window that ends now.
+    pub fn usage(&mut self, now: Tick) -> WindowUsage {
+        self.current_bucket(now);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let allowed = self.limits.slack + self.limits.ratio * f64::from(requests);
+        WindowUsage { requests, retries, allowed }
+    }
+
     /// Drops the buckets that have left the window and returns the current one.
     fn current_bucket(&mut self, now: Tick) -> &mut Bucket {
         let index = now.0 / (self.limits.window.0 / BUCKETS).max(1);
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -283,11 +283,7 @@
         if !may_repeat || !allowed || is_quarantined(self.shared, &self.ctx.suspects) {
             return false;
         }
-        self.shared.retry_budgets.borrow_mut().try_retry(
-            &self.ctx.pool,
-            RetryPriority::High,
-            self.shared.now(),
-        )
+        self.shared.take_retry(self.ctx, RetryPriority::High)
     }
 
     /// The response to the caller if no further attempt is made: the last server
--- a/crates/direct/src/shared/metrics.rs
+++ b/crates/direct/src/shared/metrics.rs
@@ -20,6 +20,7 @@
     told_to_return: Counter<u64>,
     caller_returns: Counter<u64>,
     retries: Counter<u64>,
+    retry_decisions: Counter<u64>,
     repaths: Counter<u64>,
     paths_beyond_bound: Counter<u64>,
     shortages: Counter<u64>,
@@ -70,6 +71,10 @@
                 "Refused callers that returned when they were told to, or early",
             ),
             retries: counter("direct_retries", "Requests sent once more, by reason"),
+            retry_decisions: counter(
+                "direct_retry_budget_decisions",
+                "Retries asked of the budget, by whether it allowed them",
+            ),
             repaths: counter("direct_paths_changed", "Runs moved around a lost engine"),
             paths_beyond_bound: counter(
                 "direct_paths_beyond_loss_bound",
@@ -167,6 +172,11 @@
         self.caller_returns.add(1, &[KeyValue::new("time", time)]);
     }
 
+    /// Counts a decision of the retry budget.
+    pub(crate) fn count_retry_decision(&self, granted: bool) {
+        self.retry_decisions.add(1, &[KeyValue::new("granted", granted)]);
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/direct/src/shared/retry_budgets.rs
+++ b/crates/direct/src/shared/retry_budgets.rs
@@ -3,8 +3,11 @@
 use std::collections::HashMap;
 
 use clementine_decide::ids::{PoolId, Tick};
-use clementine_decide::retry::{WindowBudget, WindowLimits};
+use clementine_decide::retry::{WindowBudget, WindowLimits, WindowUsage};
 use clementine_platform::settings::InstanceBounds;
+use spdlog::info;
+
+use super::{RequestContext, SharedState};
 
 /// Fraction of the configured budget that the entries use. The rest is headroom
 /// for entries that restart and lose their record of the current window.
@@ -77,6 +80,12 @@
         self.budget(pool).try_retry(reserved_share, now)
     }
 
+    /// What has been counted of a pool, and the number of entries that share the slack.
+    fn usage(&mut self, pool: &PoolId, now: Tick) -> (WindowUsage, usize) {
+        let entry_count = self.entry_count;
+        (self.budget(pool).usage(now), entry_count)
+    }
+
     fn budget(&mut self, pool: &PoolId) -> &mut WindowBudget {
         let limits = self.limits();
         self.pools.entry(pool.clone()).or_insert_with(|| WindowBudget::new(limits))
@@ -92,3 +101,29 @@
         }
     }
 }
+
+impl SharedState {
+    /// Takes a retry of a request from the budget of its pool. Returns `false` if the
+    /// budget does not allow it.
+    pub(crate) fn take_retry(&self, ctx: &RequestContext, priority: RetryPriority) -> bool {
+        let now = self.now();
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let granted = budgets.try_retry(&ctx.pool, priority, now);
+        let (usage, entries) = budgets.usage(&ctx.pool, now);
+        drop(budgets);
+        self.metrics.count_retry_decision(granted);
+        info!(
+            "retry: id={} pool={} granted={} priority={:?} retries={} requests={} allowed={:.1} \
+             entries={}",
+            ctx.req.id,
+            ctx.pool,
+            granted,
+            priority,
+            usage.retries,
+            usage.requests,
+            usage.allowed,
+            entries
+        );
+        granted
+    }
+}
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -304,11 +304,7 @@
     pub(super) fn take_from_budget(&self, progress: &Progress) -> bool {
         let priority =
             if progress.headers_sent() { RetryPriority::High } else { RetryPriority::Low };
-        self.shared.retry_budgets.borrow_mut().try_retry(
-            &self.ctx.pool,
-            priority,
-            self.shared.now(),
-        )
+        self.shared.take_retry(self.ctx, priority)
     }
 
     /// The outcome if no further attempt is made.
