--- a/crates/direct/tests/soak/entries.rs
+++ b/crates/direct/tests/common/entry_process.rs
@@ -7,10 +7,10 @@
 
 use clementine_e2e::{Process, Proxy};
 
-use crate::common::Store;
+use super::Store;
 
 /// Entry whose process may be stopped and restarted.
-pub struct Entry {
+pub struct EntryProcess {
     name: String,
     domain: &'static str,
     settings_path: PathBuf,
@@ -27,7 +27,7 @@
     process_starts: Cell<u32>,
 }
 
-impl Entry {
+impl EntryProcess {
     pub async fn start(name: &str, domain: &'static str, seed: u64, store: &Store) -> Self {
         let file = format!("clementine-soak-{}-{seed}-{name}.conf", process::id());
         let entry = Self {
@@ -116,7 +116,7 @@
     }
 }
 
-impl Drop for Entry {
+impl Drop for EntryProcess {
     fn drop(&mut self) {
         // Best effort: a leftover file in the temporary directory is harmless.
         let _ = fs::remove_file(&self.settings_path);
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod caller;
+mod entry_process;
 mod entry_thread;
 mod scripted;
 mod store;
@@ -25,6 +26,8 @@
     CallerResponse, queue_request, request_head, send_request, send_request_with_headers,
 };
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
+pub use entry_process::EntryProcess;
+#[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use entry_thread::EntryThread;
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
 pub use scripted::{list_server, signed, signed_head};
--- a/crates/direct/tests/soak/faults.rs
+++ b/crates/direct/tests/soak/faults.rs
@@ -11,8 +11,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
-use crate::common::{Backend, Behaviour, config};
-use crate::entries::Entry;
+use crate::common::{Backend, Behaviour, EntryProcess, config};
 use crate::harness::Soak;
 
 /// Time limit for a process to exit after SIGTERM: the grace period of 8 s, plus a
@@ -47,14 +46,14 @@
     }
 }
 
-async fn pause_process(entry: Rc<Entry>, duration: Duration) {
+async fn pause_process(entry: Rc<EntryProcess>, duration: Duration) {
     entry.with_process(Process::pause);
     sleep(duration).await;
     entry.with_process(Process::resume);
 }
 
 /// Shuts a process down gracefully, waits until it has exited and restarts it.
-async fn restart_gracefully(soak: Rc<Soak>, entry: Rc<Entry>) {
+async fn restart_gracefully(soak: Rc<Soak>, entry: Rc<EntryProcess>) {
     entry.terminate();
     let starts = entry.process_starts();
     // Another fault may kill and restart the process in the meantime.
@@ -75,14 +74,14 @@
     entry.start_process();
 }
 
-async fn kill_and_restart(entry: Rc<Entry>, duration: Duration) {
+async fn kill_and_restart(entry: Rc<EntryProcess>, duration: Duration) {
     entry.kill();
     sleep(duration).await;
     entry.start_process();
 }
 
 /// Interrupts an entry's open and new connections to the store.
-async fn disrupt_store(entry: Rc<Entry>, mode: ProxyMode, duration: Duration) {
+async fn disrupt_store(entry: Rc<EntryProcess>, mode: ProxyMode, duration: Duration) {
     entry.store_proxy.set_mode(mode);
     entry.store_proxy.close_open_connections();
     sleep(duration).await;
@@ -116,7 +115,7 @@
     }
 }
 
-fn change_settings(entry: &Entry) {
+fn change_settings(entry: &EntryProcess) {
     entry.change_settings();
     entry.with_process(Process::send_sighup);
 }
--- a/crates/direct/tests/soak/harness.rs
+++ b/crates/direct/tests/soak/harness.rs
@@ -15,8 +15,7 @@
     send_request,
 };
 use crate::checks::Checks;
-use crate::common::{Backend, Store, config, wait_until};
-use crate::entries::Entry;
+use crate::common::{Backend, EntryProcess, Store, config, wait_until};
 use crate::faults::{
     break_streams, fault_interval, inject_fault, refuse_control_calls, restart_crashed_servers,
     silence_store,
@@ -35,7 +34,7 @@
     pub store: Store,
     pub engines: Vec<Backend>,
     pub plain_servers: Vec<Backend>,
-    pub entries: Vec<Rc<Entry>>,
+    pub entries: Vec<Rc<EntryProcess>>,
     pub config_version: Cell<u64>,
     pub checks: Checks,
     /// Tells callers to stop.
@@ -59,7 +58,7 @@
         }
         let mut entries = Vec::new();
         for (name, domain) in [("one", "a"), ("two", "a"), ("three", "b")] {
-            entries.push(Rc::new(Entry::start(name, domain, seed, &store).await));
+            entries.push(Rc::new(EntryProcess::start(name, domain, seed, &store).await));
         }
         wait_until("all engines host layers", async || engines.iter().all(Backend::holds_layers))
             .await;
@@ -137,7 +136,7 @@
         }
     }
 
-    async fn wait_until_served(&self, entry: &Entry, kind: RequestKind) {
+    async fn wait_until_served(&self, entry: &EntryProcess, kind: RequestKind) {
         for attempt in 0_u64.. {
             let id = format!("after-{:?}-{kind:?}-{attempt}", entry.callers_address());
             self.checks.record_sent(kind, &id);
--- a/crates/direct/tests/soak/main.rs
+++ b/crates/direct/tests/soak/main.rs
@@ -15,7 +15,6 @@
 
 mod callers;
 mod checks;
-mod entries;
 mod faults;
 mod harness;
 
