Shares of the retry budget outlive the process, and are those of all entries

Cause: the budget is one sum, but each process decided from what it remembered and heard itself. A killed entry began with its whole part of the slack again; one that had just started or was cut off divided the slack by 4; survivors took over the parts that the dead had used.

Change: an entry reports the slack that it uses to six others, before it goes beyond what it has reported, and once a second. A process that starts asks them, and counts as used what the last one reported; until it knows, and for a window at most, it uses no slack. One that hears nobody uses no more than it has reported. The slack is divided among all entries that are known, heard or not; the count shrinks after ten minutes only.

--- a/crates/decide/src/peers/message.rs
+++ b/crates/decide/src/peers/message.rs
@@ -9,6 +9,7 @@
 use super::{FeedPositions, Sighting, TableChanges};
 use crate::ids::{BackendId, DomainId, EntryId, IncarnationId, StoreVersion};
 use crate::quarantine::CrashReport;
+use crate::retry::{SlackAnswer, SlackRecall, SlackReport};
 use crate::shares::ShareStatus;
 use crate::signals::SignalReport;
 
@@ -72,6 +73,12 @@
     Sighting(Sighting),
     /// What is known of a suspect of crashes, for all entries.
     Crashes(CrashReport),
+    /// Slack of retry budgets that the sender uses.
+    SlackReport(SlackReport),
+    /// Question about the slack that the sender's last process used.
+    SlackRecall(SlackRecall),
+    /// Answer to that question.
+    SlackAnswer(SlackAnswer),
 }
 
 /// Periodic status message of an entry.
--- a/crates/decide/src/peers/mod.rs
+++ b/crates/decide/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! domain as a whole to a few entries of each other domain. The cost for an
 //! entry grows with the size of its domain and the number of domains.
 
+mod entry_count;
 mod feed;
 mod message;
 mod repeat;
@@ -14,6 +15,7 @@
 mod urgent;
 mod view;
 
+pub use entry_count::EntryCount;
 pub use feed::{ChangedRow, FeedPosition, FeedPositions, FollowedTable, TableChanges, must_follow};
 pub use message::{
     BackendHash, BackendLoad, ConfigOffer, DomainSummary, LinkLoad, LoadStatus, PeerDatagram,
--- a/crates/decide/src/peers/urgent.rs
+++ b/crates/decide/src/peers/urgent.rs
@@ -5,6 +5,7 @@
 
 use super::{Sighting, TableChanges};
 use crate::quarantine::CrashReport;
+use crate::retry::SlackReport;
 
 /// Maximum number of waiting messages of each kind. Those that do not fit are dropped:
 /// what they tell is also found out in another way, but later.
@@ -19,6 +20,8 @@
     Sighting(Sighting),
     /// What is known of a suspect, for all entries.
     Crashes(CrashReport),
+    /// Slack of retry budgets that this entry uses, for a few entries.
+    Slack(SlackReport),
 }
 
 /// Urgent messages that wait to be sent.
--- a/crates/decide/src/retry/sliding_window.rs
+++ b/crates/decide/src/retry/sliding_window.rs
@@ -86,7 +86,7 @@
 
     /// Drops the buckets that have left the window and returns the current one.
     fn current_bucket(&mut self, now: Tick) -> &mut Bucket {
-        let index = now.0 / (self.limits.window.0 / BUCKETS).max(1);
+        let index = self.bucket_index(now);
         while self.buckets.front().is_some_and(|bucket| bucket.index + BUCKETS < index) {
             self.buckets.pop_front();
         }
@@ -96,4 +96,8 @@
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
     }
+
+    fn bucket_index(&self, at: Tick) -> u64 {
+        at.0 / (self.limits.window.0 / BUCKETS).max(1)
+    }
 }
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -9,6 +9,7 @@
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::quarantine::LossKind;
+use clementine_decide::retry::RetryPriority;
 use clementine_http1::ServerConn;
 use clementine_objects::Millis;
 use clementine_platform::requests::relayed_response;
@@ -21,8 +22,7 @@
     Run, is_quarantined, late_quarantine_error, record_completion, record_response_begun,
 };
 use crate::shared::{
-    PoolRun, RequestContext, Reservation, RetryPriority, SharedState, promise_return,
-    wait_for_capacity,
+    PoolRun, RequestContext, Reservation, SharedState, promise_return, wait_for_capacity,
 };
 
 /// `Retry-After` of the error if no backend server accepted the request and nothing is
@@ -283,7 +283,7 @@
         if !may_repeat || !allowed || is_quarantined(self.shared, &self.ctx.suspects) {
             return false;
         }
-        self.shared.take_retry(self.ctx, RetryPriority::High)
+        self.shared.take_retry(self.ctx, RetryPriority::High).is_some()
     }
 
     /// The response to the caller if no further attempt is made: the last server
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -96,7 +96,7 @@
         return Err(RequestError::with_retry_after(ErrorKind::Overloaded, RETRY_AFTER));
     }
     let deadline = arrived + time_left;
-    shared.retry_budgets.borrow_mut().record_request(&pool, shared.now());
+    shared.retry_budgets.borrow_mut().record_request((&pool).into(), shared.now());
     let engine = table.pools.get(&pool).and_then(|spec| spec.engine.as_deref());
     let cost = request_cost(engine, req.prompt_size);
     let prefix = Rc::new(prefix(shared, &req, &rule));
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -54,6 +54,10 @@
         let delay = match register_and_read(&shared, address, registered != Some(era)).await {
             Ok(directory) => {
                 receivers.borrow_mut().replace(directory);
+                // Later ones are heard, and rows of removed entries stay in the store.
+                if registered.is_none() {
+                    shared.observe_entries(receivers.borrow().known_count());
+                }
                 registered = Some(era);
                 DIRECTORY_INTERVAL
             }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -32,6 +32,10 @@
 /// Time after the start in which this entry sends no summaries, because it may not
 /// have heard all entries of its failure domain yet.
 const LISTEN_TIME: Millis = Millis(1_000);
+/// Interval at which this entry asks what its last process used of the retry budgets.
+const RECALL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which it reports what it uses of them.
+const SLACK_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of suspects of crashes in one message.
@@ -115,11 +119,13 @@
         let mut buf = vec![0; MAX_MESSAGE_BYTES];
         let mut send_at = Instant::now();
         let mut apply_at = Instant::now();
+        let mut slack_at = Instant::now();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => self.receive(received, &buf).await,
                 message = shared.outbox.next() => self.send_urgent(message).await,
                 () = sleep_until(send_at) => send_at = Instant::now() + self.send().await,
+                () = sleep_until(slack_at) => slack_at = Instant::now() + self.send_slack().await,
                 () = sleep_until(apply_at), if self.loads_changed => {
                     self.loads_changed = false;
                     self.shared.apply_peer_loads();
@@ -194,7 +200,29 @@
                 let datagram = PeerDatagram::Crashes(report);
                 self.send_datagram(&datagram, &[neighbors, remote].concat()).await;
             }
+            UrgentMessage::Slack(report) => {
+                self.send_datagram(&PeerDatagram::SlackReport(report), &self.witnesses()).await;
+            }
+        }
+    }
+
+    /// Reports what this entry uses of the slack of retry budgets, or asks what its last
+    /// process used. Returns the time until the next such message.
+    async fn send_slack(&self) -> Duration {
+        let (now, witnesses) = (self.shared.now(), self.witnesses());
+        let report = self.shared.retry_budgets.borrow_mut().report(now);
+        if let Some(report) = report {
+            self.send_datagram(&PeerDatagram::SlackReport(report), &witnesses).await;
+            return SLACK_REPORT_INTERVAL;
         }
+        let recall = self.shared.retry_budgets.borrow().recall();
+        self.send_datagram(&PeerDatagram::SlackRecall(recall), &witnesses).await;
+        RECALL_INTERVAL
+    }
+
+    /// Entries that keep what this one uses of the retry budgets.
+    fn witnesses(&self) -> Vec<SocketAddr> {
+        self.receivers.borrow().witnesses()
     }
 
     /// Entries of other failure domains that this entry sends to in this round.
--- a/crates/direct/src/peers/receivers.rs
+++ b/crates/direct/src/peers/receivers.rs
@@ -6,8 +6,14 @@
 use clementine_decide::ids::{DomainId, EntryId};
 use clementine_decide::peers::{PeerView, summary_targets};
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::directory::EntryRecord;
 
+/// Number of entries, in this failure domain and in the others, that keep what this
+/// entry uses of the retry budgets.
+const WITNESSES: usize = 3;
+
 /// Addresses of the other entries, and the receivers of the next messages.
 #[derive(Debug)]
 pub(super) struct Receivers {
@@ -49,6 +55,31 @@
         self.neighbors.values().copied()
     }
 
+    /// Addresses of the entries that keep what this one uses of the retry budgets: a few
+    /// of this failure domain and a few of others. An entry that restarts finds most of
+    /// them again, by rendezvous hashing.
+    pub(super) fn witnesses(&self) -> Vec<SocketAddr> {
+        let remote = self.remote.values().flatten();
+        let mut witnesses = self.first_by_rank(self.neighbors.iter());
+        witnesses.extend(self.first_by_rank(remote));
+        witnesses
+    }
+
+    fn first_by_rank<'a>(
+        &self,
+        entries: impl Iterator<Item = (&'a EntryId, &'a SocketAddr)>,
+    ) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            entries.map(|(id, address)| (rank(&self.entry, id), *address)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(WITNESSES).map(|(_, address)| address).collect()
+    }
+
+    /// Number of known entries, including this one.
+    pub(super) fn known_count(&self) -> usize {
+        1 + self.neighbors.len() + self.remote.values().map(BTreeMap::len).sum::<usize>()
+    }
+
     /// Addresses of the entries of other failure domains that get this entry's
     /// summary in a round.
     pub(super) fn summary_receivers(&self, view: &PeerView, round: u64) -> Vec<SocketAddr> {
@@ -62,3 +93,11 @@
         domains.flatten().collect()
     }
 }
+
+/// Rank of an entry among those that may keep what another one uses.
+fn rank(user: &EntryId, keeper: &EntryId) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(user.as_str().as_bytes());
+    hasher.update(keeper.as_str().as_bytes());
+    hasher.digest()
+}
--- a/crates/direct/src/shared/retry_budgets.rs
+++ b/crates/direct/src/shared/retry_budgets.rs
@@ -1,129 +1,80 @@
-//! This entry's share of the retry budget of each pool.
+//! Retries of requests, from the budgets that all entries share.
 
-use std::collections::HashMap;
-
-use clementine_decide::ids::{PoolId, Tick};
-use clementine_decide::retry::{WindowBudget, WindowLimits, WindowUsage};
+use clementine_decide::ids::Tick;
+use clementine_decide::peers::UrgentMessage;
+use clementine_decide::retry::{Contact, RetryPriority, SlackAnswer, WindowLimits};
 use clementine_platform::settings::InstanceBounds;
 use spdlog::info;
 
 use super::{RequestContext, SharedState};
 
-/// Fraction of the configured budget that the entries use. The rest is headroom
-/// for entries that restart and lose their record of the current window.
-const USED_FRACTION: f64 = 0.85;
-/// Minimum number of entries among which the slack is divided. Applies while
-/// this entry has not received messages of the others yet.
-const MIN_ENTRY_COUNT: usize = 4;
-/// Fraction of the budget that is reserved for retries of high priority.
-const HIGH_PRIORITY_RESERVE: f64 = 0.4;
-
-/// Whether a retry may use the reserved part of the budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RetryPriority {
-    /// May not use the reserve: a stream of which the caller has received
-    /// nothing yet.
-    Low,
-    /// May use the whole budget: a stream that the caller is already receiving,
-    /// or a request without a stream.
-    High,
-}
-
-/// This entry's share of the retry budget of each pool.
-#[derive(Debug)]
-pub(crate) struct RetryBudgets {
-    bounds: InstanceBounds,
-    entry_count: usize,
-    pools: HashMap<PoolId, WindowBudget>,
-}
-
-impl RetryBudgets {
-    pub(crate) fn new(bounds: InstanceBounds) -> Self {
-        Self { bounds, entry_count: MIN_ENTRY_COUNT, pools: HashMap::new() }
-    }
-
-    /// Sets the number of entries that share the budget.
-    pub(crate) fn set_entry_count(&mut self, count: usize) {
-        let count = count.max(MIN_ENTRY_COUNT);
-        if count == self.entry_count {
-            return;
-        }
-        self.entry_count = count;
-        self.apply_limits();
-    }
-
-    /// Applies changed settings to all pools.
-    pub(crate) fn apply_bounds(&mut self, bounds: InstanceBounds) {
-        self.bounds = bounds;
-        self.apply_limits();
-    }
-
-    fn apply_limits(&mut self) {
-        let limits = self.limits();
-        for budget in self.pools.values_mut() {
-            budget.set_limits(limits);
-        }
-    }
-
-    /// Records a caller's request, which increases the pool's budget.
-    pub(crate) fn record_request(&mut self, pool: &PoolId, now: Tick) {
-        self.budget(pool).record_request(now);
-    }
-
-    /// Takes a retry from a pool's budget. Returns `false` if the budget does not
-    /// allow it.
-    pub(crate) fn try_retry(&mut self, pool: &PoolId, priority: RetryPriority, now: Tick) -> bool {
-        let reserved_share = match priority {
-            RetryPriority::Low => HIGH_PRIORITY_RESERVE,
-            RetryPriority::High => 0.0,
-        };
-        self.budget(pool).try_retry(reserved_share, now)
-    }
-
-    /// What has been counted of a pool, and the number of entries that share the slack.
-    fn usage(&mut self, pool: &PoolId, now: Tick) -> (WindowUsage, usize) {
-        let entry_count = self.entry_count;
-        (self.budget(pool).usage(now), entry_count)
-    }
-
-    fn budget(&mut self, pool: &PoolId) -> &mut WindowBudget {
-        let limits = self.limits();
-        self.pools.entry(pool.clone()).or_insert_with(|| WindowBudget::new(limits))
-    }
-
-    /// This entry's limits. The ratio applies to the entry's own requests and is
-    /// not divided; the slack is divided among the entries.
-    fn limits(&self) -> WindowLimits {
-        WindowLimits {
-            window: self.bounds.retry_window,
-            ratio: self.bounds.retry_share * USED_FRACTION,
-            slack: self.bounds.retry_reserve * USED_FRACTION / self.entry_count as f64,
-        }
+/// Budget of a pool for all entries together.
+pub(super) const fn retry_limits(bounds: &InstanceBounds) -> WindowLimits {
+    WindowLimits {
+        window: bounds.retry_window,
+        ratio: bounds.retry_share,
+        slack: bounds.retry_reserve,
     }
 }
 
 impl SharedState {
-    /// Takes a retry of a request from the budget of its pool. Returns `false` if the
-    /// budget does not allow it.
-    pub(crate) fn take_retry(&self, ctx: &RequestContext, priority: RetryPriority) -> bool {
-        let now = self.now();
+    /// Takes a retry of a request from the budget of its pool. Returns when, or `None` if
+    /// the budget does not allow it.
+    pub(crate) fn take_retry(&self, ctx: &RequestContext, priority: RetryPriority) -> Option<Tick> {
+        let (now, contact) = (self.now(), self.contact());
         let mut budgets = self.retry_budgets.borrow_mut();
-        let granted = budgets.try_retry(&ctx.pool, priority, now);
-        let (usage, entries) = budgets.usage(&ctx.pool, now);
+        let decision = budgets.try_retry((&ctx.pool).into(), priority, contact, now);
+        let entries = budgets.entry_count();
+        let report = if decision.must_report { budgets.report(now) } else { None };
         drop(budgets);
-        self.metrics.count_retry_decision(granted);
+        if let Some(report) = report {
+            self.outbox.push(UrgentMessage::Slack(report));
+        }
+        self.metrics.count_retry_decision(decision.granted);
         info!(
             "retry: id={} pool={} granted={} priority={:?} retries={} requests={} allowed={:.1} \
-             entries={}",
+             inherited={:.1} entries={} contact={:?}",
             ctx.req.id,
             ctx.pool,
-            granted,
+            decision.granted,
             priority,
-            usage.retries,
-            usage.requests,
-            usage.allowed,
-            entries
+            decision.usage.retries,
+            decision.usage.requests,
+            decision.usage.allowed,
+            decision.inherited,
+            entries,
+            contact
         );
-        granted
+        decision.granted.then_some(now)
+    }
+
+    /// Applies what another entry tells of the slack that this one used before it started.
+    pub(crate) fn record_slack_answer(&self, answer: &SlackAnswer) {
+        self.observe_entries(answer.entries as usize);
+        let now = self.now();
+        if self.retry_budgets.borrow_mut().record_answer(answer, now) {
+            info!(
+                "retry: slack used before the start marks={:?} told_by={} age_ms={} after_ms={}",
+                answer.marks, answer.from, answer.age.0, now.0
+            );
+        }
+    }
+
+    /// Records the number of entries that are known, including this one.
+    pub(crate) fn observe_entries(&self, known: usize) {
+        let mut count = self.entry_count.get();
+        count.observe(known, self.now());
+        self.entry_count.set(count);
+        self.retry_budgets.borrow_mut().set_entry_count(count.get());
+    }
+
+    /// Whether others hear this entry. One that knows of no others may be cut off.
+    fn contact(&self) -> Contact {
+        let is_alone = self.entry_count.get().get() == 1;
+        if is_alone || self.peers.borrow().live_count() > 1 {
+            Contact::Heard
+        } else {
+            Contact::Isolated
+        }
     }
 }
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -12,9 +12,12 @@
 use clementine_decide::lease::{LeaseLimits, LeaseState};
 use clementine_decide::overload::RefusalRate;
 use clementine_decide::paths::LinkUsage;
-use clementine_decide::peers::{FeedPositions, FollowedTable, PeerView, Sightings, must_follow};
+use clementine_decide::peers::{
+    EntryCount, FeedPositions, FollowedTable, PeerView, Sightings, must_follow,
+};
 use clementine_decide::prefixes::PrefixIndex;
 use clementine_decide::quarantine::CrashLog;
+use clementine_decide::retry::{SharedBudgets, SlackReports};
 use clementine_decide::routing::RoutingTable;
 use clementine_decide::shares::ShareLedger;
 use clementine_http1::{ReadLimits, ServerConn};
@@ -31,7 +34,8 @@
 use tokio::time::Instant;
 
 use super::pool_queues::PoolQueues;
-use super::{DirectMetrics, Outbox, RateLimitedStore, RetryBudgets, TableSync};
+use super::retry_budgets::retry_limits;
+use super::{DirectMetrics, Outbox, RateLimitedStore, TableSync};
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -86,7 +90,11 @@
     pub(crate) refusal_rate: RefCell<RefusalRate>,
     /// Requests that wait for capacity.
     pub(super) queues: PoolQueues,
-    pub(crate) retry_budgets: RefCell<RetryBudgets>,
+    pub(crate) retry_budgets: RefCell<SharedBudgets>,
+    /// What other entries use of the retry budgets.
+    pub(crate) slack_reports: RefCell<SlackReports>,
+    /// Number of entries that share sums.
+    pub(crate) entry_count: Cell<EntryCount>,
     /// Work of workspaces, and their shares while capacity is scarce.
     pub(crate) shares: RefCell<ShareLedger>,
     /// Limits the lines about requests over their share.
@@ -142,7 +150,13 @@
             rng: RefCell::new(rng),
             refusal_rate: RefCell::default(),
             queues: PoolQueues::default(),
-            retry_budgets: RefCell::new(RetryBudgets::new(settings.bounds)),
+            retry_budgets: RefCell::new(SharedBudgets::new(
+                settings.entry.clone(),
+                incarnation,
+                retry_limits(&settings.bounds),
+            )),
+            slack_reports: RefCell::default(),
+            entry_count: Cell::default(),
             shares: RefCell::default(),
             shares_log: LogInterval::default(),
             no_path_log: LogInterval::default(),
@@ -267,7 +281,7 @@
     /// Applies changed settings.
     pub(crate) fn apply_bounds(&self, bounds: InstanceBounds) {
         self.bounds.set(bounds);
-        self.retry_budgets.borrow_mut().apply_bounds(bounds);
+        self.retry_budgets.borrow_mut().set_total(retry_limits(&bounds));
     }
 
     /// Applies an engine's report of its layers and of the orders that it has started.
@@ -326,7 +340,7 @@
     /// Applies the number of entries and the load that the other entries reported.
     pub(crate) fn apply_peer_loads(&self) {
         let peers = self.peers.borrow();
-        self.retry_budgets.borrow_mut().set_entry_count(peers.serving_count());
+        self.observe_entries(peers.live_count());
         let totals = peers.load_totals();
         self.fleet.borrow_mut().set_remote_load(&totals.backends);
         self.links.borrow_mut().set_remote(totals.links);
--- a/crates/direct/src/streams/recover.rs
+++ b/crates/direct/src/streams/recover.rs
@@ -57,7 +57,9 @@
         }
         self.record_executed_on(&route.borrow().first);
         match self.choose_route_for(progress) {
-            Some(next) if differs(&next, &route.borrow()) && self.take_from_budget(progress) => {
+            Some(next)
+                if differs(&next, &route.borrow()) && self.take_from_budget(progress).is_some() =>
+            {
                 Recovery::Replace(Box::new(next))
             }
             _ => Recovery::Continue,
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::ids::BackendId;
+use clementine_decide::ids::{BackendId, Tick};
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::retry::StreamAttempts;
+use clementine_decide::retry::{RetryPriority, StreamAttempts};
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
 use spdlog::info;
@@ -21,9 +21,7 @@
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
 use crate::crashes::{Run, is_quarantined, late_quarantine_error};
-use crate::shared::{
-    PoolRun, RequestContext, RetryPriority, SharedState, promise_return, wait_for_capacity,
-};
+use crate::shared::{PoolRun, RequestContext, SharedState, promise_return, wait_for_capacity};
 
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
@@ -298,10 +296,12 @@
     /// Takes a retry from the budget. Returns `false` if the limits on attempts or
     /// the budget do not allow it.
     fn try_retry(&self) -> bool {
-        self.is_retry_allowed(&self.progress) && self.take_from_budget(&self.progress)
+        self.is_retry_allowed(&self.progress) && self.take_from_budget(&self.progress).is_some()
     }
 
-    pub(super) fn take_from_budget(&self, progress: &Progress) -> bool {
+    /// Takes a retry from the budget. Returns when, or `None` if the budget does not
+    /// allow it.
+    pub(super) fn take_from_budget(&self, progress: &Progress) -> Option<Tick> {
         let priority =
             if progress.headers_sent() { RetryPriority::High } else { RetryPriority::Low };
         self.shared.take_retry(self.ctx, priority)
--- a/crates/direct/tests/retry_budget.rs
+++ b/crates/direct/tests/retry_budget.rs
@@ -34,8 +34,10 @@
 }
 
 impl Deployment {
-    /// Starts servers that fail each request, and entries that have run for a window.
-    async fn start(domains: &[&'static str]) -> Self {
+    /// Starts servers that fail each request, and entries that have run for a window and told
+    /// each other what they use.
+    /// `prefix` begins the names of the entries, which differ from test to test.
+    async fn start(prefix: &str, domains: &[&'static str]) -> Self {
         let store = start_configured_store(12).await;
         let mut servers = Vec::new();
         for n in 0..3 {
@@ -45,9 +47,9 @@
         }
         let mut entries = Vec::new();
         for (n, domain) in domains.iter().enumerate() {
-            entries.push(EntryProcess::start(&format!("entry-{n}"), domain, 0, &store).await);
+            entries.push(EntryProcess::start(&format!("{prefix}-{n}"), domain, 0, &store).await);
         }
-        sleep(EXCHANGE_TIME.max(WINDOW)).await;
+        sleep(WINDOW + EXCHANGE_TIME).await;
         Self { _store: store, servers, entries, requests: 0 }
     }
 
@@ -93,7 +95,7 @@
 
 #[test]
 async fn entries_spend_the_retry_budget_again_after_each_restart() {
-    let mut deployment = Deployment::start(&["a", "a", "a", "a"]).await;
+    let mut deployment = Deployment::start("forgets", &["a", "a", "a", "a"]).await;
     let started = Instant::now();
     for entry in 0..4 {
         deployment.load(entry).await;
@@ -111,3 +113,19 @@
     let (repeats, allowed) = deployment.repeats();
     assert!(repeats as f64 <= allowed, "{repeats} repeats, {allowed} allowed");
 }
+
+/// Others tell a process that has just started that the last one used nothing.
+#[test]
+async fn restarted_entry_spends_the_slack_that_is_left() {
+    let mut deployment = Deployment::start("recalls", &["a", "a", "b", "b"]).await;
+    let slack_share = SLACK / 4.0;
+    let without_slack = RATIO * (REQUESTS + 1) as f64;
+    deployment.restart(0).await;
+    sleep(EXCHANGE_TIME).await;
+    deployment.load(0).await;
+    let (repeats, _) = deployment.repeats();
+    assert!(
+        repeats as f64 > without_slack + slack_share / 3.0,
+        "{repeats} repeats, {without_slack} without slack"
+    );
+}
