A retry counts when it is sent, not when it is taken

A stream that resumes takes its retry from the budget and may then wait up to 2 s for capacity. Its arrival fell into a later window than the one in which it was counted, so that two windows' worth of retries could reach servers within one.

retry_counts_when_it_is_sent: without move_retry the retries could be taken again while they were still in the servers' window.

--- a/crates/decide/src/retry/shared_budgets.rs
+++ b/crates/decide/src/retry/shared_budgets.rs
@@ -158,6 +158,11 @@
         RetryDecision { granted, must_report, usage, inherited }
     }
 
+    /// Counts a retry that was granted earlier at the time at which it is sent.
+    pub fn record_sent(&mut self, pool: PoolHash, granted_at: Tick, now: Tick) {
+        self.pool(pool).window.move_retry(granted_at, now);
+    }
+
     /// The next report of the slack in use, which others must get before more is used.
     /// `None` while it is not known what earlier processes used, whose reports must stay.
     pub fn report(&mut self, now: Tick) -> Option<SlackReport> {
--- a/crates/decide/src/retry/sliding_window.rs
+++ b/crates/decide/src/retry/sliding_window.rs
@@ -75,6 +75,16 @@
         allowed
     }
 
+    /// Moves a retry that was taken at `taken_at` to the present.
+    pub fn move_retry(&mut self, taken_at: Tick, now: Tick) {
+        self.current_bucket(now).retries += 1;
+        let index = self.bucket_index(taken_at);
+        let taken = self.buckets.iter_mut().find(|bucket| bucket.index == index);
+        if let Some(bucket) = taken {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// What has been counted in the window that ends now.
     pub fn usage(&mut self, now: Tick) -> WindowUsage {
         self.current_bucket(now);
--- a/crates/decide/tests/retry_budget_sharing.rs
+++ b/crates/decide/tests/retry_budget_sharing.rs
@@ -123,6 +123,20 @@
     assert_eq!(isolated(&mut process), reported - 1);
 }
 
+/// A retry that waits for capacity reaches a server in a later window.
+#[test]
+fn retry_counts_when_it_is_sent() {
+    let mut process = budgets(4);
+    process.record_answer(&answer(100, 0), Tick(200));
+    let taken = spend(&mut process, Tick(1_000));
+    for _ in 0..taken {
+        process.record_sent(POOL, Tick(1_000), Tick(3_000));
+    }
+    let window = BUDGET.window.0;
+    assert_eq!(spend(&mut process, Tick(window + 1_900)), 0, "they were sent at 3 s");
+    assert_eq!(spend(&mut process, Tick(window + 3_600)), taken);
+}
+
 #[test]
 fn pools_have_budgets_of_their_own() {
     let mut process = budgets(4);
--- a/crates/direct/src/shared/retry_budgets.rs
+++ b/crates/direct/src/shared/retry_budgets.rs
@@ -48,6 +48,12 @@
         decision.granted.then_some(now)
     }
 
+    /// Records that a retry is sent that was taken earlier.
+    pub(crate) fn record_retry_sent(&self, ctx: &RequestContext, taken_at: Tick) {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        budgets.record_sent((&ctx.pool).into(), taken_at, self.now());
+    }
+
     /// Applies what another entry tells of the slack that this one used before it started.
     pub(crate) fn record_slack_answer(&self, answer: &SlackAnswer) {
         self.observe_entries(answer.entries as usize);
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -77,6 +77,8 @@
     pub(super) avoid: Vec<BackendId>,
     /// Last error response of a backend server.
     pub(super) last_error: Option<BufferedResponse>,
+    /// When the next attempt was taken from the budget. It may wait for capacity.
+    retry_taken_at: Option<Tick>,
 }
 
 impl<'a> Supervisor<'a> {
@@ -89,6 +91,7 @@
             executed_on: Vec::new(),
             avoid: Vec::new(),
             last_error: None,
+            retry_taken_at: None,
         }
     }
 
@@ -196,6 +199,9 @@
         (self.stats.stages, self.stats.domain_crossings) =
             (route.path.len(), route.domain_crossings);
         self.progress.begin_attempt();
+        if let Some(taken_at) = self.retry_taken_at.take() {
+            self.shared.record_retry_sent(self.ctx, taken_at);
+        }
         self.shared.record_send(&route.first);
         let run = Run::start(self.shared, self.ctx, &route.first);
         let mut pool_run = PoolRun::start(self.shared, &self.ctx.pool, route.path.len());
@@ -295,8 +301,11 @@
 
     /// Takes a retry from the budget. Returns `false` if the limits on attempts or
     /// the budget do not allow it.
-    fn try_retry(&self) -> bool {
-        self.is_retry_allowed(&self.progress) && self.take_from_budget(&self.progress).is_some()
+    fn try_retry(&mut self) -> bool {
+        if self.is_retry_allowed(&self.progress) {
+            self.retry_taken_at = self.take_from_budget(&self.progress);
+        }
+        self.retry_taken_at.is_some()
     }
 
     /// Takes a retry from the budget. Returns when, or `None` if the budget does not
