Times before the start of a process keep their order

Cause: entries tell each other, and save, how long ago something happened. The receiver subtracted that age from its own clock, which began at 0: a crash and an older response that both happened before its start were both at tick 0, and only crashes later than the response count.

Change: the clock of a process begins at Tick::START, far from 0. Tick has `before` and `uptime`; the three other places that subtracted an age by hand (planner announcements, limits of servers, arrivals of requests) use it. ticks_follow_the_time_of_the_runtime compares with Tick::START now; it compares the same differences as before.

crashes_and_an_older_answer_before_the_start_keep_their_order failed before and passes now.

--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -153,7 +153,7 @@
         let heard = HeardPlanner {
             holder: announced.holder.clone(),
             lease_version: announced.lease_version,
-            announced_at: Tick(now.0.saturating_sub(announced.age.0)),
+            announced_at: now.before(announced.age),
         };
         let rank = |planner: &HeardPlanner| (planner.lease_version, planner.announced_at);
         let current = self.planner.as_ref().filter(|known| known.is_current(now));
--- a/crates/decide/src/quarantine/crash_report.rs
+++ b/crates/decide/src/quarantine/crash_report.rs
@@ -76,7 +76,7 @@
         recent.map(move |crashed| Crash {
             server: crashed.server,
             evidence: crashed.evidence,
-            at: before(now, crashed.age),
+            at: now.before(crashed.age),
         })
     }
 
@@ -88,10 +88,6 @@
 
     /// When a request with the suspect last got a response.
     pub(super) fn last_response(&self, now: Tick) -> Option<Tick> {
-        self.last_response.map(|age| before(now, age))
+        self.last_response.map(|age| now.before(age))
     }
 }
-
-const fn before(now: Tick, age: Millis) -> Tick {
-    Tick(now.0.saturating_sub(age.0))
-}
--- a/crates/decide/src/retry/shared_budgets.rs
+++ b/crates/decide/src/retry/shared_budgets.rs
@@ -95,7 +95,7 @@
 }
 
 impl SharedBudgets {
-    /// Creates the budgets of a process that starts at tick 0.
+    /// Creates the budgets of a process that has just started.
     pub fn new(entry: EntryId, incarnation: IncarnationId, total: WindowLimits) -> Self {
         Self {
             entry,
@@ -208,7 +208,7 @@
             budget.inherited = budget.inherited.max(mark.retries);
         }
         self.answered.insert(answer.from.clone());
-        let is_fresh = answer.age.0 <= now.0.saturating_add(MAX_UNREPORTED.0);
+        let is_fresh = now.before(answer.age) >= Tick::START.before(MAX_UNREPORTED);
         let is_enough = is_fresh || self.answered.len() >= ENOUGH_ANSWERS;
         let is_last_needed = is_enough && !self.has_recalled;
         self.has_recalled |= is_enough;
@@ -236,7 +236,7 @@
 
     /// Whether retries of an earlier process can be in the current window.
     const fn in_first_window(&self, now: Tick) -> bool {
-        now.0 < self.total.window.0
+        now.uptime().0 < self.total.window.0
     }
 
     fn pool(&mut self, pool: PoolHash) -> &mut PoolBudget {
--- a/crates/decide/src/signals/server.rs
+++ b/crates/decide/src/signals/server.rs
@@ -115,7 +115,7 @@
     }
 
     fn merge_limit(&mut self, limit: LimitReport, now: Tick) -> bool {
-        let observed_at = Tick(now.0.saturating_sub(limit.age.0));
+        let observed_at = now.before(limit.age);
         let is_newer = self.limit.as_ref().is_none_or(|known| observed_at > known.observed_at);
         is_newer && self.set_limit(limit.rate, observed_at)
     }
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -234,6 +234,25 @@
     }
 }
 
+/// Guards against crashes that a process which has just started doesn't count, because
+/// they and an older answer all happened before its clock began.
+#[test]
+fn crashes_and_an_older_answer_before_the_start_keep_their_order() {
+    let mut log = CrashLog::default();
+    let answered_at = Tick::START.after(Millis(100_000));
+    log.record_response_begun(&[BAD], answered_at);
+    for n in 1..=5 {
+        crash(&mut log, &run(n.into(), &[BAD]), n, answered_at.after(Millis(10 * n)));
+    }
+    let now = answered_at.after(Millis(1_000));
+    let report = log.report_on(Suspect::Part(BAD), now).expect("a report");
+    let mut restarted = CrashLog::default();
+    let just_started = Tick::START.after(Millis(500));
+    restarted.merge(&report, just_started);
+    assert!(log.is_quarantined(&run(9, &[BAD]), now));
+    assert!(restarted.is_quarantined(&run(9, &[BAD]), just_started));
+}
+
 quickcheck! {
     /// Whatever order reports come in, entries agree on what is refused.
     fn entries_agree_whatever_the_order_of_reports(events: Vec<(u8, u8, bool)>) -> bool {
--- a/crates/decide/tests/retry_budget_sharing.rs
+++ b/crates/decide/tests/retry_budget_sharing.rs
@@ -62,6 +62,11 @@
     }
 }
 
+/// A time since the start of the process, in ms.
+const fn at(ms: u64) -> Tick {
+    Tick::START.after(Millis(ms))
+}
+
 fn budgets(entries: usize) -> SharedBudgets {
     let mut budgets = SharedBudgets::new("one".into(), IncarnationId(2), BUDGET);
     budgets.set_entry_count(entries);
@@ -87,39 +92,39 @@
 fn restarted_process_spends_only_what_the_last_one_left() {
     let share = (BUDGET.slack * 0.85 / 4.0) as usize;
     let mut process = budgets(4);
-    assert_eq!(spend(&mut process, Tick(100)), 0, "nothing is known yet");
-    assert!(process.must_recall(Tick(100)) && process.report(Tick(100)).is_none());
-    assert!(process.record_answer(&answer(1_500, 10), Tick(200)));
-    assert_eq!(spend(&mut process, Tick(200)), share - 10);
-    let report = process.report(Tick(300)).expect("a report");
+    assert_eq!(spend(&mut process, at(100)), 0, "nothing is known yet");
+    assert!(process.must_recall(at(100)) && process.report(at(100)).is_none());
+    assert!(process.record_answer(&answer(1_500, 10), at(200)));
+    assert_eq!(spend(&mut process, at(200)), share - 10);
+    let report = process.report(at(300)).expect("a report");
     assert!(report.marks[0].retries as usize >= share, "{report:?}");
-    assert_eq!(spend(&mut process, Tick(BUDGET.window.0)), 10, "the first window has passed");
+    assert_eq!(spend(&mut process, at(BUDGET.window.0)), 10, "the first window has passed");
 }
 
 #[test]
 fn one_old_report_does_not_tell_what_the_last_process_used() {
     let mut process = budgets(4);
-    assert!(!process.record_answer(&answer(8_000, 0), Tick(200)));
-    assert_eq!(spend(&mut process, Tick(200)), 0);
+    assert!(!process.record_answer(&answer(8_000, 0), at(200)));
+    assert_eq!(spend(&mut process, at(200)), 0);
     let other = SlackAnswer { from: "three".into(), ..answer(9_000, 0) };
-    assert!(process.record_answer(&other, Tick(300)), "two agree that it was silent");
-    assert!(spend(&mut process, Tick(300)) > 0);
+    assert!(process.record_answer(&other, at(300)), "two agree that it was silent");
+    assert!(spend(&mut process, at(300)) > 0);
     let to_another = SlackAnswer { to: IncarnationId(9), ..answer(100, 0) };
-    assert!(!budgets(4).record_answer(&to_another, Tick(300)));
+    assert!(!budgets(4).record_answer(&to_another, at(300)));
 }
 
 #[test]
 fn isolated_process_uses_no_more_slack_than_it_has_reported() {
     let mut process = budgets(4);
-    process.record_answer(&answer(100, 0), Tick(200));
+    process.record_answer(&answer(100, 0), at(200));
     let isolated = |process: &mut SharedBudgets| {
-        let retry = |_| process.try_retry(POOL, RetryPriority::High, Contact::Isolated, Tick(300));
+        let retry = |_| process.try_retry(POOL, RetryPriority::High, Contact::Isolated, at(300));
         (0..50).map(retry).filter(|decision| decision.granted).count()
     };
     assert_eq!(isolated(&mut process), 0);
-    let first = process.try_retry(POOL, RetryPriority::High, Contact::Heard, Tick(300));
+    let first = process.try_retry(POOL, RetryPriority::High, Contact::Heard, at(300));
     assert!(first.granted && first.must_report);
-    let reported = process.report(Tick(300)).expect("a report").marks[0].retries as usize;
+    let reported = process.report(at(300)).expect("a report").marks[0].retries as usize;
     assert_eq!(isolated(&mut process), reported - 1);
 }
 
@@ -127,45 +132,45 @@
 #[test]
 fn retry_counts_when_it_is_sent() {
     let mut process = budgets(4);
-    process.record_answer(&answer(100, 0), Tick(200));
-    let taken = spend(&mut process, Tick(1_000));
+    process.record_answer(&answer(100, 0), at(200));
+    let taken = spend(&mut process, at(1_000));
     for _ in 0..taken {
-        process.record_sent(POOL, Tick(1_000), Tick(3_000));
+        process.record_sent(POOL, at(1_000), at(3_000));
     }
     let window = BUDGET.window.0;
-    assert_eq!(spend(&mut process, Tick(window + 1_900)), 0, "they were sent at 3 s");
-    assert_eq!(spend(&mut process, Tick(window + 3_600)), taken);
+    assert_eq!(spend(&mut process, at(window + 1_900)), 0, "they were sent at 3 s");
+    assert_eq!(spend(&mut process, at(window + 3_600)), taken);
 }
 
 #[test]
 fn pools_have_budgets_of_their_own() {
     let mut process = budgets(4);
-    process.record_answer(&answer(100, 1_000), Tick(200));
-    assert_eq!(spend(&mut process, Tick(200)), 0);
+    process.record_answer(&answer(100, 1_000), at(200));
+    assert_eq!(spend(&mut process, at(200)), 0);
     let other = PoolHash(POOL.0 + 1);
-    assert!(process.try_retry(other, RetryPriority::High, Contact::Heard, Tick(200)).granted);
+    assert!(process.try_retry(other, RetryPriority::High, Contact::Heard, at(200)).granted);
 }
 
 #[test]
 fn changed_budget_applies_at_once() {
     let mut process = budgets(4);
-    process.record_answer(&answer(100, 0), Tick(200));
+    process.record_answer(&answer(100, 0), at(200));
     process.set_total(WindowLimits { slack: 0.0, ..BUDGET });
-    assert_eq!(spend(&mut process, Tick(200)), 0);
+    assert_eq!(spend(&mut process, at(200)), 0);
 }
 
 #[test]
 fn count_of_entries_grows_at_once_and_shrinks_late() {
     let mut count = EntryCount::default();
     let minute = 60 * SECOND_MS;
-    count.observe(28, Tick(0));
-    count.observe(13, Tick(minute));
+    count.observe(28, at(0));
+    count.observe(13, at(minute));
     assert_eq!(count.get(), 28, "the others may be cut off");
-    count.observe(29, Tick(2 * minute));
-    count.observe(20, Tick(11 * minute));
+    count.observe(29, at(2 * minute));
+    count.observe(20, at(11 * minute));
     assert_eq!(count.get(), 29, "all were heard 9 minutes ago");
-    count.observe(10, Tick(13 * minute));
+    count.observe(10, at(13 * minute));
     assert_eq!(count.get(), 29, "this entry may be the one that is cut off");
-    count.observe(20, Tick(13 * minute));
+    count.observe(20, at(13 * minute));
     assert_eq!(count.get(), 20);
 }
--- a/crates/decide/tests/retry_fleet/mod.rs
+++ b/crates/decide/tests/retry_fleet/mod.rs
@@ -107,7 +107,7 @@
         self.incarnations += 1;
         let id = self.entries[n].id.clone();
         let mut count = EntryCount::default();
-        count.observe(self.entries.len(), Tick(0));
+        count.observe(self.entries.len(), Tick::START);
         let mut budgets = SharedBudgets::new(id, IncarnationId(self.incarnations), BUDGET);
         budgets.set_entry_count(count.get());
         self.entries[n].process = Some(Process {
@@ -216,7 +216,7 @@
         }
         let heard = self.heard(n);
         let Some(mut process) = self.entries[n].process.take() else { return };
-        let now = Tick(self.now - process.started_at);
+        let now = Tick::START.after(Millis(self.now - process.started_at));
         if heard > 0 {
             process.heard_at = self.now;
         }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -144,7 +144,7 @@
         }
         self.round += 1;
         let neighbors: Vec<SocketAddr> = self.receivers.borrow().neighbors().collect();
-        let remote = if now < Tick(LISTEN_TIME.0) { Vec::new() } else { self.remote_receivers() };
+        let remote = if now.uptime() < LISTEN_TIME { Vec::new() } else { self.remote_receivers() };
         let interval = send_interval(neighbors.len() + remote.len());
         let load = local_load(&self.shared);
         let leaving = self.shared.drain.is_draining();
--- a/crates/direct/src/shared/capacity_wait.rs
+++ b/crates/direct/src/shared/capacity_wait.rs
@@ -115,7 +115,7 @@
 }
 
 fn arrival(shared: &SharedState, ctx: &RequestContext) -> Tick {
-    Tick(shared.now().0.saturating_sub(Millis::from(ctx.arrived.elapsed()).0))
+    shared.now().before(ctx.arrived.elapsed().into())
 }
 
 /// Records that a request has found capacity. `is_first_route` is false for a stream
--- a/crates/direct/src/shared/dump.rs
+++ b/crates/direct/src/shared/dump.rs
@@ -31,7 +31,7 @@
         json!({
             "entry": self.settings.entry,
             "incarnation": self.incarnation,
-            "up_ms": now.0,
+            "up_ms": now.uptime().0,
             "config_version": self.routing_table().map(|table| table.version),
             "routes": self.routing_table().map(|table| table.route_count()),
             "config_newest_row": self.config_sync.newest_version_anywhere(),
--- a/crates/direct/src/shared/retry_budgets.rs
+++ b/crates/direct/src/shared/retry_budgets.rs
@@ -61,7 +61,10 @@
         if self.retry_budgets.borrow_mut().record_answer(answer, now) {
             info!(
                 "retry: slack used before the start marks={:?} told_by={} age_ms={} after_ms={}",
-                answer.marks, answer.from, answer.age.0, now.0
+                answer.marks,
+                answer.from,
+                answer.age.0,
+                now.uptime().0
             );
         }
     }
--- a/crates/process/src/clock/mod.rs
+++ b/crates/process/src/clock/mod.rs
@@ -20,12 +20,12 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
-    /// Time for which the machine had been suspended at tick 0.
+    /// Time for which the machine had been suspended at [`Tick::START`].
     suspended_before: Duration,
 }
 
 impl Clock {
-    /// Starts a clock at tick 0.
+    /// Starts a clock at [`Tick::START`].
     pub fn start() -> Self {
         Self { start: Instant::now(), suspended_before: suspended_time() }
     }
@@ -34,7 +34,7 @@
     pub fn now(&self) -> Tick {
         let suspended = suspended_time().saturating_sub(self.suspended_before);
         let elapsed = self.start.elapsed() + suspended;
-        Tick(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+        Tick::START.after(elapsed.into())
     }
 }
 
--- a/crates/process/tests/clock.rs
+++ b/crates/process/tests/clock.rs
@@ -13,9 +13,9 @@
 async fn ticks_follow_the_time_of_the_runtime() {
     pause();
     let clock = Clock::start();
-    assert_eq!(clock.now(), Tick(0));
+    assert_eq!(clock.now(), Tick::START);
     advance(Duration::from_millis(2_500)).await;
-    assert_eq!(clock.now(), Tick(2_500));
+    assert_eq!(clock.now(), Tick::START.after(Millis(2_500)));
 }
 
 /// Guards against counting ordinary delays as pauses, and a pause for longer than
