Limits of servers are divided among all known entries, not those heard

entries_cut_off_from_each_other_do_not_exceed_the_limit: two entries cut off from each other took 0.2 of 0.1 a second (limit 0) before, and N times the limit for N entries; now the sum of all shares stays within the limit. What a restarted entry sent shortly before is still forgotten: it may send one request at once, for which the rule leaves room.

--- a/crates/decide/src/peers/view.rs
+++ b/crates/decide/src/peers/view.rs
@@ -208,10 +208,12 @@
     }
 
     /// The entries that share the limits of backend servers, as seen by `entry`.
+    /// `known_entries` counts those that are not heard as well.
     pub fn limit_sharing<'a>(
         &'a self,
         entry: &'a EntryId,
         domain: &'a DomainId,
+        known_entries: usize,
     ) -> LimitSharing<'a> {
         let domains = self.domains.iter().map(|(id, domain)| (id, domain.summary.serving));
         LimitSharing {
@@ -219,6 +221,7 @@
             domain,
             neighbors: self.serving_neighbors().collect(),
             domains: domains.collect(),
+            known_entries,
         }
     }
 
--- a/crates/decide/src/signals/sharing.rs
+++ b/crates/decide/src/signals/sharing.rs
@@ -41,6 +41,9 @@
     pub neighbors: Vec<&'a EntryId>,
     /// Other domains, with the number of their entries that accept callers.
     pub domains: Vec<(&'a DomainId, u32)>,
+    /// Number of entries that are known, whether or not they are heard. Those that are
+    /// not may be cut off and use their shares.
+    pub known_entries: usize,
 }
 
 impl LimitSharing<'_> {
@@ -54,8 +57,10 @@
         } else {
             (0..slices).filter(|slice| self.holds_slice(server, *slice)).count()
         };
-        let rate = RequestRate::new(total * own as f64 / slices as f64).unwrap_or_default();
-        LimitShare { rate, burst: own as f64 }
+        let heard_share = entries as f64 / self.known_entries.max(entries) as f64;
+        let rate = total * heard_share * own as f64 / slices as f64;
+        let burst = if own == 0 { 0.0 } else { (own as f64 * heard_share).max(1.0) };
+        LimitShare { rate: RequestRate::new(rate).unwrap_or_default(), burst }
     }
 
     fn entry_count(&self) -> usize {
--- a/crates/decide/tests/limit_sharing.rs
+++ b/crates/decide/tests/limit_sharing.rs
@@ -45,6 +45,7 @@
                     .filter(|(other, _)| *other != domain)
                     .map(|(other, entries)| (other, entries.len() as u32))
                     .collect(),
+                known_entries: fleet.values().map(Vec::len).sum(),
             };
             let share = sharing.share(BackendIncarnation(server), rate(limit));
             shares.push((share.rate.per_second(), share.burst));
@@ -111,6 +112,31 @@
     }
 }
 
+/// Guards against entries that take the shares of those that they don't hear: each entry
+/// of the fleet is cut off from all others.
+#[test]
+fn entries_cut_off_from_each_other_do_not_exceed_the_limit() {
+    for sizes in FLEETS {
+        let fleet = fleet(sizes);
+        let known_entries = fleet.values().map(Vec::len).sum();
+        for limit in LIMITS {
+            let (mut rates, mut bursts) = (0.0, 0.0);
+            for (domain, entries) in &fleet {
+                for entry in entries {
+                    let (neighbors, domains) = (Vec::new(), Vec::new());
+                    let sharing = LimitSharing { entry, domain, neighbors, domains, known_entries };
+                    let share = sharing.share(BackendIncarnation(7), rate(limit));
+                    rates += share.rate.per_second();
+                    bursts += share.burst;
+                }
+            }
+            let case = format!("{sizes:?} limit={limit} rates={rates} bursts={bursts}");
+            assert!(rates <= limit.max(0.1) * 1.001, "{case}");
+            assert!(bursts <= known_entries as f64, "{case}");
+        }
+    }
+}
+
 #[test]
 fn what_was_observed_last_counts() {
     let report = |rate: Option<RequestRate>, age| SignalReport {
--- a/crates/direct/src/shared/signals.rs
+++ b/crates/direct/src/shared/signals.rs
@@ -94,7 +94,8 @@
             return;
         }
         let peers = self.peers.borrow();
-        let sharing = peers.limit_sharing(&self.settings.entry, &self.settings.domain);
+        let known = self.entry_count.get().get();
+        let sharing = peers.limit_sharing(&self.settings.entry, &self.settings.domain, known);
         self.fleet.borrow_mut().set_limit_shares(&sharing, self.now());
     }
 }
