The first entry of a deployment has nothing to recall

Since the shares outlive the process, an entry that nobody answers uses no slack for a window. That held for the first entry of all as well: stream_that_breaks_off_between_events_is_resumed failed, with "allowed=0.2 inherited=21.2". An entry that finds the directory empty when it starts, before it registers itself, knows that nothing has been used. One read of the directory more for each start.

--- a/crates/decide/src/retry/shared_budgets.rs
+++ b/crates/decide/src/retry/shared_budgets.rs
@@ -198,6 +198,11 @@
         SlackRecall { from: self.entry.clone(), incarnation: self.incarnation }
     }
 
+    /// Records that no entry has run before this one: nothing has been used.
+    pub const fn record_no_past(&mut self) {
+        self.has_recalled = true;
+    }
+
     /// Records an answer. Returns whether it is the one with which enough is known.
     pub fn record_answer(&mut self, answer: &SlackAnswer, now: Tick) -> bool {
         if answer.to != self.incarnation {
--- a/crates/decide/tests/retry_budget_sharing.rs
+++ b/crates/decide/tests/retry_budget_sharing.rs
@@ -101,6 +101,13 @@
     assert_eq!(spend(&mut process, at(BUDGET.window.0)), 10, "the first window has passed");
 }
 
+#[test]
+fn first_process_of_all_has_nothing_to_recall() {
+    let mut process = budgets(4);
+    process.record_no_past();
+    assert!(!process.must_recall(at(0)) && spend(&mut process, at(0)) > 0);
+}
+
 #[test]
 fn one_old_report_does_not_tell_what_the_last_process_used() {
     let mut process = budgets(4);
--- a/crates/direct/src/peers/directory.rs
+++ b/crates/direct/src/peers/directory.rs
@@ -47,6 +47,7 @@
     address: SocketAddr,
     receivers: Rc<RefCell<Receivers>>,
 ) {
+    look_for_earlier_entries(&shared).await;
     // Era of the store in which this entry is registered.
     let mut registered = None;
     loop {
@@ -94,7 +95,21 @@
     if unregistered {
         register(shared, address).await?;
     }
-    read_peers(shared).await
+    let mut peers = read_directory(shared).await?;
+    peers.remove(&shared.settings.entry);
+    Ok(peers)
+}
+
+/// Notes that there were no entries before this one, if the directory is empty when it
+/// starts.
+async fn look_for_earlier_entries(shared: &SharedState) {
+    match read_directory(shared).await {
+        Ok(directory) if directory.is_empty() => {
+            shared.retry_budgets.borrow_mut().record_no_past();
+        }
+        Ok(_) => {}
+        Err(error) => warn!("peers: cannot read the directory of entries: {}", error),
+    }
 }
 
 /// Writes this entry's record to the directory.
@@ -110,21 +125,20 @@
     Ok(())
 }
 
-/// Reads the records of the other entries. Malformed ones are left out.
-async fn read_peers(shared: &SharedState) -> Result<BTreeMap<EntryId, EntryRecord>, StoreError> {
+/// Reads the records of all entries. Malformed ones are left out.
+async fn read_directory(
+    shared: &SharedState,
+) -> Result<BTreeMap<EntryId, EntryRecord>, StoreError> {
     let snapshot = shared.store.read(ENTRIES_TABLE).await?;
-    let mut peers = BTreeMap::new();
+    let mut directory = BTreeMap::new();
     for row in &snapshot.rows {
         let id = EntryId(row.key.key.clone());
-        if id == shared.settings.entry {
-            continue;
-        }
         match serde_json::from_slice(&row.value) {
             Ok(record) => {
-                peers.insert(id, record);
+                directory.insert(id, record);
             }
             Err(error) => warn!("peers: the record of entry `{}` is malformed: {}", id, error),
         }
     }
-    Ok(peers)
+    Ok(directory)
 }
