Tests: errors within streams, earlier refusals written once more

A refusal names its request, and no connection is used twice. - error_of_the_next_server_is_not_part_of_a_stream_that_has_begun: eight kinds of errors after two events; the caller gets these two and a stream that doesn't look complete. - head_of_an_error_within_a_stream_ends_the_attempt.

--- a/crates/direct/tests/late_responses.rs
+++ b/crates/direct/tests/late_responses.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -99,3 +99,47 @@
     }
     assert!(seen.get() > 0 && slow.connections() > 0);
 }
+
+/// Response that a request wasn't run, with the id of this request.
+fn refusal_of(id: &str) -> String {
+    format!("HTTP/1.1 503 X\r\nnot-executed: 1\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// Guards against an earlier refusal that a server writes once more before it runs a
+/// request: the caller was told that it had not run, or another server ran it as well.
+/// The fault cannot occur here: the refusal names the request that it belongs to, and each
+/// attempt uses a connection of its own.
+#[test]
+async fn earlier_refusal_is_not_taken_for_the_answer_to_a_request_that_runs() {
+    let store = start_configured_store(0).await;
+    let runs = Rc::new(RefCell::new(Vec::<String>::new()));
+    for name in ["first", "second"] {
+        let (refused, runs) = (RefCell::new(None::<String>), Rc::clone(&runs));
+        let server = ScriptedServer::start(move |request| {
+            let id = request.header("request-id").to_owned();
+            let Some(earlier) = refused.borrow().clone() else {
+                refused.replace(Some(id.clone()));
+                return vec![Step::send(refusal_of(&id))];
+            };
+            runs.borrow_mut().push(id);
+            let response = refusal_of(&earlier) + &own_response(request);
+            vec![Step::send(response), Step::Wait(Duration::from_millis(5))]
+        })
+        .await;
+        list_server(&store, name, "plain", server.address);
+    }
+    let entry = start_entry("one", &store).await;
+    for n in 0..REQUESTS {
+        let id = format!("r-{n}");
+        let headers = [("x-api-key", "key"), ("request-id", id.as_str())];
+        let response =
+            send_request_with_headers(entry.callers, "POST", "/once/x", "x", &headers).await;
+        let ran = runs.borrow().iter().filter(|run| **run == id).count();
+        assert!(ran <= 1, "{id} ran {ran} times");
+        let says_not_run = matches!(response.status, 408 | 421 | 429 | 503);
+        assert!(ran == 0 || !says_not_run, "{id} ran, and its caller got {}", response.status);
+        // Servers that gave unfit responses are left alone for some time.
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert!(!runs.borrow().is_empty(), "some requests ran");
+}
--- a/crates/direct/tests/truncated_responses.rs
+++ b/crates/direct/tests/truncated_responses.rs
@@ -135,3 +135,60 @@
     assert_eq!(response.body, TWO_EVENTS);
     assert!(!response.complete);
 }
+
+/// Sends two events and breaks off; a request to go on gets this response.
+fn resumed_with(request: &ScriptedRequest, response: String) -> Vec<Step> {
+    if request.header("last-event-id").is_empty() {
+        let chunk = format!("{:x}\r\n{TWO_EVENTS}\r\n", TWO_EVENTS.len());
+        return broken(request, CHUNKED, &chunk, Step::Reset);
+    }
+    vec![Step::send(response), Step::Wait(BEFORE_RESET), Step::Close]
+}
+
+/// Headers of an error's body that looks like events, which it must not pass for.
+const EVENT_LINES: &str = "content-type: text/event-stream\r\ncontent-length: 22\r\n";
+/// Body of an error that looks like the next event.
+const ERROR_EVENT: &str = "id: 3\ndata: error 500\n\n";
+
+/// Errors with which another server answers a stream that goes on.
+const ERRORS_AFTER_EVENTS: [(&str, Script); 8] = [
+    ("500", |r| resumed_with(r, signed_head(r, 500, "content-length: 5\r\n") + "error")),
+    ("500 as events", |r| resumed_with(r, signed_head(r, 500, EVENT_LINES) + ERROR_EVENT)),
+    ("500 to the end", |r| resumed_with(r, signed_head(r, 500, "") + ERROR_EVENT)),
+    ("404", |r| resumed_with(r, signed_head(r, 404, "content-length: 5\r\n") + "error")),
+    ("503, executed", |r| resumed_with(r, signed_head(r, 503, "content-length: 5\r\n") + "error")),
+    ("503, not executed", |r| {
+        resumed_with(r, signed_head(r, 503, "not-executed: 1\r\ncontent-length: 5\r\n") + "error")
+    }),
+    ("200 without a seal", |r| {
+        let id = r.header("request-id");
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{EVENT_LINES}\r\n");
+        resumed_with(r, head + ERROR_EVENT)
+    }),
+    ("no HTTP", |r| resumed_with(r, ERROR_EVENT.into())),
+];
+
+/// Guards against the text or the head of an error in the middle of a stream, and
+/// against a stream that ends there as if it were complete.
+#[test]
+async fn error_of_the_next_server_is_not_part_of_a_stream_that_has_begun() {
+    for (what, script) in ERRORS_AFTER_EVENTS {
+        let (response, runs) = send_to("/stream/x", vec![script, script]).await;
+        assert!(runs >= 2, "{what}: another server was asked");
+        assert_eq!((response.status, response.body.as_str()), (200, TWO_EVENTS), "{what}");
+        assert!(!response.complete, "{what}");
+    }
+}
+
+/// Guards against an error that the first server writes into its own stream.
+#[test]
+async fn head_of_an_error_within_a_stream_ends_the_attempt() {
+    let written: Script = |r| {
+        let chunk = format!("{:x}\r\n{TWO_EVENTS}\r\n", TWO_EVENTS.len());
+        let text = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nerror";
+        broken(r, CHUNKED, &(chunk + text), Step::Close)
+    };
+    let (response, _) = send_to("/stream/x", vec![written]).await;
+    assert!(!response.body.contains("error") && !response.complete, "{response:?}");
+    assert_eq!(response.body, TWO_EVENTS);
+}
