A saved suspect no longer replaces another one in its row

Callers saw: after all entries had been restarted, requests with a part that was in quarantine before reached engines again (the rest of refused_part_outlasts_a_restart_of_all_entries in KNOWN-RED.txt).

Cause: the table has 64 rows for parts, chosen by the lowest bits, and a suspect replaced whichever had the row.

Change: a row holds all suspects of its slot that its writer has in quarantine, 16 at most, so that it is still written without being read. An entry that has written a row writes it again when another entry tells of a suspect with the same one.

each_refused_part_is_saved_beside_the_others fails if a row holds one suspect (200 parts, 64 rows) and passes now.

--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -7,7 +7,7 @@
 use super::records::CrashRecords;
 use super::suspect_record::SuspectRecord;
 use super::verdict::{Admission, RecordedCrash, Refusal, SuspectChange};
-use super::{CrashReport, Fingerprint, QuarantineLimits, RunSuspects, Suspect};
+use super::{CrashReport, Fingerprint, QuarantineLimits, RunSuspects, Suspect, SuspectSlot};
 use crate::fleet::BackendIncarnation;
 use crate::ids::{PromptPart, Tick};
 use crate::peers::{MIN_REPORTS, least_reported};
@@ -21,6 +21,9 @@
 /// each at once.
 const MIN_URGENT_CRASHES: usize = 2;
 
+/// Maximum number of suspects that are saved in one row.
+const MAX_SAVED_PER_SLOT: usize = 16;
+
 /// How well a suspect explains the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Explanation {
@@ -299,17 +302,29 @@
         self.suspects.len() == 0
     }
 
+    /// The suspects in quarantine.
+    pub fn quarantined(&self, now: Tick) -> impl Iterator<Item = Suspect> {
+        let suspects = self.suspects.iter(now);
+        suspects
+            .filter(move |(suspect, record)| record.is_at_limit(*suspect, self.limits, now))
+            .map(|(suspect, _)| suspect)
+    }
+
     /// Number of requests and of parts of prompts in quarantine.
     pub fn quarantined_counts(&self, now: Tick) -> (usize, usize) {
-        let refused = |(suspect, record): &(Suspect, &SuspectRecord)| {
-            record.is_at_limit(*suspect, self.limits, now)
-        };
-        let refused = self.suspects.iter(now).filter(refused);
         let (requests, parts): (Vec<_>, Vec<_>) =
-            refused.partition(|(suspect, _)| matches!(suspect, Suspect::Request(_)));
+            self.quarantined(now).partition(|suspect| matches!(suspect, Suspect::Request(_)));
         (requests.len(), parts.len())
     }
 
+    /// Reports on the suspects in quarantine that are saved in one row, because a row is
+    /// written as a whole.
+    pub fn reports_to_save(&self, slot: SuspectSlot, now: Tick) -> Vec<CrashReport> {
+        let suspects = self.quarantined(now).filter(|suspect| suspect.slot() == slot);
+        let reports = suspects.filter_map(|suspect| self.report_on(suspect, now));
+        reports.take(MAX_SAVED_PER_SLOT).collect()
+    }
+
     /// What to report to other entries in the next message: at most `max`
     /// suspects, in the order of [`SuspectRecord::report_rank`]. Those in quarantine are
     /// reported for as long as they are recorded, so that an entry that has just
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 mod suspect;
 mod suspect_gate;
 mod suspect_record;
+mod suspect_slot;
 mod verdict;
 
 pub use crash_log::CrashLog;
@@ -19,4 +20,5 @@
 pub use limits::QuarantineLimits;
 pub use suspect::{RunSuspects, Suspect};
 pub use suspect_gate::SuspectGate;
+pub use suspect_slot::SuspectSlot;
 pub use verdict::{Admission, RecordedCrash, Refusal, SuspectChange};
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -2,6 +2,8 @@
 
 mod crash_exchange;
 
+use std::collections::BTreeMap;
+
 use clementine_decide::fleet::BackendIncarnation;
 use clementine_decide::ids::{PromptPart, Tick};
 use clementine_decide::peers::{
@@ -253,6 +255,36 @@
     assert!(restarted.is_quarantined(&run(9, &[BAD]), just_started));
 }
 
+/// Guards against a saved part that replaces another one in its row: an entry that is
+/// started refuses only the last one then.
+#[test]
+fn each_refused_part_is_saved_beside_the_others() {
+    let mut log = CrashLog::default();
+    let parts: Vec<PromptPart> = (0..200).map(|n| PromptPart(0xbad0_0000 + n)).collect();
+    let mut rows = BTreeMap::new();
+    let mut server = 0;
+    let mut now = Tick::START;
+    for part in &parts {
+        for _ in 0..3 {
+            server += 1;
+            now = now.after(Millis(10));
+            for change in crash(&mut log, &run(server.into(), &[*part]), server, now) {
+                let slot = change.suspect().slot();
+                rows.insert(slot, log.reports_to_save(slot, now));
+            }
+        }
+    }
+    let mut restarted = CrashLog::default();
+    for report in rows.values().flatten() {
+        restarted.merge(report, Tick::START);
+    }
+    for part in parts {
+        let suspects = run(0xffff, &[part]);
+        assert!(log.is_quarantined(&suspects, now), "{part} before");
+        assert!(restarted.is_quarantined(&suspects, Tick::START), "{part} after the restart");
+    }
+}
+
 quickcheck! {
     /// Whatever order reports come in, entries agree on what is refused.
     fn entries_agree_whatever_the_order_of_reports(events: Vec<(u8, u8, bool)>) -> bool {
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 
 use super::run::Run;
-use super::saved::save;
+use super::saved::{save, save_again};
 use crate::callers::RequestError;
 use crate::shared::{RequestContext, SharedState, UrgentMessage};
 
@@ -111,13 +111,14 @@
 
 /// Merges what another entry knows of suspects. A suspect that this puts in
 /// quarantine is passed on at once.
-pub(crate) fn merge_crashes(shared: &SharedState, reports: &[CrashReport]) {
+pub(crate) fn merge_crashes(shared: &Rc<SharedState>, reports: &[CrashReport]) {
     for report in reports {
         if !shared.crash_log.borrow_mut().merge(report, shared.now()) {
             continue;
         }
         if let Some(merged) = shared.crash_log.borrow().report_on(report.suspect(), shared.now()) {
             announce(shared, &merged, "reported");
+            save_again(shared, merged.suspect());
         }
     }
 }
@@ -131,7 +132,7 @@
         match change {
             SuspectChange::Quarantined(_) => {
                 announce(shared, &report, "observed");
-                spawn_local(save(Rc::clone(shared), report));
+                spawn_local(save(Rc::clone(shared), report.suspect()));
             }
             SuspectChange::Advanced(_) => shared.outbox.push(UrgentMessage::Crashes(report)),
             SuspectChange::Cleared(suspect) => {
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -16,7 +16,7 @@
     EntryCount, FeedPositions, FollowedTable, PeerView, Sightings, must_follow,
 };
 use clementine_decide::prefixes::PrefixIndex;
-use clementine_decide::quarantine::CrashLog;
+use clementine_decide::quarantine::{CrashLog, SuspectSlot};
 use clementine_decide::retry::{SharedBudgets, SlackReports};
 use clementine_decide::routing::RoutingTable;
 use clementine_decide::shares::ShareLedger;
@@ -72,6 +72,8 @@
     pub(crate) sightings: RefCell<Sightings>,
     /// Requests that were running when backend servers crashed.
     pub(crate) crash_log: RefCell<CrashLog>,
+    /// Slots of the saved suspects that this entry has written.
+    pub(crate) saved_slots: RefCell<HashSet<SuspectSlot>>,
     /// Whether the list of backend servers has been loaded since the start.
     pub(crate) backend_list_loaded: Cell<bool>,
     /// Backend servers whose status report is being requested.
@@ -141,6 +143,7 @@
             outbox: Outbox::default(),
             sightings: RefCell::default(),
             crash_log: RefCell::default(),
+            saved_slots: RefCell::default(),
             backend_list_loaded: Cell::new(false),
             report_requests: RefCell::default(),
             connection_probes: RefCell::default(),
