Figures of the settings file may be fractions, and never prevent a start

Cause: grace and window were read as whole numbers, and any figure that couldn't be read was an error that ends the process.

Change: figures (bounds.*, limits.link-mbps) are read as numbers in any notation; one that isn't a finite number from 0 on keeps the last value in a running process, the default at the start, with one warning. Names and addresses that are missing or invalid are still errors.

--- a/crates/direct/src/reload.rs
+++ b/crates/direct/src/reload.rs
@@ -42,7 +42,7 @@
     let mut load_failed = false;
     loop {
         let signalled = timeout(POLL_INTERVAL, sighup.recv()).await.is_ok();
-        match InstanceSettings::load(&path) {
+        match InstanceSettings::load(&path, &current.bounds) {
             Ok(settings) if settings == current => {
                 if signalled {
                     info!("settings: reloaded on SIGHUP, nothing has changed");
@@ -55,6 +55,9 @@
                 {
                     warn!("settings: changed listen addresses take effect after a restart");
                 }
+                for warning in &settings.warnings {
+                    warn!("settings: {}, the last ones stay in force", warning);
+                }
                 info!("settings: changed bounds are in force: {:?}", settings.bounds);
                 shared.apply_bounds(settings.bounds);
                 current = settings;
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use clementine_decide::prefixes::PrefixAffinity;
-use clementine_platform::settings::{InstanceSettings, InstanceSettingsError, settings_path};
+use clementine_platform::settings::{
+    InstanceBounds, InstanceSettings, InstanceSettingsError, settings_path,
+};
 use clementine_process::admin::serve_admin;
 use clementine_process::http::bind_reusable;
 use clementine_process::logging::{LogFormat, LogTarget, start_logging};
@@ -14,7 +16,7 @@
 use clementine_process::shutdown::watch_signals;
 use clementine_process::start::{BindSnafu, SignalsSnafu, StartError};
 use snafu::{ResultExt, Snafu};
-use spdlog::{Level, info};
+use spdlog::{Level, info, warn};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -69,7 +71,10 @@
 ) -> Result<(), DirectError> {
     start_logging(LogTarget::Stdout, LogFormat::Text, level).map_err(StartError::from)?;
     let path = settings_path();
-    let loaded = InstanceSettings::load(&path)?;
+    let loaded = InstanceSettings::load(&path, &InstanceBounds::default())?;
+    for warning in &loaded.warnings {
+        warn!("settings: {}", warning);
+    }
     let mut settings = loaded.clone();
     settings.prefix_affinity = prefix_affinity;
     settings.metrics_address = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -81,6 +81,7 @@
             retry_reserve: 100.0,
             retry_window: Millis(10_000),
         },
+        warnings: Vec::new(),
     }
 }
 
--- a/crates/entry/src/cmd/check.rs
+++ b/crates/entry/src/cmd/check.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use clementine_platform::settings::{InstanceSettings, settings_path};
+use clementine_platform::settings::{InstanceBounds, InstanceSettings, settings_path};
 
 /// Name of the subcommand.
 pub(crate) const NAME: &str = "check";
@@ -22,7 +22,10 @@
 /// Runs the subcommand.
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let path = matches.get_one::<PathBuf>("file").cloned().unwrap_or_else(settings_path);
-    let settings = InstanceSettings::load(&path)?;
+    let settings = InstanceSettings::load(&path, &InstanceBounds::default())?;
+    for warning in &settings.warnings {
+        eprintln!("warning: {warning}");
+    }
     println!(
         "{}: entry {} in {}, callers at {}, store at {}",
         path.display(),
