--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -32,10 +32,6 @@
 /// Time after the start in which this entry sends no summaries, because it may not
 /// have heard all entries of its failure domain yet.
 const LISTEN_TIME: Millis = Millis(1_000);
-/// Interval at which this entry asks what its last process used of the retry budgets.
-const RECALL_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which it reports what it uses of them.
-const SLACK_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Maximum number of suspects of crashes in one message.
@@ -206,25 +202,6 @@
         }
     }
 
-    /// Reports what this entry uses of the slack of retry budgets, or asks what its last
-    /// process used. Returns the time until the next such message.
-    async fn send_slack(&self) -> Duration {
-        let (now, witnesses) = (self.shared.now(), self.witnesses());
-        let report = self.shared.retry_budgets.borrow_mut().report(now);
-        if let Some(report) = report {
-            self.send_datagram(&PeerDatagram::SlackReport(report), &witnesses).await;
-            return SLACK_REPORT_INTERVAL;
-        }
-        let recall = self.shared.retry_budgets.borrow().recall();
-        self.send_datagram(&PeerDatagram::SlackRecall(recall), &witnesses).await;
-        RECALL_INTERVAL
-    }
-
-    /// Entries that keep what this one uses of the retry budgets.
-    fn witnesses(&self) -> Vec<SocketAddr> {
-        self.receivers.borrow().witnesses()
-    }
-
     /// Entries of other failure domains that this entry sends to in this round.
     fn remote_receivers(&self) -> Vec<SocketAddr> {
         self.receivers.borrow().summary_receivers(&self.shared.peers.borrow(), self.round)
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -11,5 +11,6 @@
 mod load;
 mod receive;
 mod receivers;
+mod slack;
 
 pub(crate) use exchange::exchange_messages;
--- a/crates/direct/src/peers/receive.rs
+++ b/crates/direct/src/peers/receive.rs
@@ -6,7 +6,6 @@
 use clementine_decide::peers::{
     PeerDatagram, PeerMessage, PeerReport, PeerUpdate, Sighting, SightingStep,
 };
-use clementine_decide::retry::{SlackAnswer, SlackRecall};
 use spdlog::{debug, info, warn};
 
 use super::directory::EntryRecord;
@@ -40,21 +39,6 @@
         }
     }
 
-    /// Tells an entry that has just started what its last process used of the retry
-    /// budgets, if this entry has heard it.
-    async fn answer_recall(&self, recall: &SlackRecall, from: SocketAddr) {
-        let recalled = self.shared.slack_reports.borrow().recall(recall, self.shared.now());
-        let Some((age, marks)) = recalled else { return };
-        let answer = SlackAnswer {
-            from: self.shared.settings.entry.clone(),
-            to: recall.incarnation,
-            entries: self.shared.entry_count.get().get() as u32,
-            age,
-            marks,
-        };
-        self.send_datagram(&PeerDatagram::SlackAnswer(answer), &[from]).await;
-    }
-
     fn record_status(&mut self, mut message: PeerMessage, from: SocketAddr) {
         let id = message.from.clone();
         let own_id = &self.shared.settings.entry;
