An entry tells of a later response that a report doesn't know of

Seen: entries_agree_whatever_the_order_of_reports failed about once in 60 runs; callers whose requests have a part that was answered at one entry were still refused at another one.

Cause: an entry answers a report only if the report knows of no response at all. If it knew of an earlier one, the entry took the report in, found nothing against the part, and stayed silent; the other one went on refusing.

Change: a report that counts a crash before a response of which this entry knows is outdated, and the entry tells of the response. The other one takes the later of both, so that the exchange ends.

--- a/crates/decide/src/quarantine/crash_log.rs
+++ b/crates/decide/src/quarantine/crash_log.rs
@@ -144,17 +144,19 @@
         let was_quarantined = self.is_at_limit(suspect, now);
         let record = self.record(suspect, now);
         record.began |= report.began();
+        let told = report.last_response(now);
+        let known = record.last_response;
+        let mut is_outdated = told.is_none() && known.is_some();
         for crash in crashes {
+            // The other entry counts a crash before a response that it does not know of.
+            is_outdated |= told < Some(crash.at) && Some(crash.at) <= known;
             record.add(crash);
         }
-        match report.last_response(now) {
-            Some(at) => record.last_response = record.last_response.max(Some(at)),
-            None if record.last_response.is_some() => {
-                record.contested = true;
-                record.reported = 0;
-            }
-            None => {}
+        if is_outdated {
+            record.contested = true;
+            record.reported = 0;
         }
+        record.last_response = known.max(told);
         !was_quarantined && self.is_at_limit(suspect, now)
     }
 
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -285,37 +285,81 @@
     }
 }
 
+/// Whether two entries, each of which saw some of the events, agree with one that saw all
+/// on what is refused, after they have exchanged reports. An event names an entry, a part
+/// and whether a response began or a server crashed.
+fn entries_agree(events: &[(u8, u8, bool)]) -> bool {
+    let mut logs = [CrashLog::default(), CrashLog::default()];
+    let mut all = CrashLog::default();
+    for (n, (entry, part, answered)) in events.iter().take(12).enumerate() {
+        let now = Tick(10 * n as u64);
+        let parts = [PromptPart(u64::from(part % 3))];
+        let log = &mut logs[usize::from(entry % 2)];
+        if *answered && n % 2 == 0 {
+            log.record_response_begun(&parts, now);
+            all.record_response_begun(&parts, now);
+        } else {
+            crash(log, &run(n as u128, &parts), n as u64, now);
+            crash(&mut all, &run(n as u128, &parts), n as u64, now);
+        }
+    }
+    let now = Tick(1_000);
+    let [a, b] = &mut logs;
+    for _ in 0..4 {
+        for report in a.next_reports(100, now) {
+            b.merge(&report, now);
+        }
+        for report in b.next_reports(100, now) {
+            a.merge(&report, now);
+        }
+    }
+    (0..3).all(|part| {
+        let suspects = run(9_999, &[PromptPart(part)]);
+        let refused = all.is_quarantined(&suspects, now);
+        logs.iter().all(|log| log.is_quarantined(&suspects, now) == refused)
+    })
+}
+
+/// Guards against a part that stays refused at one entry because the other one doesn't
+/// tell it of a later response.
+#[test]
+fn later_response_of_another_entry_ends_the_refusal() {
+    let found = [
+        [
+            (3, 0, true),
+            (0, 1, false),
+            (0, 1, false),
+            (3, 0, false),
+            (0, 0, true),
+            (1, 0, false),
+            (7, 0, false),
+            (15, 0, false),
+            (0, 1, false),
+            (3, 0, false),
+            (0, 0, true),
+        ],
+        [
+            (7, 0, true),
+            (0, 1, false),
+            (0, 1, false),
+            (3, 0, false),
+            (0, 0, true),
+            (3, 0, false),
+            (0, 1, false),
+            (31, 0, false),
+            (3, 0, false),
+            (15, 0, false),
+            (0, 0, true),
+        ],
+    ];
+    for events in found {
+        assert!(entries_agree(&events), "{events:?}");
+    }
+}
+
 quickcheck! {
     /// Whatever order reports come in, entries agree on what is refused.
     fn entries_agree_whatever_the_order_of_reports(events: Vec<(u8, u8, bool)>) -> bool {
-        let mut logs = [CrashLog::default(), CrashLog::default()];
-        let mut all = CrashLog::default();
-        for (n, (entry, part, answered)) in events.iter().take(12).enumerate() {
-            let now = Tick(10 * n as u64);
-            let parts = [PromptPart(u64::from(part % 3))];
-            let log = &mut logs[usize::from(entry % 2)];
-            if *answered && n % 2 == 0 {
-                log.record_response_begun(&parts, now);
-                all.record_response_begun(&parts, now);
-            } else {
-                crash(log, &run(n as u128, &parts), n as u64, now);
-                crash(&mut all, &run(n as u128, &parts), n as u64, now);
-            }
-        }
-        let now = Tick(1_000);
-        let [a, b] = &mut logs;
-        for _ in 0..4 {
-            for report in a.next_reports(100, now) {
-                b.merge(&report, now);
-            }
-            for report in b.next_reports(100, now) {
-                a.merge(&report, now);
-            }
-        }
-        (0..3).all(|part| {
-            let suspects = run(9_999, &[PromptPart(part)]);
-            let refused = all.is_quarantined(&suspects, now);
-            logs.iter().all(|log| log.is_quarantined(&suspects, now) == refused)
-        })
+        entries_agree(&events)
     }
 }
