Streams count the attempt in progress before another one replaces it

Cause: `Supervisor::recover` asked whether another attempt may start with the counts of attempts that had ended. The one in progress was in none of them, so that each first attempt looked as if nothing had run, and each limit was one too high. The same question was answered in two places (streams, buffered requests) with different rules. Second cause: `single_server_route` took no notice of the servers to which the limit confines further attempts.

Fix: an attempt counts from the moment at which its first byte may have left (`Progress::set_sent`). `AttemptCounts` is the one place that decides, for streams and buffered requests: `allow_another` when none is in progress, `allow_replacement` for one in place of another, which counts first. `Fleet::fastest` takes the allowed servers. An attempt that ends unsent counts as not executed. A server found down under a run is recorded once in an attempt, now that such attempts go on.

Agents' entries make one attempt after the other and count each when it starts: read, nothing to mend.

--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -235,16 +235,20 @@
     }
 
     /// The backend server of a pool with the shortest expected response time.
-    /// Servers without recent failures are preferred over all others.
+    /// Servers without recent failures are preferred over all others. Only those in
+    /// `allowed` are eligible, unless it is empty.
     pub fn fastest<'a>(
         &'a self,
         pool: &'a PoolId,
         now: Tick,
         avoid: &'a [BackendId],
+        allowed: &'a [BackendId],
         rng: &mut impl Rng,
     ) -> Option<&'a Member> {
-        let candidates =
-            self.candidates(pool, now, avoid).filter(|member| member.signals.may_send(now));
+        let is_allowed = |id: &BackendId| allowed.is_empty() || allowed.contains(id);
+        let candidates = self
+            .candidates(pool, now, avoid)
+            .filter(|member| member.signals.may_send(now) && is_allowed(&member.backend.id));
         let ranked = candidates.map(|member| (member, expected_ms(member, rng)));
         let compare = |a: &(&Member, f64), b: &(&Member, f64)| {
             let failures = a.0.has_recent_failure().cmp(&b.0.has_recent_failure());
--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -1,13 +1,13 @@
 //! Retry budgets.
 
+mod attempts;
 mod budget;
 mod shared_budgets;
 mod slack_marks;
 mod sliding_window;
-mod stream_attempts;
 
+pub use attempts::{AttemptCounts, AttemptEnd, AttemptLimits};
 pub use budget::{RetryBudget, RetryBudgetLimits};
 pub use shared_budgets::{Contact, RetryDecision, RetryPriority, SharedBudgets};
 pub use slack_marks::{SlackAnswer, SlackMark, SlackRecall, SlackReport, SlackReports};
 pub use sliding_window::{WindowBudget, WindowLimits, WindowUsage};
-pub use stream_attempts::StreamAttempts;
--- a/crates/decide/tests/guards.rs
+++ b/crates/decide/tests/guards.rs
@@ -7,7 +7,9 @@
 use clementine_decide::ids::Tick;
 use clementine_decide::outcome::{ErrorKind, Outcome};
 use clementine_decide::quarantine::SuspectGate;
-use clementine_decide::retry::{RetryBudget, RetryBudgetLimits, StreamAttempts};
+use clementine_decide::retry::{
+    AttemptCounts, AttemptEnd, AttemptLimits, RetryBudget, RetryBudgetLimits,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -76,19 +78,49 @@
     }
 }
 
+/// Limits of a stream, with at most two attempts of the route rule.
+fn stream_limits(is_repeatable: bool, max_unexecuted: u32) -> AttemptLimits {
+    AttemptLimits { max_executed: 2, max_extra: 2, max_unexecuted, is_repeatable }
+}
+
 /// A stream whose recovery began while the caller was receiving it had the limit of
 /// one that had not begun.
 #[test]
 fn stream_that_the_caller_receives_may_be_refused_more_often() {
-    let refused = |not_executed| StreamAttempts { executed: 1, not_executed, ..Default::default() };
-    assert!(refused(4).allow_another(2, true, false) && !refused(5).allow_another(2, true, false));
-    assert!(refused(12).allow_another(2, true, true) && !refused(13).allow_another(2, true, true));
-    assert!(!refused(0).allow_another(2, false, true), "it may have been executed");
+    let refused = |not_executed| AttemptCounts { executed: 1, not_executed, ..Default::default() };
+    let limits = stream_limits(true, 4);
+    assert!(refused(4).allow_another(&limits) && !refused(5).allow_another(&limits));
+    let limits = stream_limits(true, 12);
+    assert!(refused(12).allow_another(&limits) && !refused(13).allow_another(&limits));
+    let limits = stream_limits(false, 12);
+    assert!(!refused(0).allow_another(&limits), "it may have been executed");
 }
 
 #[test]
 fn loss_of_backend_servers_grants_at_most_two_attempts() {
-    let lost = |n| StreamAttempts { executed: n, lost_to_down_backend: n, not_executed: 0 };
-    assert!(lost(2).allow_another(2, true, true) && lost(3).allow_another(2, true, true));
-    assert!(!lost(4).allow_another(2, true, true));
+    let lost = |n| AttemptCounts { executed: n, lost_to_down_backend: n, not_executed: 0 };
+    let limits = stream_limits(true, 12);
+    assert!(lost(2).allow_another(&limits) && lost(3).allow_another(&limits));
+    assert!(!lost(4).allow_another(&limits));
+}
+
+/// An attempt in progress was not counted when another one was to replace it.
+#[test]
+fn attempt_in_progress_counts_like_one_that_has_ended() {
+    let ends = [AttemptEnd::NotExecuted, AttemptEnd::Executed, AttemptEnd::LostToDownBackend];
+    let none = AttemptCounts::default();
+    for is_repeatable in [false, true] {
+        let limits = stream_limits(is_repeatable, 4);
+        for (first, second) in ends.iter().flat_map(|a| ends.iter().map(move |b| (*a, *b))) {
+            let mut ended = none;
+            ended.record(first);
+            let replaced = ended.allow_replacement(second, &limits);
+            ended.record(second);
+            assert_eq!(replaced, ended.allow_another(&limits), "{first:?}, {second:?}");
+        }
+        assert!(none.allow_replacement(AttemptEnd::NotExecuted, &limits));
+        assert_eq!(none.allow_replacement(AttemptEnd::Executed, &limits), is_repeatable);
+        let one = AttemptLimits { max_executed: 1, ..limits };
+        assert!(!none.allow_replacement(AttemptEnd::Executed, &one), "it runs already");
+    }
 }
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -92,7 +92,9 @@
     fleet.get_mut(&"z".into()).expect("listed").record_failure(Tick(0));
     let mut choose = |now, avoid: &[&str]| {
         let avoid: Vec<_> = avoid.iter().map(|id| (*id).into()).collect();
-        fleet.fastest(&"p".into(), Tick(now), &avoid, &mut rng).map(|m| m.backend.id.to_string())
+        fleet
+            .fastest(&"p".into(), Tick(now), &avoid, &[], &mut rng)
+            .map(|m| m.backend.id.to_string())
     };
     assert_eq!(choose(10, &[]).as_deref(), Some("y"));
     assert_eq!(choose(10, &["y"]).as_deref(), Some("x"), "a slow server before a failed one");
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -9,7 +9,7 @@
 use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::quarantine::LossKind;
-use clementine_decide::retry::RetryPriority;
+use clementine_decide::retry::{AttemptCounts, AttemptEnd, AttemptLimits, RetryPriority};
 use clementine_http1::ServerConn;
 use clementine_objects::Millis;
 use clementine_platform::requests::relayed_response;
@@ -53,8 +53,7 @@
     let mut attempts = RequestAttempts {
         shared,
         ctx,
-        executed: 0,
-        not_executed: 0,
+        counts: AttemptCounts::default(),
         running: None,
         tried: Vec::new(),
         last_error: None,
@@ -70,30 +69,16 @@
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
     };
-    let (executed, not_executed) = (attempts.executed, attempts.not_executed);
+    let counts = attempts.counts;
     let closing = shared.drain.is_draining();
     match result {
         FinalResponse::Relayed(buffered) => {
-            log_outcome(
-                shared,
-                ctx,
-                buffered.response.head.status.as_u16(),
-                "answered",
-                executed,
-                not_executed,
-            );
+            log_outcome(shared, ctx, buffered.response.head.status.as_u16(), "answered", counts);
             shared.metrics.record_buffered_response(ctx.arrived.elapsed());
             send_buffered(conn, &buffered, closing).await
         }
         FinalResponse::Error(error) => {
-            log_outcome(
-                shared,
-                ctx,
-                error.kind.response().status,
-                error.kind.code(),
-                executed,
-                not_executed,
-            );
+            log_outcome(shared, ctx, error.kind.response().status, error.kind.code(), counts);
             send_error(conn, &ctx.req.id, error, closing).await
         }
     }
@@ -121,8 +106,7 @@
     ctx: &RequestContext,
     status: u16,
     outcome: &'static str,
-    executed: u32,
-    not_executed: u32,
+    counts: AttemptCounts,
 ) {
     shared.metrics.count_request(&ctx.rule.name, outcome);
     info!(
@@ -134,8 +118,8 @@
         ctx.pool,
         status,
         outcome,
-        executed,
-        not_executed,
+        counts.executed,
+        counts.not_executed,
         ctx.elapsed_ms()
     );
 }
@@ -144,10 +128,8 @@
 struct RequestAttempts<'a> {
     shared: &'a Rc<SharedState>,
     ctx: &'a RequestContext,
-    /// Attempts in which the request may have been executed.
-    executed: u32,
-    /// Attempts in which the request was certainly not executed.
-    not_executed: u32,
+    /// Attempts that have ended.
+    counts: AttemptCounts,
     /// The attempt in progress.
     running: Option<Run>,
     tried: Vec<BackendId>,
@@ -179,7 +161,8 @@
     fn choose_backend(&self) -> Option<(BackendId, SocketAddr, f64)> {
         let fleet = self.shared.fleet.borrow();
         let mut rng = self.shared.rng.borrow_mut();
-        let found = fleet.fastest(&self.ctx.pool, self.shared.now(), &self.tried, &mut *rng)?;
+        let found =
+            fleet.fastest(&self.ctx.pool, self.shared.now(), &self.tried, &[], &mut *rng)?;
         Some((found.backend.id.clone(), found.backend.address, found.latency_ms()))
     }
 
@@ -202,7 +185,7 @@
         let run = self.running.take();
         match outcome {
             AttemptOutcome::Response(buffered) => {
-                self.executed += 1;
+                self.counts.record(AttemptEnd::Executed);
                 pool_run.set_served();
                 self.record_response(id, started);
                 let failed = buffered.response.head.status.is_server_error();
@@ -217,20 +200,20 @@
                 return Some(FinalResponse::Relayed(buffered));
             }
             AttemptOutcome::NotSent => {
-                self.not_executed += 1;
+                self.counts.record(AttemptEnd::NotExecuted);
                 self.shared.record_failure(id, "no-connection", request_id);
             }
             AttemptOutcome::NotExecuted => {
-                self.not_executed += 1;
+                self.counts.record(AttemptEnd::NotExecuted);
                 self.shared.record_failure(id, "refused", request_id);
             }
             AttemptOutcome::ResponseLost(reason) => {
-                self.executed += 1;
+                self.counts.record(AttemptEnd::Executed);
                 self.shared.record_failure(id, reason, request_id);
                 self.record_loss(run, LossKind::BrokenOff).await;
             }
             AttemptOutcome::TimedOut => {
-                self.executed += 1;
+                self.counts.record(AttemptEnd::Executed);
                 self.shared.record_failure(id, "no-answer-in-time", request_id);
                 self.record_loss(run, LossKind::NoResponse).await;
             }
@@ -265,22 +248,28 @@
     /// Deadline of the next attempt. An idempotent request that can still be sent
     /// to another server does not wait for a slow one.
     fn attempt_deadline(&self, latency_ms: f64) -> Instant {
-        let rule = &self.ctx.rule;
-        if !rule.kind.is_repeatable() || self.executed + 1 >= rule.max_attempts {
+        if !self.counts.allow_replacement(AttemptEnd::Executed, &self.limits()) {
             return self.ctx.deadline;
         }
         let timeout = Duration::from_secs_f64(latency_ms * ATTEMPT_TIMEOUT_FACTOR / 1_000.0);
         (Instant::now() + timeout.max(MIN_ATTEMPT_TIMEOUT)).min(self.ctx.deadline)
     }
 
+    fn limits(&self) -> AttemptLimits {
+        AttemptLimits {
+            max_executed: self.ctx.rule.max_attempts,
+            max_extra: 0,
+            max_unexecuted: MAX_UNEXECUTED_ATTEMPTS,
+            is_repeatable: self.ctx.rule.kind.is_repeatable(),
+        }
+    }
+
     /// Takes a retry from the budget. Returns `false` if the request must not be
     /// sent again or the budget is exhausted.
     fn try_retry(&self) -> bool {
-        let rule = &self.ctx.rule;
-        let may_repeat = self.executed == 0 || rule.kind.is_repeatable();
-        let allowed =
-            self.executed < rule.max_attempts && self.not_executed <= MAX_UNEXECUTED_ATTEMPTS;
-        if !may_repeat || !allowed || is_quarantined(self.shared, &self.ctx.suspects) {
+        if !self.counts.allow_another(&self.limits())
+            || is_quarantined(self.shared, &self.ctx.suspects)
+        {
             return false;
         }
         self.shared.take_retry(self.ctx, RetryPriority::High).is_some()
@@ -292,7 +281,7 @@
         if let Some(buffered) = self.last_error.take() {
             return FinalResponse::Relayed(buffered);
         }
-        if self.executed == 0 {
+        if self.counts.executed == 0 {
             if let Some(error) = late_quarantine_error(self.shared, self.ctx) {
                 return FinalResponse::Error(error);
             }
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -6,6 +6,7 @@
 use clementine_http1::ClientConn;
 use clementine_platform::requests::{BackendResponse, ExecutionStatus, forward_head};
 
+use super::progress::Progress;
 use super::route::StreamRoute;
 use crate::buffered::{BufferedResponse, CONNECT_TIMEOUT};
 use crate::shared::{RequestContext, SharedState};
@@ -34,7 +35,7 @@
     shared: &SharedState,
     ctx: &RequestContext,
     route: &RefCell<StreamRoute>,
-    last_event_id: Option<u64>,
+    progress: &Progress,
 ) -> OpenOutcome {
     let connect_timeout = CONNECT_TIMEOUT.min(ctx.time_left());
     let address = route.borrow().address;
@@ -47,11 +48,15 @@
     }
     let head = {
         let route = route.borrow();
-        forward_head(&ctx.req, ctx.forward_params(&route.first, &route.path, last_event_id))
+        forward_head(
+            &ctx.req,
+            ctx.forward_params(&route.first, &route.path, progress.last_event_id()),
+        )
     };
     if conn.queue(head, ctx.req.body.clone()).is_err() {
         return OpenOutcome::NotSent;
     }
+    progress.set_sent();
     let first = route.borrow().first.clone();
     let Ok(head) = conn.read_head().await else {
         return OpenOutcome::ResponseLost("no-answer");
--- a/crates/direct/src/streams/outcomes.rs
+++ b/crates/direct/src/streams/outcomes.rs
@@ -5,8 +5,10 @@
 
 use clementine_decide::ids::BackendId;
 use clementine_decide::quarantine::LossKind;
+use clementine_decide::retry::AttemptEnd;
 use tokio::task::spawn_local;
 
+use super::recover::end_of_attempt;
 use super::relay::AttemptOutcome;
 use super::route::StreamRoute;
 use super::supervise::{NextStep, StreamOutcome, Supervisor};
@@ -21,12 +23,9 @@
         run: Option<Run>,
         outcome: AttemptOutcome,
     ) -> NextStep {
-        if !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotExecuted(_)) {
-            self.record_executed_on(&route.first);
-        }
         match outcome {
             AttemptOutcome::Complete => {
-                self.stats.attempts.executed += 1;
+                self.record_end(&route.first, AttemptEnd::Executed);
                 record_completion(self.shared, self.ctx);
                 NextStep::Finish(StreamOutcome::Complete)
             }
@@ -35,12 +34,12 @@
                 NextStep::Finish(StreamOutcome::CallerLeft)
             }
             AttemptOutcome::DeadlinePassed => {
-                self.stats.attempts.executed += 1;
+                self.record_end(&route.first, end_of_attempt(&self.progress, None));
                 self.record_silent_run(run);
                 NextStep::Finish(self.give_up("out-of-time"))
             }
             AttemptOutcome::ErrorResponse(error) => {
-                self.stats.attempts.executed += 1;
+                self.record_end(&route.first, AttemptEnd::Executed);
                 if !self.progress.headers_sent() {
                     self.last_error = Some(error);
                 }
@@ -52,26 +51,27 @@
                 self.after_unexecuted(&id, "refused")
             }
             AttemptOutcome::Interrupted(reason) => {
-                self.stats.attempts.executed += 1;
                 self.record_backend_failure(&route.first, reason);
-                if let Some(run) = run {
-                    self.record_lost_run(run).await;
-                }
+                let end = match run {
+                    Some(run) => self.record_lost_run(run).await,
+                    None => AttemptEnd::Executed,
+                };
+                self.record_end(&route.first, end);
                 NextStep::Retry(reason, None)
             }
         }
     }
 
     /// Records a run that broke off. One that made progress is not what brought the
-    /// server down.
-    async fn record_lost_run(&mut self, run: Run) {
+    /// server down. Returns what the attempt counts as.
+    async fn record_lost_run(&self, run: Run) -> AttemptEnd {
         if self.progress.attempt_has_events() {
             let has_ended = run.server_refuses_connections(self.shared).await;
-            self.stats.attempts.lost_to_down_backend += u32::from(has_ended);
-            return;
+            return if has_ended { AttemptEnd::LostToDownBackend } else { AttemptEnd::Executed };
         }
         let run = run.with_begun(self.progress.attempt_has_begun());
         run.record_loss(self.shared, LossKind::BrokenOff).await;
+        AttemptEnd::Executed
     }
 
     /// Records a run that has ended without an event, because its server may have
@@ -86,7 +86,7 @@
     }
 
     fn after_unexecuted(&mut self, failed: &BackendId, reason: &'static str) -> NextStep {
-        self.stats.attempts.not_executed += 1;
+        self.stats.attempts.record(AttemptEnd::NotExecuted);
         self.record_backend_failure(failed, reason);
         NextStep::Retry(reason, None)
     }
@@ -99,7 +99,7 @@
     /// starts a check if it is an engine.
     fn record_backend_failure(&mut self, id: &BackendId, reason: &str) {
         self.shared.record_failure(id, reason, &self.ctx.req.id);
-        self.avoid.push(id.clone());
+        self.avoid(id);
         if self.shared.has_layers(id) {
             spawn_local(check_backend(Rc::clone(self.shared), id.clone()));
         }
--- a/crates/direct/src/streams/progress.rs
+++ b/crates/direct/src/streams/progress.rs
@@ -31,6 +31,8 @@
     longest_pause: Cell<Duration>,
     /// Exponential moving average of the pauses between events.
     mean_pause: Cell<Duration>,
+    /// Whether a byte of the current attempt's request may have left.
+    attempt_is_sent: Cell<bool>,
     /// Whether the current attempt has received the head of a response.
     attempt_has_begun: Cell<bool>,
     /// Whether the current attempt has delivered an event.
@@ -48,6 +50,7 @@
             delivering: Cell::new(false),
             longest_pause: Cell::new(Duration::ZERO),
             mean_pause: Cell::new(INITIAL_MEAN_PAUSE),
+            attempt_is_sent: Cell::new(false),
             attempt_has_begun: Cell::new(false),
             attempt_has_events: Cell::new(false),
         }
@@ -56,11 +59,17 @@
     /// Records the start of another attempt.
     pub(super) fn begin_attempt(&self) {
         self.delivering.set(false);
+        self.attempt_is_sent.set(false);
         self.attempt_has_begun.set(false);
         self.attempt_has_events.set(false);
         self.last_activity.set(Instant::now());
     }
 
+    /// Records that the request of the current attempt is about to be sent.
+    pub(super) fn set_sent(&self) {
+        self.attempt_is_sent.set(true);
+    }
+
     /// Records that the current attempt has received the head of a response.
     pub(super) fn set_begun(&self) {
         self.attempt_has_begun.set(true);
@@ -109,6 +118,10 @@
         self.headers_sent.get()
     }
 
+    pub(super) fn attempt_is_sent(&self) -> bool {
+        self.attempt_is_sent.get()
+    }
+
     pub(super) fn attempt_has_begun(&self) -> bool {
         self.attempt_has_begun.get()
     }
--- a/crates/direct/src/streams/recover.rs
+++ b/crates/direct/src/streams/recover.rs
@@ -2,7 +2,9 @@
 
 use std::cell::RefCell;
 
+use clementine_decide::ids::BackendId;
 use clementine_decide::quarantine::LossKind;
+use clementine_decide::retry::AttemptEnd;
 
 use super::progress::Progress;
 use super::repath::repath;
@@ -33,13 +35,7 @@
         problem: &Problem,
     ) -> Recovery {
         if let Problem::BackendDown(down) = problem {
-            // A run that made progress is not what brought the server down.
-            if !progress.attempt_has_events()
-                && let Some(run) = Run::start(self.shared, self.ctx, down)
-            {
-                let run = run.with_begun(progress.attempt_has_begun());
-                run.record_loss(self.shared, LossKind::BrokenOff).await;
-            }
+            self.record_run_on_down_server(progress, down).await;
             if self.is_quarantined() {
                 return Recovery::GiveUp;
             }
@@ -48,14 +44,16 @@
                 self.shared.metrics.count_repath();
                 return Recovery::Continue;
             }
-            self.avoid.push(down.clone());
+            self.avoid(down);
         } else {
-            self.avoid.extend(route.borrow().backends().cloned());
+            route.borrow().backends().for_each(|id| self.avoid(id));
         }
-        if !self.is_retry_allowed(progress) {
+        if !self.is_replacement_allowed(progress, end_of_attempt(progress, Some(problem))) {
             return Recovery::Continue;
         }
-        self.record_executed_on(&route.borrow().first);
+        if progress.attempt_is_sent() {
+            self.record_executed_on(&route.borrow().first);
+        }
         match self.choose_route_for(progress) {
             Some(next)
                 if differs(&next, &route.borrow()) && self.take_from_budget(progress).is_some() =>
@@ -65,6 +63,28 @@
             _ => Recovery::Continue,
         }
     }
+
+    /// Records once in an attempt that a server was found down under the run. A run that
+    /// made progress is not what brought the server down.
+    async fn record_run_on_down_server(&mut self, progress: &Progress, down: &BackendId) {
+        if progress.attempt_has_events() || self.lost_in_attempt.contains(down) {
+            return;
+        }
+        self.lost_in_attempt.push(down.clone());
+        if let Some(run) = Run::start(self.shared, self.ctx, down) {
+            let run = run.with_begun(progress.attempt_has_begun());
+            run.record_loss(self.shared, LossKind::BrokenOff).await;
+        }
+    }
+}
+
+/// What the attempt in progress counts as if it ends now, possibly for a problem.
+pub(super) fn end_of_attempt(progress: &Progress, problem: Option<&Problem>) -> AttemptEnd {
+    match problem {
+        _ if !progress.attempt_is_sent() => AttemptEnd::NotExecuted,
+        Some(Problem::BackendDown(_)) => AttemptEnd::LostToDownBackend,
+        Some(Problem::Silent) | None => AttemptEnd::Executed,
+    }
 }
 
 /// Whether two routes differ in the backend servers that they use.
--- a/crates/direct/src/streams/relay.rs
+++ b/crates/direct/src/streams/relay.rs
@@ -56,9 +56,8 @@
     ///
     /// Returns an error if writing to the caller's connection fails.
     pub(super) async fn run(&self, conn: &mut ServerConn) -> io::Result<AttemptOutcome> {
-        let last_event_id = self.progress.last_event_id();
         let opened = tokio::select! {
-            opened = open(self.shared, self.ctx, self.route, last_event_id) => opened,
+            opened = open(self.shared, self.ctx, self.route, self.progress) => opened,
             () = conn.wait_closed() => return Ok(AttemptOutcome::CallerLeft),
             () = sleep_until(self.ctx.deadline) => return Ok(AttemptOutcome::DeadlinePassed),
         };
--- a/crates/direct/src/streams/route.rs
+++ b/crates/direct/src/streams/route.rs
@@ -118,7 +118,7 @@
     let engine = table.pools.get(&ctx.pool)?.engine.clone();
     match engine.filter(|engine| engine.layers > 0) {
         Some(engine) => engine_route(shared, ctx, &engine, requirements, purpose, &[]),
-        None => single_server_route(shared, ctx, requirements.avoid),
+        None => single_server_route(shared, ctx, requirements),
     }
 }
 
@@ -250,11 +250,12 @@
 fn single_server_route(
     shared: &Rc<SharedState>,
     ctx: &RequestContext,
-    avoid: &[BackendId],
+    requirements: RouteRequirements<'_>,
 ) -> Option<StreamRoute> {
+    let RouteRequirements { avoid, allowed_first, .. } = requirements;
     let fleet = shared.fleet.borrow();
     let mut rng = shared.rng.borrow_mut();
-    let member = fleet.fastest(&ctx.pool, shared.now(), avoid, &mut *rng)?;
+    let member = fleet.fastest(&ctx.pool, shared.now(), avoid, allowed_first, &mut *rng)?;
     let (id, address) = (member.backend.id.clone(), member.backend.address);
     drop((fleet, rng));
     let reservation = Reservation::new(shared, vec![id.clone()], 0.0);
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -7,17 +7,17 @@
 
 use clementine_decide::ids::{BackendId, Tick};
 use clementine_decide::outcome::ErrorKind;
-use clementine_decide::retry::{RetryPriority, StreamAttempts};
+use clementine_decide::retry::{AttemptCounts, AttemptEnd, AttemptLimits, RetryPriority};
 use clementine_decide::routing::RequestKind;
 use clementine_http1::ServerConn;
 use spdlog::info;
 use tokio::time::{Instant, sleep};
 
 use super::progress::Progress;
-use super::recover::Recovery;
+use super::recover::{Recovery, end_of_attempt};
 use super::relay::Attempt;
 use super::route::{RouteRequirements, StreamRoute, format_path};
-use super::watchdog::{Problem, wait_for_problem};
+use super::watchdog::wait_for_problem;
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
 use crate::crashes::{Run, is_quarantined, late_quarantine_error};
@@ -26,6 +26,14 @@
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
 const MAX_RESUMABLE_SILENCE: Duration = Duration::from_secs(2);
+/// Maximum number of retries after attempts in which the request was not executed. They
+/// do not count towards the attempts that the route rule allows.
+const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
+/// Like [`MAX_UNEXECUTED_ATTEMPTS`], for a stream that the caller is already receiving.
+const MAX_UNEXECUTED_RESUMES: u32 = 12;
+/// Maximum number of attempts beyond those that the route rule allows, one for each
+/// attempt that ended because a backend server went down.
+const MAX_EXTRA_ATTEMPTS: u32 = 2;
 /// Interval between tries to recover a stream that has no retry budget, or an attempt
 /// that has a problem and no other route.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(150);
@@ -47,7 +55,7 @@
 /// Statistics of a stream for the log and for the retry limits.
 #[derive(Debug, Default)]
 pub(super) struct StreamStats {
-    pub(super) attempts: StreamAttempts,
+    pub(super) attempts: AttemptCounts,
     /// Path changes within an attempt.
     pub(super) repaths: u32,
     /// Number of engines in the last attempt's path.
@@ -75,6 +83,8 @@
     executed_on: Vec<BackendId>,
     /// Backend servers to avoid in further attempts.
     pub(super) avoid: Vec<BackendId>,
+    /// Backend servers that were found down under the run of the attempt in progress.
+    pub(super) lost_in_attempt: Vec<BackendId>,
     /// Last error response of a backend server.
     pub(super) last_error: Option<BufferedResponse>,
     /// When the next attempt was taken from the budget. It may wait for capacity.
@@ -90,6 +100,7 @@
             stats: StreamStats::default(),
             executed_on: Vec::new(),
             avoid: Vec::new(),
+            lost_in_attempt: Vec::new(),
             last_error: None,
             retry_taken_at: None,
         }
@@ -199,6 +210,7 @@
         (self.stats.stages, self.stats.domain_crossings) =
             (route.path.len(), route.domain_crossings);
         self.progress.begin_attempt();
+        self.lost_in_attempt.clear();
         if let Some(taken_at) = self.retry_taken_at.take() {
             self.shared.record_retry_sent(self.ctx, taken_at);
         }
@@ -239,10 +251,7 @@
         let next = match result {
             Ok(outcome) => self.next_step(&route, run, outcome).await,
             Err((problem, replacement)) => {
-                self.record_executed_on(&route.first);
-                self.stats.attempts.lost_to_down_backend +=
-                    u32::from(matches!(problem, Problem::BackendDown(_)));
-                self.stats.attempts.executed += 1;
+                self.record_end(&route.first, end_of_attempt(&self.progress, Some(&problem)));
                 match replacement {
                     Some(next) => NextStep::Retry(problem.reason(), Some(next)),
                     None => NextStep::Finish(self.give_up("quarantined")),
@@ -263,6 +272,21 @@
         }
     }
 
+    /// Records the end of an attempt that began at `first`.
+    pub(super) fn record_end(&mut self, first: &BackendId, end: AttemptEnd) {
+        self.stats.attempts.record(end);
+        if end != AttemptEnd::NotExecuted {
+            self.record_executed_on(first);
+        }
+    }
+
+    /// Avoids a backend server in further attempts.
+    pub(super) fn avoid(&mut self, id: &BackendId) {
+        if !self.avoid.contains(id) {
+            self.avoid.push(id.clone());
+        }
+    }
+
     fn choose_route(&self) -> Option<StreamRoute> {
         self.choose_route_for(&self.progress)
     }
@@ -287,12 +311,31 @@
         StreamRoute::choose(self.shared, self.ctx, requirements)
     }
 
-    /// Whether the limits on attempts allow another one.
-    pub(super) fn is_retry_allowed(&self, progress: &Progress) -> bool {
-        let max_attempts = self.ctx.rule.max_attempts;
-        let attempts = &self.stats.attempts;
-        !self.is_quarantined()
-            && attempts.allow_another(max_attempts, self.is_resumable(), progress.headers_sent())
+    fn attempt_limits(&self, progress: &Progress) -> AttemptLimits {
+        let is_receiving = progress.headers_sent();
+        AttemptLimits {
+            max_executed: self.ctx.rule.max_attempts,
+            max_extra: MAX_EXTRA_ATTEMPTS,
+            max_unexecuted: if is_receiving {
+                MAX_UNEXECUTED_RESUMES
+            } else {
+                MAX_UNEXECUTED_ATTEMPTS
+            },
+            is_repeatable: self.is_resumable(),
+        }
+    }
+
+    /// Whether the limits on attempts allow another one in place of the one in progress,
+    /// which counts as `current`.
+    pub(super) fn is_replacement_allowed(&self, progress: &Progress, current: AttemptEnd) -> bool {
+        let limits = self.attempt_limits(progress);
+        !self.is_quarantined() && self.stats.attempts.allow_replacement(current, &limits)
+    }
+
+    /// Whether the limits on attempts allow another one after the last one has ended.
+    fn is_retry_allowed(&self) -> bool {
+        let limits = self.attempt_limits(&self.progress);
+        !self.is_quarantined() && self.stats.attempts.allow_another(&limits)
     }
 
     fn is_resumable(&self) -> bool {
@@ -302,7 +345,7 @@
     /// Takes a retry from the budget. Returns `false` if the limits on attempts or
     /// the budget do not allow it.
     fn try_retry(&mut self) -> bool {
-        if self.is_retry_allowed(&self.progress) {
+        if self.is_retry_allowed() {
             self.retry_taken_at = self.take_from_budget(&self.progress);
         }
         self.retry_taken_at.is_some()
