Servers of the tests of lost responses run only requests that are meant for them

Trace of 07:31:29: a stream is refused by both servers of its deployment and correctly answered 503, while the test counted a run. In the same millisecond a request of /safe/x, whose own servers no longer accept connections, got "answer-unfit" where "no-connection" is due: its entry had reached the server of the stream's deployment, which has the port of the closed listener. The servers of all deployments had the same ids and ran whatever came, while a real one answers 421 to a request for another server.

The servers have ids of their own now and answer 421 as well. The checks are unchanged.

--- a/crates/direct/tests/lost_responses.rs
+++ b/crates/direct/tests/lost_responses.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use actix_rt::test;
@@ -22,6 +23,13 @@
 /// A server that says that it did not run the request.
 const REFUSAL: &str = "HTTP/1.1 503 X\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
 
+/// A server that got a request for another one.
+const MISDIRECTED: &str = "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n";
+
+/// Number of deployments so far. Entries go on until the process ends, and the ports of
+/// their servers are used again by later deployments.
+static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
+
 type Script = fn(&ScriptedRequest) -> Vec<Step>;
 
 /// The ways in which a server that has run a request fails to say so.
@@ -63,12 +71,18 @@
     let runs = Rc::new(Cell::new(0));
     let pool = if path.starts_with("/stream/") { "model" } else { "plain" };
     let servers: Rc<std::cell::RefCell<Vec<ScriptedServer>>> = Rc::default();
+    let deployment = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
     for n in 0..2 {
+        let id = format!("server-{deployment}-{n}");
+        let own_id = id.clone();
         let (counted, others) = (Rc::clone(&runs), Rc::clone(&servers));
         let server = ScriptedServer::start(move |request| {
             if request.header("request-id").is_empty() {
                 return vec![Step::send("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")];
             }
+            if request.header("expect-instance") != own_id {
+                return vec![Step::send(MISDIRECTED)];
+            }
             if counted.get() > 0 && then != Then::LoseAgain {
                 return vec![Step::send(REFUSAL)];
             }
@@ -79,7 +93,7 @@
             script(request)
         })
         .await;
-        list_server(&store, &format!("server-{n}"), pool, server.address);
+        list_server(&store, &id, pool, server.address);
         servers.borrow_mut().push(server);
     }
     let entry = start_entry("one", &store).await;
