Each call to a server names it, and an answer of another one ends its use

Cause: only the callers' requests said for which server they are. Orders, changes of path, reports and health checks went to whoever listens at the listed address; `read_report` took the body of any response, a 421 too, for the report, whose order count made the order fit. The planner went on with a server whose address refused connections.

Fix, by class: - `CallTarget` (id and address) is what each head of a call is built from, so that none can leave the server unnamed (`expect-instance`). Rows whose id fits into no header name no server. - 421, or the id of another server, in a response to a call, or to a request without a path, excludes the server until it answers a health check under its own id (`doubt_identity`), as with rows of a restored store. On a path an engine that lacks its part answers 421 as well; the check that follows names the server. - A report is one only with a status of success. - A row at an address that another listed server has excludes the one that started before (`doubt_former_owners`); `by_address` finds the last one to start. - The planner marks a server that refuses connections as down, and waits no longer for it.

Not mended: `hop-count` names the later engines of a path by their addresses only; the platform's protocol has no other way.

--- a/crates/decide/src/fleet/member.rs
+++ b/crates/decide/src/fleet/member.rs
@@ -77,8 +77,8 @@
     /// Whether the server reported that it is draining. Its current runs
     /// continue.
     leaving: bool,
-    /// Whether the server's row is that of a restored store and may be out of
-    /// date.
+    /// Whether another server may have the address by now: the row is that of a restored
+    /// store, another row has the same address, or another server answered there.
     unconfirmed: bool,
     /// Number of times that the engine has lost its KV cache since it was listed.
     cache_losses: u32,
@@ -133,9 +133,12 @@
         alive && !self.is_draining()
     }
 
-    /// Excludes the server until its identity is confirmed.
-    pub(super) const fn require_confirmation(&mut self) {
+    /// Excludes the server until its identity is confirmed. Returns whether it was not
+    /// excluded before.
+    pub(super) const fn require_confirmation(&mut self) -> bool {
+        let changed = !self.unconfirmed;
         self.unconfirmed = true;
+        changed
     }
 
     /// Whether the server's identity has to be confirmed before it is used.
--- a/crates/decide/src/fleet/members.rs
+++ b/crates/decide/src/fleet/members.rs
@@ -1,6 +1,7 @@
 //! All backend servers known to this process.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use clementine_objects::Millis;
 use rand::{Rng, RngExt};
@@ -183,12 +184,49 @@
         self.members.get_mut(id)
     }
 
-    /// Finds the id of the backend server that listens on an address.
-    pub fn by_address(&self, address: std::net::SocketAddr) -> Option<&BackendId> {
-        let found = self.members.values().find(|member| member.backend.address == address);
+    /// Finds the id of the backend server that listens on an address. If several are
+    /// listed there, all but the last one to start are gone.
+    pub fn by_address(&self, address: SocketAddr) -> Option<&BackendId> {
+        let found = self.at_address(address).max_by_key(|member| {
+            (!member.is_unconfirmed(), member.backend.started_ms, member.listed_at)
+        });
         found.map(|member| &member.backend.id)
     }
 
+    fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| member.backend.address == address)
+    }
+
+    /// Excludes the servers that are listed at the address of `id` beside it, until their
+    /// identity is confirmed, or `id` itself if another one there has started later.
+    /// Returns those that were not excluded before.
+    pub fn doubt_former_owners(&mut self, id: &BackendId) -> Vec<BackendId> {
+        let Some(owner) = self.members.get(id) else { return Vec::new() };
+        let start = |member: &Member| (member.backend.started_ms, member.listed_at);
+        let doubted: Vec<BackendId> = self
+            .at_address(owner.backend.address)
+            .filter(|other| other.backend.id != *id)
+            .map(|other| if start(other) > start(owner) { id } else { &other.backend.id })
+            .cloned()
+            .collect();
+        let is_new =
+            |id: &BackendId| self.members.get_mut(id).is_some_and(Member::require_confirmation);
+        doubted.into_iter().filter(is_new).collect()
+    }
+
+    /// Excludes a server until its identity is confirmed. Returns whether it was not
+    /// excluded before.
+    pub fn doubt_identity(&mut self, id: &BackendId) -> bool {
+        self.members.get_mut(id).is_some_and(Member::require_confirmation)
+    }
+
+    /// Whether a server that has started later is listed at the address of `id`.
+    pub fn is_address_taken(&self, id: &BackendId) -> bool {
+        let Some(owner) = self.members.get(id) else { return false };
+        let later = |other: &Member| other.backend.started_ms > owner.backend.started_ms;
+        self.at_address(owner.backend.address).any(later)
+    }
+
     /// Iterates over all backend servers.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -78,6 +78,33 @@
     assert!(!fleet.get(&"x".into()).expect("listed").is_down());
 }
 
+/// Guards against a server that is gone, whose row is still listed, beside the one that
+/// has its address now.
+#[test]
+fn address_belongs_to_the_server_that_started_last() {
+    use clementine_decide::fleet::Backend;
+    let at = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let started =
+        |id, ms, port| Backend { started_ms: Some(ms), address: at(port), ..backend(id, "p") };
+    // The rows of a snapshot come in the order of their ids.
+    for (first, second) in [(("a", 1), ("z", 2)), (("a", 2), ("z", 1))] {
+        let mut fleet = Fleet::default();
+        fleet.upsert(started("m", 5, 2), Tick(0));
+        let mut doubted = Vec::new();
+        for (id, ms) in [first, second] {
+            fleet.upsert(started(id, ms, 1), Tick(0));
+            doubted.extend(fleet.doubt_former_owners(&id.into()));
+        }
+        let (owner, former) = if first.1 > second.1 { ("a", "z") } else { ("z", "a") };
+        assert_eq!(doubted, [former.into()]);
+        assert_eq!(fleet.by_address(at(1)), Some(&owner.into()));
+        let is_used = |id: &str| fleet.get(&id.into()).is_some_and(|it| it.is_usable(Tick(1)));
+        assert!(is_used(owner) && !is_used(former) && is_used("m"));
+        assert!(fleet.is_address_taken(&former.into()) && !fleet.is_address_taken(&owner.into()));
+        assert!(fleet.doubt_former_owners(&owner.into()).is_empty(), "it is excluded already");
+    }
+}
+
 #[test]
 fn slow_servers_are_selected_last_and_failed_ones_only_after_the_backoff() {
     let mut rng = SmallRng::seed_from_u64(3);
--- a/crates/direct/src/buffered/attempt.rs
+++ b/crates/direct/src/buffered/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to get a buffered response from a backend server.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use clementine_platform::requests::{BackendResponse, ExecutionStatus, forward_head};
 use tokio::time::{Instant, timeout_at};
 
+use crate::engines::doubt_identity;
 use crate::shared::{RequestContext, SharedState};
 
 /// Timeout for connecting to a backend server.
@@ -43,7 +45,7 @@
 
 /// Sends a request to a backend server and reads the complete response.
 pub(crate) async fn send_request(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     ctx: &RequestContext,
     backend: &BackendId,
     address: SocketAddr,
@@ -67,7 +69,7 @@
 
 async fn read_response(
     conn: &mut ClientConn,
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     ctx: &RequestContext,
     backend: &BackendId,
 ) -> AttemptOutcome {
@@ -78,6 +80,9 @@
     if !response.matches_request(&ctx.req.id) {
         return AttemptOutcome::ResponseLost("answer-to-another");
     }
+    if response.is_misdirected() {
+        doubt_identity(shared, backend);
+    }
     shared.apply_response_signals(backend, &response);
     if response.execution == ExecutionStatus::NotExecuted {
         return AttemptOutcome::NotExecuted;
--- a/crates/direct/src/engines/calls.rs
+++ b/crates/direct/src/engines/calls.rs
@@ -1,22 +1,23 @@
 //! HTTP calls to engines.
 
-use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use clementine_decide::ids::BackendId;
 use clementine_decide::signals::ResponseSource;
-use clementine_http1::ClientConn;
+use clementine_http1::{ClientConn, ConnectError};
 use clementine_platform::engines::{
     EngineReport, Health, OrderResponse, PlaceOrder, RepathOrder, health_request, report_request,
     responding_server,
 };
-use clementine_platform::requests::response_signals;
-use compact_str::{CompactString, ToCompactString};
+use clementine_platform::requests::{CallTarget, response_signals};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use snafu::Snafu;
 use tokio::time::timeout;
 
+use super::identity::doubt_identity;
 use crate::shared::SharedState;
 
 /// Timeout of a call to an engine, unless a shorter one applies.
@@ -36,10 +37,23 @@
     Unlisted,
     #[snafu(display("the engine has asked to be left alone"))]
     Paused,
+    #[snafu(display("no process listens on its address"))]
+    NoListener,
+    #[snafu(display("another server has its address"))]
+    OtherServer,
     #[snafu(display("{reason}"))]
     Failed { reason: CompactString },
 }
 
+impl From<ConnectError> for CallError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Refused { .. } => Self::NoListener,
+            ConnectError::TimedOut => call_error(error),
+        }
+    }
+}
+
 fn call_error(error: impl std::fmt::Display) -> CallError {
     CallError::Failed { reason: error.to_compact_string() }
 }
@@ -63,96 +77,104 @@
     }
 }
 
-/// Begins a call to an engine: counts it, and returns the engine's address. Fails if
-/// the engine has asked to be left alone.
-fn begin_call(
+/// Begins a call to an engine: counts it, and returns where it goes. Fails if the engine
+/// has asked to be left alone.
+fn begin_call<'a>(
     shared: &SharedState,
-    engine: &BackendId,
+    engine: &'a BackendId,
     kind: CallKind,
-) -> Result<SocketAddr, CallError> {
+) -> Result<CallTarget<'a>, CallError> {
     let address = match shared.fleet.borrow().get(engine) {
         Some(member) => member.backend.address,
         None => return UnlistedSnafu.fail(),
     };
     let paused = shared.is_paused(engine);
     shared.metrics.count_engine_call(kind.name(), paused);
-    if paused { PausedSnafu.fail() } else { Ok(address) }
+    if paused { PausedSnafu.fail() } else { Ok(CallTarget { id: engine, address }) }
 }
 
-/// Applies what an engine says in any response, unless the response is that of another
-/// server.
-fn apply_signals(shared: &SharedState, engine: &BackendId, response: &ResponseHead) {
+/// Applies what an engine says in any response. Fails if the response is that of another
+/// server, which has the engine's address now.
+fn apply_signals(
+    shared: &Rc<SharedState>,
+    engine: &BackendId,
+    response: &ResponseHead,
+) -> Result<(), CallError> {
     let other = responding_server(response).is_some_and(|server| server != *engine);
-    if !other && response.status != StatusCode::MISDIRECTED_REQUEST {
-        shared.apply_signals(engine, response_signals(response), ResponseSource::Entry);
+    if other || response.status == StatusCode::MISDIRECTED_REQUEST {
+        doubt_identity(shared, engine);
+        return OtherServerSnafu.fail();
     }
+    shared.apply_signals(engine, response_signals(response), ResponseSource::Entry);
+    Ok(())
 }
 
 /// Fetches an engine's report over a new connection.
 pub(crate) async fn fetch_report(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     engine: &BackendId,
     limit: Duration,
 ) -> Result<EngineReport, CallError> {
-    let address = begin_call(shared, engine, CallKind::Report)?;
+    let target = begin_call(shared, engine, CallKind::Report)?;
     let call = async {
-        let connected = ClientConn::connect(address, limit, &shared.codec).await;
-        read_report(shared, connected.map_err(call_error)?, engine, address).await
+        let conn = ClientConn::connect(target.address, limit, &shared.codec).await?;
+        read_report(shared, conn, target).await
     };
     timeout(limit, call).await.map_err(call_error)?
 }
 
 /// Fetches an engine's report over an open connection.
 pub(super) async fn fetch_report_on(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     conn: ClientConn,
     engine: &BackendId,
 ) -> Result<EngineReport, CallError> {
-    let address = begin_call(shared, engine, CallKind::Report)?;
-    let call = read_report(shared, conn, engine, address);
+    let target = begin_call(shared, engine, CallKind::Report)?;
+    let call = read_report(shared, conn, target);
     timeout(CALL_TIMEOUT, call).await.map_err(call_error)?
 }
 
 async fn read_report(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     mut conn: ClientConn,
-    engine: &BackendId,
-    address: SocketAddr,
+    target: CallTarget<'_>,
 ) -> Result<EngineReport, CallError> {
-    conn.queue(report_request(address), Bytes::new()).map_err(call_error)?;
+    conn.queue(report_request(target), Bytes::new()).map_err(call_error)?;
     let head = conn.read_head().await.map_err(call_error)?;
-    apply_signals(shared, engine, &head);
+    apply_signals(shared, target.id, &head)?;
+    if !head.status.is_success() {
+        return Err(call_error(format_compact!("status {}", head.status)));
+    }
     let body = conn.read_body(MAX_REPORT_BYTES).await.map_err(call_error)?;
     EngineReport::decode(&body).map_err(call_error)
 }
 
 /// Orders an engine to load a range of layers.
 pub(crate) async fn place_layers(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     engine: &BackendId,
     order: &PlaceOrder,
 ) -> Result<OrderResponse, CallError> {
-    let address = begin_call(shared, engine, CallKind::Order)?;
-    send_order(shared, engine, address, order.request(address).map_err(call_error)?).await
+    let target = begin_call(shared, engine, CallKind::Order)?;
+    send_order(shared, target, order.request(target).map_err(call_error)?).await
 }
 
 /// Orders the first engine of a run's path to move the run to another path.
 pub(crate) async fn change_path(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     engine: &BackendId,
     order: &RepathOrder,
 ) -> Result<OrderResponse, CallError> {
-    let address = begin_call(shared, engine, CallKind::Order)?;
-    send_order(shared, engine, address, order.request(address).map_err(call_error)?).await
+    let target = begin_call(shared, engine, CallKind::Order)?;
+    send_order(shared, target, order.request(target).map_err(call_error)?).await
 }
 
 async fn send_order(
-    shared: &SharedState,
-    engine: &BackendId,
-    address: SocketAddr,
+    shared: &Rc<SharedState>,
+    target: CallTarget<'_>,
     (head, body): (RequestHead, Bytes),
 ) -> Result<OrderResponse, CallError> {
-    let response = fetch_head(shared, engine, address, ORDER_TIMEOUT, head, body).await?;
+    let response = fetch_head(shared, target, ORDER_TIMEOUT, head, body).await?;
     Ok(OrderResponse::from(response.status))
 }
 
@@ -166,34 +188,31 @@
 
 /// Checks a server's health at the path that the configuration sets.
 pub(super) async fn check_health(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     engine: &BackendId,
     path: &str,
 ) -> Result<HealthResponse, CallError> {
-    let address = begin_call(shared, engine, CallKind::HealthCheck)?;
-    let request = health_request(address, path)
+    let target = begin_call(shared, engine, CallKind::HealthCheck)?;
+    let request = health_request(target, path)
         .ok_or_else(|| call_error("the health check path is not a valid URI"))?;
-    let response =
-        fetch_head(shared, engine, address, HEALTH_TIMEOUT, request, Bytes::new()).await?;
+    let response = fetch_head(shared, target, HEALTH_TIMEOUT, request, Bytes::new()).await?;
     Ok(HealthResponse { health: Health::from(&response), server: responding_server(&response) })
 }
 
 /// Sends a request and returns the head of the response. The body is not read.
 async fn fetch_head(
-    shared: &SharedState,
-    engine: &BackendId,
-    address: SocketAddr,
+    shared: &Rc<SharedState>,
+    target: CallTarget<'_>,
     limit: Duration,
     head: RequestHead,
     body: Bytes,
 ) -> Result<ResponseHead, CallError> {
     let call = async {
-        let connected = ClientConn::connect(address, limit, &shared.codec).await;
-        let mut conn = connected.map_err(call_error)?;
+        let mut conn = ClientConn::connect(target.address, limit, &shared.codec).await?;
         conn.queue(head, body).map_err(call_error)?;
         conn.read_head().await.map_err(call_error)
     };
     let response = timeout(limit, call).await.map_err(call_error)??;
-    apply_signals(shared, engine, &response);
+    apply_signals(shared, target.id, &response)?;
     Ok(response)
 }
--- a/crates/direct/src/engines/diagnose.rs
+++ b/crates/direct/src/engines/diagnose.rs
@@ -114,7 +114,7 @@
 
 /// Marks an engine as down until it sends a report again. Returns whether it was up
 /// before.
-pub(super) fn mark_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) -> bool {
+pub(crate) fn mark_down(shared: &Rc<SharedState>, id: &BackendId, reason: &'static str) -> bool {
     let changed = shared.set_down(id, reason);
     if changed {
         spawn_local(wait_for_recovery(Rc::clone(shared), id.clone()));
@@ -154,7 +154,7 @@
 
 /// Fetches the report of an engine that is marked as down, and marks it as up if
 /// that succeeds. Returns whether it does.
-pub(super) async fn check_recovery(shared: &SharedState, id: &BackendId) -> bool {
+pub(super) async fn check_recovery(shared: &Rc<SharedState>, id: &BackendId) -> bool {
     let down = shared.fleet.borrow().get(id).is_some_and(Member::is_down);
     if !down {
         return false;
--- a/crates/direct/src/engines/health.rs
+++ b/crates/direct/src/engines/health.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::fleet::Member;
 use clementine_decide::ids::BackendId;
 use clementine_platform::engines::Health;
 use spdlog::info;
@@ -14,7 +13,7 @@
 use crate::shared::SharedState;
 
 /// Interval of the health checks of an unhealthy engine.
-const HEALTH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const HEALTH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Checks the health of an engine that failed or rejected a request. An unhealthy
 /// engine gets no new runs until it is no longer unhealthy. The list of backend
@@ -34,34 +33,17 @@
     }
 }
 
-/// Waits until a backend server whose row came from a restored store responds to a
-/// health check under its own id, and then uses it.
-pub(crate) async fn confirm_identity(shared: Rc<SharedState>, id: BackendId) {
-    while shared.fleet.borrow().get(&id).is_some_and(Member::is_unconfirmed) {
-        let response = health_response(&shared, &id).await;
-        let is_server = |response: &HealthResponse| response.server.as_ref() == Some(&id);
-        if response.as_ref().is_some_and(is_server) {
-            let mut fleet = shared.fleet.borrow_mut();
-            let confirmed = fleet.get_mut(&id).is_some_and(Member::confirm_identity);
-            drop(fleet);
-            if confirmed {
-                info!("fleet: backend={} up, it responds under its id", id);
-                shared.places_freed();
-            }
-            return;
-        }
-        sleep(HEALTH_CHECK_INTERVAL).await;
-    }
-}
-
 /// An engine's health, or `Unknown` if the check fails.
-async fn health(shared: &SharedState, id: &BackendId) -> Health {
+async fn health(shared: &Rc<SharedState>, id: &BackendId) -> Health {
     health_response(shared, id).await.map_or(Health::Unknown, |response| response.health)
 }
 
 /// A server's response to a health check, or `None` if the check fails or the
 /// server has asked to be left alone.
-async fn health_response(shared: &SharedState, id: &BackendId) -> Option<HealthResponse> {
+pub(super) async fn health_response(
+    shared: &Rc<SharedState>,
+    id: &BackendId,
+) -> Option<HealthResponse> {
     let pool = shared.fleet.borrow().get(id)?.backend.pool.clone();
     let table = shared.routing_table()?;
     let path = &table.pools.get(&pool)?.health_path;
--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::table::{TableObserver, follow_table};
-use crate::engines::confirm_identity;
+use crate::engines::{confirm_identity, doubt_former_owners};
 use crate::shared::SharedState;
 
 /// Time for which a backend server that is missing from a snapshot is kept.
@@ -118,6 +118,7 @@
         if update != ListUpdate::Unchanged {
             log_update(&backend, update, row.version);
             self.shared.place_freed(&backend.pool);
+            doubt_former_owners(&self.shared, &id);
         }
         match source {
             RowSource::List => self.confirm(&id),
@@ -133,8 +134,12 @@
         self.shared.fleet.borrow().get(id).is_some_and(Member::is_unconfirmed)
     }
 
-    /// A server that writes its row after the store was restored is alive.
+    /// A server that writes its row after the store was restored is alive, unless another
+    /// one has its address.
     fn confirm(&self, id: &BackendId) {
+        if self.shared.fleet.borrow().is_address_taken(id) {
+            return;
+        }
         if self.shared.fleet.borrow_mut().get_mut(id).is_some_and(Member::confirm_identity) {
             info!("fleet: backend={} up, it has written its row again", id);
             self.shared.places_freed();
--- a/crates/direct/src/planner/orders.rs
+++ b/crates/direct/src/planner/orders.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::engines::{CALL_TIMEOUT, CallError, fetch_report, place_layers};
+use crate::engines::{CALL_TIMEOUT, CallError, fetch_report, mark_down, place_layers};
 use crate::shared::SharedState;
 
 /// Interval at which the report of a loading engine is fetched.
@@ -152,6 +152,7 @@
             }
             match self.send(report.orders_started).await {
                 Ok(OrderResponse::Begun | OrderResponse::Done) => return self.wait_loaded().await,
+                Err(CallError::OtherServer | CallError::NoListener) => return,
                 // The order may be lost, or still be carried out. It can be sent
                 // again, because the order count in it ensures that only one of
                 // the copies is carried out.
@@ -185,7 +186,7 @@
         response
     }
 
-    /// Waits until the engine has loaded the layers, is idle without them, or the
+    /// Waits until the engine has loaded the layers, is idle without them or gone, or the
     /// load timeout expires.
     async fn wait_loaded(&self) {
         let end = Instant::now() + self.load_timeout;
@@ -195,7 +196,12 @@
             if self.shared.is_paused(&self.assignment.id) {
                 continue;
             }
-            let Some(report) = self.fetch_report().await else { continue };
+            let Some(report) = self.fetch_report().await else {
+                if self.is_gone() {
+                    break;
+                }
+                continue;
+            };
             self.record(&report);
             if report.layers == Some(self.assignment.layers) && !report.busy {
                 let Assignment { id, layers, .. } = &self.assignment;
@@ -211,12 +217,22 @@
         match fetch_report(&self.shared, &self.assignment.id, CALL_TIMEOUT).await {
             Ok(report) => Some(report),
             Err(error) => {
-                warn!("planner: backend={} report request failed: {}", self.assignment.id, error);
+                let id = &self.assignment.id;
+                warn!("planner: backend={} report request failed: {}", id, error);
+                if matches!(error, CallError::NoListener) {
+                    mark_down(&self.shared, id, "connection-refused");
+                }
                 None
             }
         }
     }
 
+    /// Whether the engine was found down or removed meanwhile.
+    fn is_gone(&self) -> bool {
+        let fleet = self.shared.fleet.borrow();
+        fleet.get(&self.assignment.id).is_none_or(|member| !member.can_host_layers())
+    }
+
     fn record(&self, report: &EngineReport) {
         self.shared.record_layers(&self.assignment.id, report.layers, report.orders_started);
     }
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use clementine_http1::ClientConn;
 use clementine_platform::requests::{BackendResponse, ExecutionStatus, forward_head};
@@ -9,6 +10,7 @@
 use super::progress::Progress;
 use super::route::StreamRoute;
 use crate::buffered::{BufferedResponse, CONNECT_TIMEOUT};
+use crate::engines::doubt_identity;
 use crate::shared::{RequestContext, SharedState};
 
 /// Maximum size of the body of an error response, in bytes.
@@ -32,7 +34,7 @@
 
 /// Sends a request and waits for the response headers.
 pub(super) async fn open(
-    shared: &SharedState,
+    shared: &Rc<SharedState>,
     ctx: &RequestContext,
     route: &RefCell<StreamRoute>,
     progress: &Progress,
@@ -65,6 +67,10 @@
     if !response.matches_request(&ctx.req.id) {
         return OpenOutcome::ResponseLost("answer-to-another");
     }
+    // On a path, an engine that lacks its part responds the same.
+    if response.is_misdirected() && route.borrow().path.is_empty() {
+        doubt_identity(shared, &first);
+    }
     shared.apply_response_signals(&first, &response);
     if response.execution == ExecutionStatus::NotExecuted {
         return OpenOutcome::NotExecuted(response.failed_engine);
--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -91,6 +91,10 @@
     pub refuses_control: Rc<Cell<bool>>,
     /// When it received orders and requests for its report.
     pub control_calls: Rc<RefCell<Vec<Instant>>>,
+    /// Paths of the requests and calls for another server, which it refused.
+    pub misdirected: Rc<RefCell<Vec<String>>>,
+    /// Paths of the requests and calls that did not say for which server they were.
+    pub unnamed: Rc<RefCell<Vec<String>>>,
     /// Body of the requests that crash it when it begins to run them.
     pub crashes_on: Rc<Cell<Option<&'static str>>>,
     /// Part of a prompt on which it crashes inside the first event of the response.
@@ -161,7 +165,19 @@
 impl Backend {
     /// Starts a backend server and adds it to the list in the store.
     pub async fn start(id: &str, pool: &'static str, store: &Store) -> Self {
-        let listener = TcpListener::bind(loopback_any_port()).await.expect("bind loopback address");
+        let backend = Self::start_unlisted(id, pool, store, loopback_any_port()).await;
+        backend.write_server_row();
+        backend
+    }
+
+    /// Starts a backend server at an address, possibly one that another server had.
+    pub async fn start_unlisted(
+        id: &str,
+        pool: &'static str,
+        store: &Store,
+        address: SocketAddr,
+    ) -> Self {
+        let listener = TcpListener::bind(address).await.expect("bind loopback address");
         let backend = Self {
             id: id.into(),
             address: listener.local_addr().expect("local address"),
@@ -173,6 +189,8 @@
             arrivals: Rc::default(),
             refuses_control: Rc::default(),
             control_calls: Rc::default(),
+            misdirected: Rc::default(),
+            unnamed: Rc::default(),
             crashes_on: Rc::default(),
             crashes_on_part: Rc::default(),
             close_delimited_streams: Rc::default(),
@@ -206,7 +224,6 @@
             layer_range: Rc::default(),
             order_sequence: Rc::default(),
         };
-        backend.write_server_row();
         backend.serve_until_crash(listener);
         backend
     }
@@ -336,6 +353,13 @@
                     .set(self.received_while_unresponsive.get() || !is_health_check);
                 sleep(Duration::from_mins(1)).await;
             }
+            if !self.is_meant(&request) {
+                let sent = self.send_json(&mut conn, 421, &json!({})).await;
+                if sent {
+                    continue;
+                }
+                return;
+            }
             let is_control = request.head.uri.path().starts_with("/-/");
             let received = if is_control { &self.control_calls } else { &self.arrivals };
             received.borrow_mut().push(Instant::now());
@@ -360,6 +384,20 @@
         }
     }
 
+    /// Whether a request or call is for this server, as far as it says.
+    fn is_meant(&self, request: &BufferedRequest) -> bool {
+        let path = request.head.uri.path().into();
+        let Some(server) = request.head.headers().get("expect-instance") else {
+            self.unnamed.borrow_mut().push(path);
+            return true;
+        };
+        let is_meant = server.as_bytes() == self.id.as_bytes();
+        if !is_meant {
+            self.misdirected.borrow_mut().push(path);
+        }
+        is_meant
+    }
+
     async fn handle_health(&self, conn: &mut ServerConn) -> bool {
         let status = if self.draining.get() { 503 } else { 200 };
         let mut res = Response::with_body(StatusCode::from_u16(status).expect("valid status"), ());
