What was counted stays in the retry window when its length changes

With a longer `bounds.budget-window-s` after a reload, retries that had been counted stayed in the window for as long as the process had run before; with a shorter one they were forgotten at once, and the budget could be spent again.

Cause: buckets are numbered by time over their width, and `set_limits` changed the width without the numbers.

Test: budget_stays_spent_for_one_window_when_its_length_changes fails on the old code.

--- a/crates/decide/src/retry/sliding_window.rs
+++ b/crates/decide/src/retry/sliding_window.rs
@@ -54,9 +54,24 @@
         Self { limits, buckets: VecDeque::new() }
     }
 
-    /// Changes the settings, such as when more processes share the budget.
-    pub const fn set_limits(&mut self, limits: WindowLimits) {
+    /// Changes the settings, such as when more processes share the budget. What has been
+    /// counted stays in the window, also if its length changes.
+    pub fn set_limits(&mut self, limits: WindowLimits) {
+        let (old, new) = (self.bucket_width(), bucket_width(&limits));
         self.limits = limits;
+        if old == new {
+            return;
+        }
+        for bucket in std::mem::take(&mut self.buckets) {
+            let index = (bucket.index * old + old - 1) / new;
+            match self.buckets.back_mut() {
+                Some(last) if last.index == index => {
+                    last.requests += bucket.requests;
+                    last.retries += bucket.retries;
+                }
+                _ => self.buckets.push_back(Bucket { index, ..bucket }),
+            }
+        }
     }
 
     /// Records a request of a caller.
@@ -108,6 +123,15 @@
     }
 
     fn bucket_index(&self, at: Tick) -> u64 {
-        at.0 / (self.limits.window.0 / BUCKETS).max(1)
+        at.0 / self.bucket_width()
+    }
+
+    /// Length of a bucket in ms.
+    fn bucket_width(&self) -> u64 {
+        bucket_width(&self.limits)
     }
 }
+
+fn bucket_width(limits: &WindowLimits) -> u64 {
+    (limits.window.0 / BUCKETS).max(1)
+}
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -27,6 +27,22 @@
     assert!(budget.try_retry(0.0, Tick(11_600)), "the window has passed");
 }
 
+/// Guards against a budget that is spent again, or stays spent for the life of the process,
+/// when the length of the window changes at a reload.
+#[test]
+fn budget_stays_spent_for_one_window_when_its_length_changes() {
+    for (before, after) in [(10_000, 2_000), (2_000, 10_000), (10_000, 0), (0, 10_000)] {
+        let limits = |window| WindowLimits { window: Millis(window), ..WINDOW };
+        let mut budget = WindowBudget::new(limits(before));
+        let start = 3_600_000;
+        assert_eq!((0..20).filter(|_| budget.try_retry(0.0, Tick(start))).count(), 10);
+        budget.set_limits(limits(after));
+        assert!(!budget.try_retry(0.0, Tick(start)), "{before} to {after}: spent");
+        let end = start + 2 * before.max(after);
+        assert!(budget.try_retry(0.0, Tick(end)), "{before} to {after}: the window has passed");
+    }
+}
+
 #[test]
 fn a_share_of_the_budget_can_be_reserved() {
     let mut budget = WindowBudget::new(WINDOW);
