Tests: heads of responses that are cut off anywhere

A head is one only with its empty line. head_that_is_cut_off_anywhere_is_no_response cuts three heads at every byte; lost_responses has three more losses, for each kind of request: cut after a line, before the last byte, and reset.

--- a/crates/direct/tests/lost_responses.rs
+++ b/crates/direct/tests/lost_responses.rs
@@ -33,10 +33,23 @@
 type Script = fn(&ScriptedRequest) -> Vec<Step>;
 
 /// The ways in which a server that has run a request fails to say so.
-const LOSSES: [(&str, Script); 10] = [
+const LOSSES: [(&str, Script); 13] = [
     ("closed", |_| vec![Step::Close]),
     ("reset", |_| vec![Step::Reset]),
     ("head cut off", |_| vec![Step::send("HTTP/1.1 200 OK\r\nserver-se"), Step::Close]),
+    ("head cut off after a line", |request| {
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {}\r\n", request.header("request-id"));
+        vec![Step::send(head + "server-seal: seal\r\n"), Step::Close]
+    }),
+    ("head cut off before its last byte", |request| {
+        let head = signed_head(request, 200, "content-length: 0\r\n");
+        vec![Step::send(&head[..head.len() - 1]), Step::Close]
+    }),
+    ("head cut off and reset", |request| {
+        let head = signed_head(request, 200, "");
+        let wait = Step::Wait(Duration::from_millis(30));
+        vec![Step::send(&head[..head.len() - 2]), wait, Step::Reset]
+    }),
     ("body cut off", |request| {
         vec![Step::send(signed_head(request, 200, "content-length: 9\r\n") + "part"), Step::Reset]
     }),
--- a/crates/http1/tests/answers.rs
+++ b/crates/http1/tests/answers.rs
@@ -64,6 +64,21 @@
     conn.read_body(1024).await
 }
 
+/// Guards against a head that is cut off and taken for one without a length, whose body ends
+/// with the connection. The fault cannot occur here.
+#[actix_rt::test]
+async fn head_that_is_cut_off_anywhere_is_no_response() {
+    let framings = ["", "content-length: 4\r\n", "transfer-encoding: chunked\r\n"];
+    for framing in framings {
+        let head = format!("HTTP/1.1 200 OK\r\nserver-seal: s\r\n{framing}x: y\r\n\r\n");
+        let head: &'static [u8] = head.into_bytes().leak();
+        for end in 0..head.len() {
+            let read = body(&head[..end], Ending::Close).await;
+            assert!(read.is_err(), "{framing}, {end} bytes: {read:?}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn close_delimited_body_ends_with_the_connection() {
     let read = body(b"HTTP/1.1 200 OK\r\n\r\nall of it", Ending::Close).await;
