Streams to HTTP/1.0 callers have no chunks and are reset when they are given up

What callers of HTTP/1.0 would see: sizes of chunks among the events, and, were it not for them, a stream that is given up and looks complete.

Cause: the codec sends chunks whatever the caller's version is.

A kill can't be told by such a caller.

--- a/crates/direct/src/callers/connection.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -27,7 +27,10 @@
     let _open = shared.closing.track();
     match serve_requests(&mut conn, &shared).await {
         Ok(()) => conn.close().await,
-        Err(error) => debug!("callers: connection lost: {}", error),
+        Err(error) => {
+            debug!("callers: connection lost: {}", error);
+            conn.abort();
+        }
     }
 }
 
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -8,9 +8,11 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::{
     ConnectionType, KeepAlive, Request, RequestHead, Response, ServiceConfig, ServiceConfigBuilder,
+    Version,
 };
 use bytes::{Bytes, BytesMut};
 use snafu::ResultExt;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -34,8 +36,12 @@
     codec: Codec,
     input: BytesMut,
     output: BytesMut,
+    /// HTTP version of the last request.
+    version: Version,
     /// Whether a response to the last request has begun.
     response_begun: bool,
+    /// Whether only the end of the connection marks the end of the last response's body.
+    is_close_delimited: bool,
 }
 
 impl ServerConn {
@@ -48,7 +54,15 @@
         socket::configure_server(&io)?;
         let codec = Codec::new(config.clone());
         let (input, output) = (BytesMut::new(), BytesMut::new());
-        Ok(Self { io, codec, input, output, response_begun: false })
+        Ok(Self {
+            io,
+            codec,
+            input,
+            output,
+            version: Version::HTTP_11,
+            response_begun: false,
+            is_close_delimited: false,
+        })
     }
 
     /// Returns the codec configuration, which all connections can share.
@@ -88,6 +102,7 @@
         self.response_begun = false;
         let head = timeout(limits.head_timeout, self.read_head(limits)).await;
         let head = head.map_err(|_| ReadError::TimedOut)??;
+        self.version = head.version;
         if expects_continue(&head) {
             self.io.write_all(CONTINUE).await.context(ConnectionLostSnafu)?;
         }
@@ -224,8 +239,13 @@
         self.response_begun
     }
 
-    fn start(&mut self, res: Response<()>, size: BodySize) -> io::Result<()> {
+    fn start(&mut self, mut res: Response<()>, size: BodySize) -> io::Result<()> {
         self.response_begun = true;
+        if size == BodySize::Stream && self.version < Version::HTTP_11 {
+            res.head_mut().no_chunking(true);
+            res.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        self.is_close_delimited = size == BodySize::Stream && !res.head().chunked();
         self.codec.encode(Message::Item((res, size)), &mut self.output)
     }
 
@@ -259,6 +279,15 @@
         Ok(())
     }
 
+    /// Gives up a response that has begun. If only the end of the connection marks the end
+    /// of its body, the connection is reset, so that the part does not look complete.
+    pub fn abort(self) {
+        if self.is_close_delimited {
+            // Without the option, the connection is closed in order.
+            let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     /// Shuts down the write side of the connection, and drops it once the client has
     /// closed it too. If unread bytes were left, the system would reset the connection,
     /// and the client might lose the last response.
