Bodies of requests are bounded by the memory of the process

Cause: each connection buffered its request, in a buffer that grew to up to twice the body, nothing bounded the sum, and `limits.memory-mb` was not read.

Fix: bodies above 16 KiB take twice their size (the copy kept for retries and the one that is sent) from `BodyBudget`, 0.4 of `limits.memory-mb`, before they are read and until the request has ended. While there is none the socket isn't read; after 0.7 s the request is refused with a 503, true since nothing of it was passed on. A body in chunks takes memory once it exceeds 16 KiB. The buffer has the size of the body from the start.

--- a/crates/direct/src/callers/connection.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::header::{self, HeaderValue};
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::Bytes;
 use clementine_http1::{ReadError, ServerConn};
@@ -22,9 +23,14 @@
 /// caller that has just connected sends its request in this time.
 const LAST_REQUEST_DELAY: Duration = Duration::from_millis(100);
 
+/// `Retry-After` in seconds of a request for whose body there is no memory. Another instance
+/// may have some.
+const NO_MEMORY_RETRY_AFTER: &str = "1";
+
 /// Serves a caller's connection until it is closed.
 pub(crate) async fn serve_caller(mut conn: ServerConn, shared: Rc<SharedState>) {
     let _open = shared.closing.track();
+    conn.set_body_budget(shared.body_budget.clone());
     match serve_requests(&mut conn, &shared).await {
         Ok(()) => conn.close().await,
         Err(error) => {
@@ -78,6 +84,10 @@
     };
     debug!("callers: request could not be read, status={}: {}", status.as_u16(), error);
     let mut res = Response::with_body(status, ());
+    if matches!(error, ReadError::NoMemory) {
+        res.headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from_static(NO_MEMORY_RETRY_AFTER));
+    }
     res.head_mut().set_connection_type(ConnectionType::Close);
     conn.send(res, &Bytes::new()).await
 }
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -20,7 +20,7 @@
 use clementine_decide::retry::{SharedBudgets, SlackReports};
 use clementine_decide::routing::RoutingTable;
 use clementine_decide::shares::ShareLedger;
-use clementine_http1::{ReadLimits, ServerConn};
+use clementine_http1::{BodyBudget, ReadLimits, ServerConn};
 use clementine_objects::LayerRange;
 use clementine_platform::settings::{InstanceBounds, InstanceSettings};
 use clementine_platform::store::StoreClient;
@@ -37,6 +37,10 @@
 use super::retry_budgets::retry_limits;
 use super::{DirectMetrics, Outbox, RateLimitedStore, TableSync};
 
+/// Share of the process's memory for the bodies of callers' requests. The rest is for
+/// responses, connections and what the allocator keeps.
+const BODY_SHARE: f64 = 0.4;
+
 /// State shared by all tasks of the process.
 #[derive(Debug)]
 pub(crate) struct SharedState {
@@ -58,6 +62,8 @@
     pub(crate) prefixes: RefCell<PrefixIndex>,
     /// Limits the log lines on requests that are placed by what engines hold.
     pub(crate) prefix_log: LogInterval,
+    /// Memory for the bodies of callers' requests.
+    pub(crate) body_budget: BodyBudget,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
     /// The planner's lease.
@@ -132,6 +138,7 @@
             links: RefCell::default(),
             prefixes: RefCell::default(),
             prefix_log: LogInterval::default(),
+            body_budget: BodyBudget::new((settings.memory_bytes as f64 * BODY_SHARE) as usize),
             peers: RefCell::default(),
             lease: RefCell::new(LeaseState::new(
                 LeaseLimits::default(),
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -75,6 +75,7 @@
         prefix_affinity: PrefixAffinity::default(),
         store_address: store.address,
         link_bytes_per_s: 1e8,
+        memory_bytes: 256_000_000,
         bounds: InstanceBounds {
             grace: Millis(8_000),
             retry_share: 0.2,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -10,4 +10,4 @@
 mod socket;
 
 pub use client::{ClientConn, ConnectError, ResponseError};
-pub use server::{BufferedRequest, ReadError, ReadLimits, ServerConn};
+pub use server::{BodyBudget, BodyMemory, BufferedRequest, ReadError, ReadLimits, ServerConn};
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -8,7 +8,7 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::{
     ConnectionType, KeepAlive, Request, RequestHead, Response, ServiceConfig, ServiceConfigBuilder,
-    Version,
+    Version, header,
 };
 use bytes::{Bytes, BytesMut};
 use snafu::ResultExt;
@@ -18,8 +18,9 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::body_budget::FREE_BYTES;
 use super::error::{ConnectionLostSnafu, ReadError};
-use super::{BufferedRequest, ReadLimits};
+use super::{BodyBudget, BodyMemory, BufferedRequest, ReadLimits};
 use crate::socket;
 
 /// Interim response to `Expect: 100-continue`.
@@ -36,6 +37,8 @@
     codec: Codec,
     input: BytesMut,
     output: BytesMut,
+    /// Memory for bodies; `None` for no bound.
+    body_budget: Option<BodyBudget>,
     /// HTTP version of the last request.
     version: Version,
     /// Whether a response to the last request has begun.
@@ -59,6 +62,7 @@
             codec,
             input,
             output,
+            body_budget: None,
             version: Version::HTTP_11,
             response_begun: false,
             is_close_delimited: false,
@@ -72,6 +76,11 @@
         ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build()
     }
 
+    /// Sets the budget from which the memory for the bodies of requests is taken.
+    pub fn set_body_budget(&mut self, budget: BodyBudget) {
+        self.body_budget = Some(budget);
+    }
+
     /// Waits for the first byte of a request.
     ///
     /// # Errors
@@ -103,11 +112,13 @@
         let head = timeout(limits.head_timeout, self.read_head(limits)).await;
         let head = head.map_err(|_| ReadError::TimedOut)??;
         self.version = head.version;
+        let length = content_length(&head).min(limits.max_body_bytes);
+        let memory = self.take_body_memory(length).await?;
         if expects_continue(&head) {
             self.io.write_all(CONTINUE).await.context(ConnectionLostSnafu)?;
         }
-        let body = self.read_body(limits).await?;
-        Ok(BufferedRequest { head, body })
+        let (body, memory) = self.read_body(limits, length, memory).await?;
+        Ok(BufferedRequest { head, body, memory })
     }
 
     async fn read_head(&mut self, limits: &ReadLimits) -> Result<RequestHead, ReadError> {
@@ -133,9 +144,27 @@
         }
     }
 
-    async fn read_body(&mut self, limits: &ReadLimits) -> Result<Bytes, ReadError> {
+    /// Takes the memory for a body, unless it is small or there is no budget.
+    async fn take_body_memory(&self, bytes: usize) -> Result<Option<BodyMemory>, ReadError> {
+        match &self.body_budget {
+            Some(budget) if bytes > FREE_BYTES => {
+                Ok(Some(budget.take(bytes).await.ok_or(ReadError::NoMemory)?))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// Reads a body, whose length is 0 if the head does not tell it. Takes the memory for
+    /// one that turns out to be large.
+    async fn read_body(
+        &mut self,
+        limits: &ReadLimits,
+        length: usize,
+        mut memory: Option<BodyMemory>,
+    ) -> Result<(Bytes, Option<BodyMemory>), ReadError> {
         let started = Instant::now();
-        let mut body = BytesMut::new();
+        // A buffer that grows would need up to twice the size of the body.
+        let mut body = BytesMut::with_capacity(length);
         // Bytes since the last part of the body: sizes and extensions of chunks.
         let mut overhead = 0;
         while self.codec.message_type() != actix_http::h1::MessageType::None {
@@ -157,8 +186,14 @@
             if body.len() > limits.max_body_bytes {
                 return Err(ReadError::BodyTooLarge);
             }
+            if body.len() > FREE_BYTES && memory.is_none() {
+                memory = self.take_body_memory(limits.max_body_bytes).await?;
+            }
         }
-        Ok(body.freeze())
+        if let Some(memory) = &mut memory {
+            memory.shrink(body.len());
+        }
+        Ok((body.freeze(), memory))
     }
 
     /// Receives available bytes and returns their number.
@@ -310,6 +345,12 @@
     RequestHead::clone(&head)
 }
 
+/// Length of the body that follows a head, or 0 if the head does not tell it.
+fn content_length(head: &RequestHead) -> usize {
+    let length = head.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    length.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+}
+
 fn expects_continue(head: &RequestHead) -> bool {
     let value = head.headers().get(actix_http::header::EXPECT);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
--- a/crates/http1/src/server/error.rs
+++ b/crates/http1/src/server/error.rs
@@ -29,6 +29,9 @@
     /// The body exceeds the size limit.
     #[snafu(display("request body exceeds the size limit"))]
     BodyTooLarge,
+    /// There is no memory for the body, which has not been read.
+    #[snafu(display("no memory for the request body"))]
+    NoMemory,
     /// The bytes received are not a valid request.
     #[snafu(display("invalid HTTP/1.1 request"))]
     Malformed,
@@ -44,6 +47,7 @@
             Self::HeadTooLarge => Some(431),
             Self::BodyTooLarge => Some(413),
             Self::Malformed => Some(400),
+            Self::NoMemory => Some(503),
         }
     }
 }
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -5,6 +5,8 @@
 use actix_http::RequestHead;
 use bytes::Bytes;
 
+use super::BodyMemory;
+
 /// A request whose body has been read completely.
 #[derive(Debug)]
 pub struct BufferedRequest {
@@ -12,6 +14,9 @@
     pub head: RequestHead,
     /// Complete body.
     pub body: Bytes,
+    /// The body's part of the budget of its connection, if there is one. Keep it as long as
+    /// the body.
+    pub memory: Option<BodyMemory>,
 }
 
 /// Size and time limits for reading requests.
