--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -1,6 +1,7 @@
 //! Crashes of backend servers by request, as entries tell them to each other.
 
 mod crash_exchange;
+mod seeded;
 
 use clementine_decide::fleet::{BackendIncarnation, ProbeResult};
 use clementine_decide::ids::{IncarnationId, Tick};
@@ -11,7 +12,7 @@
 };
 use clementine_objects::Millis;
 use crash_exchange::{REPORTS_PER_MESSAGE, exchange};
-use quickcheck::quickcheck;
+use seeded::seeded;
 
 const LIMITS: QuarantineLimits =
     QuarantineLimits { crashes: 2, retention: Millis(600_000), capacity: 4_096 };
@@ -320,10 +321,10 @@
     }
 }
 
-quickcheck! {
-    fn order_and_repetition_of_reports_do_not_matter(
-        crashes: Vec<(u8, u8, u8)>, order: Vec<(u8, u8)>
-    ) -> bool {
+#[test]
+fn order_and_repetition_of_reports_do_not_matter() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes arguments by value")]
+    fn holds(crashes: Vec<(u8, u8, u8)>, order: Vec<(u8, u8)>) -> bool {
         // Each crash is seen by one of three entries.
         let mut logs = [0, 1, 2].map(|_| CrashLog::new(LIMITS));
         let mut all = CrashLog::new(LIMITS);
@@ -332,7 +333,8 @@
             record_crash(&mut logs[usize::from(entry % 3)], request, crashed.into(), Tick(0));
             record_crash(&mut all, request, crashed.into(), Tick(0));
         }
-        let pairs = order.into_iter().map(|(from, to)| (usize::from(from % 3), usize::from(to % 3)));
+        let pairs =
+            order.into_iter().map(|(from, to)| (usize::from(from % 3), usize::from(to % 3)));
         let full_round = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
         for (from, to) in pairs.chain(full_round).chain(full_round) {
             let reports: Vec<_> = (0..4)
@@ -348,4 +350,5 @@
         };
         logs.iter().all(|log| quarantined(log) == quarantined(&all))
     }
+    seeded(43_010).quickcheck(holds as fn(Vec<(u8, u8, u8)>, Vec<(u8, u8)>) -> bool);
 }
--- a/crates/decide/tests/limit_sharing.rs
+++ b/crates/decide/tests/limit_sharing.rs
@@ -1,5 +1,7 @@
 //! Division of a backend server's limit among 2 to 103 entries.
 
+mod seeded;
+
 use std::collections::BTreeMap;
 
 use clementine_decide::fleet::BackendIncarnation;
@@ -9,7 +11,8 @@
     SignalReport,
 };
 use clementine_objects::Millis;
-use quickcheck::{QuickCheck, TestResult};
+use quickcheck::TestResult;
+use seeded::seeded;
 
 /// Length of the window in which a server's requests are counted, in ms.
 const WINDOW_MS: u64 = 4_000;
@@ -182,5 +185,5 @@
         let kept = before.iter().enumerate().filter(|(n, _)| *n != lost).map(|(_, share)| share.0);
         TestResult::from_bool(kept.zip(after).all(|(before, after)| after.0 >= before - 1e-9))
     }
-    QuickCheck::new().quickcheck(property as fn(u64, usize) -> TestResult);
+    seeded(43_012).quickcheck(property as fn(u64, usize) -> TestResult);
 }
--- a/crates/decide/tests/paths.rs
+++ b/crates/decide/tests/paths.rs
@@ -2,13 +2,14 @@
 //! re-routing around lost engines.
 
 mod engine_fixtures;
+mod seeded;
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
     Demand, Link, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathStage, transfer_bytes,
 };
 use engine_fixtures::{LAYERS, candidate, new_request, range, spec};
-use quickcheck::quickcheck;
+use seeded::seeded;
 
 const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
 
@@ -181,8 +182,10 @@
     assert_eq!(shortages(&candidates), expected);
 }
 
-quickcheck! {
-    fn every_path_is_valid(engines: Vec<(u8, u8, u8, u8)>) -> bool {
+#[test]
+fn every_path_is_valid() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes arguments by value")]
+    fn holds(engines: Vec<(u8, u8, u8, u8)>) -> bool {
         let domains = ["a", "b", "c"];
         let candidates: Vec<PathCandidate> = engines
             .iter()
@@ -197,6 +200,7 @@
             .collect();
         cheapest(&candidates).is_none_or(|path| is_valid(&path, &candidates))
     }
+    seeded(43_009).quickcheck(holds as fn(Vec<(u8, u8, u8, u8)>) -> bool);
 }
 
 #[test]
--- a/crates/decide/tests/prompt_parts.rs
+++ b/crates/decide/tests/prompt_parts.rs
@@ -1,6 +1,7 @@
 //! Parts of prompts under which backend servers crash, as entries find them out together.
 
 mod crash_exchange;
+mod seeded;
 
 use std::collections::BTreeMap;
 
@@ -14,7 +15,7 @@
 };
 use clementine_objects::Millis;
 use crash_exchange::exchange;
-use quickcheck::quickcheck;
+use seeded::seeded;
 
 /// The part that crashes servers.
 const BAD: PromptPart = PromptPart(0xbad0_0000_0000);
@@ -357,9 +358,12 @@
     }
 }
 
-quickcheck! {
-    /// Whatever order reports come in, entries agree on what is refused.
-    fn entries_agree_whatever_the_order_of_reports(events: Vec<(u8, u8, bool)>) -> bool {
+/// Whatever order reports come in, entries agree on what is refused.
+#[test]
+fn entries_agree_whatever_the_order_of_reports() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes arguments by value")]
+    fn holds(events: Vec<(u8, u8, bool)>) -> bool {
         entries_agree(&events)
     }
+    seeded(43_008).quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
 }
