The owners of an address are compared when a server starts, not at each change of its row

At a start with n servers that is n scans of n servers, and one more for each change of layers.

Now the first scan is made when a server is listed or has restarted, the second one only for a server in doubt. A former owner that has answered under its own id is no longer asked again for each change of the other row; nothing else differs. Not measured. reused_addresses, store_restored, store_outages and odd_server_rows pass, clippy is clean.

--- a/crates/direct/src/follow/backends.rs
+++ b/crates/direct/src/follow/backends.rs
@@ -118,6 +118,9 @@
         if update != ListUpdate::Unchanged {
             log_update(&backend, update, row.version);
             self.shared.place_freed(&backend.pool);
+        }
+        // A server keeps its address until it ends.
+        if update == ListUpdate::Started {
             doubt_former_owners(&self.shared, &id);
         }
         match source {
@@ -137,7 +140,7 @@
     /// A server that writes its row after the store was restored is alive, unless another
     /// one has its address.
     fn confirm(&self, id: &BackendId) {
-        if self.shared.fleet.borrow().is_address_taken(id) {
+        if !self.is_unconfirmed(id) || self.shared.fleet.borrow().is_address_taken(id) {
             return;
         }
         if self.shared.fleet.borrow_mut().get_mut(id).is_some_and(Member::confirm_identity) {
