--- a/crates/decide/src/retry/mod.rs
+++ b/crates/decide/src/retry/mod.rs
@@ -1,4 +1,4 @@
-//! Retry budgets.
+//! Retry budgets, and limits on the attempts at one request.
 
 mod attempts;
 mod budget;
