An attempt that was never sent takes no retry

What callers saw: 503 overloaded within 10 s of an entry's start, while other servers were free, if the first server chosen refused the connection.

Cause: a process that has just started may not use the slack of the retry budget, and an attempt whose connection was refused needed a retry. BUDGET counts arrivals beyond the first of a request; here nothing had arrived.

--- a/crates/decide/tests/guards.rs
+++ b/crates/decide/tests/guards.rs
@@ -98,7 +98,8 @@
 
 #[test]
 fn loss_of_backend_servers_grants_at_most_two_attempts() {
-    let lost = |n| AttemptCounts { executed: n, lost_to_down_backend: n, not_executed: 0 };
+    let lost =
+        |n| AttemptCounts { executed: n, lost_to_down_backend: n, ..AttemptCounts::default() };
     let limits = stream_limits(true, 12);
     assert!(lost(2).allow_another(&limits) && lost(3).allow_another(&limits));
     assert!(!lost(4).allow_another(&limits));
@@ -107,7 +108,12 @@
 /// An attempt in progress was not counted when another one was to replace it.
 #[test]
 fn attempt_in_progress_counts_like_one_that_has_ended() {
-    let ends = [AttemptEnd::NotExecuted, AttemptEnd::Executed, AttemptEnd::LostToDownBackend];
+    let ends = [
+        AttemptEnd::NotSent,
+        AttemptEnd::NotExecuted,
+        AttemptEnd::Executed,
+        AttemptEnd::LostToDownBackend,
+    ];
     let none = AttemptCounts::default();
     for is_repeatable in [false, true] {
         let limits = stream_limits(is_repeatable, 4);
@@ -124,3 +130,14 @@
         assert!(!none.allow_replacement(AttemptEnd::Executed, &one), "it runs already");
     }
 }
+
+/// A connection that was refused counted as the arrival of a request.
+#[test]
+fn request_that_was_never_sent_has_arrived_nowhere() {
+    let unsent = AttemptCounts::default().with(AttemptEnd::NotSent).with(AttemptEnd::NotSent);
+    assert!(!unsent.may_have_arrived());
+    for end in [AttemptEnd::NotExecuted, AttemptEnd::Executed, AttemptEnd::LostToDownBackend] {
+        assert!(unsent.with(end).may_have_arrived(), "{end:?}");
+        assert!(unsent.with(end).with(AttemptEnd::NotSent).may_have_arrived(), "{end:?}");
+    }
+}
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -197,7 +197,7 @@
                 return Some(FinalResponse::Relayed(buffered));
             }
             AttemptOutcome::NotSent => {
-                self.counts.record(AttemptEnd::NotExecuted);
+                self.counts.record(AttemptEnd::NotSent);
                 self.shared.record_failure(id, "no-connection", request_id);
             }
             AttemptOutcome::NotExecuted => {
@@ -261,15 +261,15 @@
         }
     }
 
-    /// Takes a retry from the budget. Returns `false` if the request must not be
-    /// sent again or the budget is exhausted.
+    /// Takes another attempt from the budget, unless the request has arrived nowhere yet.
+    /// Returns `false` if the request must not be sent again or the budget is exhausted.
     fn try_retry(&self) -> bool {
         if !self.counts.allow_another(&self.limits())
             || is_quarantined(self.shared, &self.ctx.suspects)
         {
             return false;
         }
-        self.shared.take_retry(self.ctx, RetryPriority::High).is_some()
+        self.shared.take_retry(self.ctx, self.counts, RetryPriority::High).is_some()
     }
 
     /// The response to the caller if no further attempt is made: the last server
--- a/crates/direct/src/shared/mod.rs
+++ b/crates/direct/src/shared/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) use queue::BoundedQueue;
 pub(crate) use request_context::RequestContext;
 pub(crate) use reservation::Reservation;
+pub(crate) use retry_budgets::RetryGrant;
 pub(crate) use shares::request_cost;
 pub(crate) use state::SharedState;
 pub(crate) use store::RateLimitedStore;
--- a/crates/direct/src/shared/retry_budgets.rs
+++ b/crates/direct/src/shared/retry_budgets.rs
@@ -2,7 +2,7 @@
 
 use clementine_decide::ids::Tick;
 use clementine_decide::peers::UrgentMessage;
-use clementine_decide::retry::{Contact, RetryPriority, SlackAnswer, WindowLimits};
+use clementine_decide::retry::{AttemptCounts, Contact, RetryPriority, SlackAnswer, WindowLimits};
 use clementine_platform::settings::InstanceBounds;
 use spdlog::info;
 
@@ -17,10 +17,27 @@
     }
 }
 
+/// Permission for another attempt at a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RetryGrant {
+    /// The request has arrived at no backend server yet, so this is no repeat.
+    FirstArrival,
+    /// Taken from the budget at this time.
+    Taken(Tick),
+}
+
 impl SharedState {
-    /// Takes a retry of a request from the budget of its pool. Returns when, or `None` if
-    /// the budget does not allow it.
-    pub(crate) fn take_retry(&self, ctx: &RequestContext, priority: RetryPriority) -> Option<Tick> {
+    /// Takes another attempt at a request from the budget of its pool, if the request may
+    /// have arrived in an earlier one. Returns `None` if the budget does not allow it.
+    pub(crate) fn take_retry(
+        &self,
+        ctx: &RequestContext,
+        earlier: AttemptCounts,
+        priority: RetryPriority,
+    ) -> Option<RetryGrant> {
+        if !earlier.may_have_arrived() {
+            return Some(RetryGrant::FirstArrival);
+        }
         let (now, contact) = (self.now(), self.contact());
         let mut budgets = self.retry_budgets.borrow_mut();
         let decision = budgets.try_retry((&ctx.pool).into(), priority, contact, now);
@@ -45,11 +62,12 @@
             entries,
             contact
         );
-        decision.granted.then_some(now)
+        decision.granted.then_some(RetryGrant::Taken(now))
     }
 
-    /// Records that a retry is sent that was taken earlier.
-    pub(crate) fn record_retry_sent(&self, ctx: &RequestContext, taken_at: Tick) {
+    /// Records that an attempt is sent for which permission was granted earlier.
+    pub(crate) fn record_retry_sent(&self, ctx: &RequestContext, grant: RetryGrant) {
+        let RetryGrant::Taken(taken_at) = grant else { return };
         let mut budgets = self.retry_budgets.borrow_mut();
         budgets.record_sent((&ctx.pool).into(), taken_at, self.now());
     }
--- a/crates/direct/src/streams/outcomes.rs
+++ b/crates/direct/src/streams/outcomes.rs
@@ -45,10 +45,12 @@
                 }
                 NextStep::Retry("failed", None)
             }
-            AttemptOutcome::NotSent => self.after_unexecuted(&route.first, "no-connection"),
+            AttemptOutcome::NotSent => {
+                self.after_unexecuted(&route.first, AttemptEnd::NotSent, "no-connection")
+            }
             AttemptOutcome::NotExecuted(failed_engine) => {
                 let id = self.backend_at(failed_engine).unwrap_or_else(|| route.first.clone());
-                self.after_unexecuted(&id, "refused")
+                self.after_unexecuted(&id, AttemptEnd::NotExecuted, "refused")
             }
             AttemptOutcome::Interrupted(reason) => {
                 self.record_backend_failure(&route.first, reason);
@@ -85,8 +87,13 @@
         }
     }
 
-    fn after_unexecuted(&mut self, failed: &BackendId, reason: &'static str) -> NextStep {
-        self.stats.attempts.record(AttemptEnd::NotExecuted);
+    fn after_unexecuted(
+        &mut self,
+        failed: &BackendId,
+        end: AttemptEnd,
+        reason: &'static str,
+    ) -> NextStep {
+        self.stats.attempts.record(end);
         self.record_backend_failure(failed, reason);
         NextStep::Retry(reason, None)
     }
--- a/crates/direct/src/streams/recover.rs
+++ b/crates/direct/src/streams/recover.rs
@@ -48,16 +48,17 @@
         } else {
             route.borrow().backends().for_each(|id| self.avoid(id));
         }
-        if !self.is_replacement_allowed(progress, end_of_attempt(progress, Some(problem))) {
+        let end = end_of_attempt(progress, Some(problem));
+        if !self.is_replacement_allowed(progress, end) {
             return Recovery::Continue;
         }
-        if progress.attempt_is_sent() {
+        if end.may_have_run() {
             self.record_executed_on(&route.borrow().first);
         }
-        match self.choose_route_for(progress) {
-            Some(next)
-                if differs(&next, &route.borrow()) && self.take_from_budget(progress).is_some() =>
-            {
+        let next = self.choose_route_for(progress).filter(|next| differs(next, &route.borrow()));
+        let earlier = self.stats.attempts.with(end);
+        match next {
+            Some(next) if self.take_from_budget(progress, earlier).is_some() => {
                 Recovery::Replace(Box::new(next))
             }
             _ => Recovery::Continue,
@@ -81,7 +82,7 @@
 /// What the attempt in progress counts as if it ends now, possibly for a problem.
 pub(super) fn end_of_attempt(progress: &Progress, problem: Option<&Problem>) -> AttemptEnd {
     match problem {
-        _ if !progress.attempt_is_sent() => AttemptEnd::NotExecuted,
+        _ if !progress.attempt_is_sent() => AttemptEnd::NotSent,
         Some(Problem::BackendDown(_)) => AttemptEnd::LostToDownBackend,
         Some(Problem::Silent) | None => AttemptEnd::Executed,
     }
--- a/crates/direct/src/streams/supervise.rs
+++ b/crates/direct/src/streams/supervise.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clementine_decide::ids::{BackendId, Tick};
+use clementine_decide::ids::BackendId;
 use clementine_decide::outcome::ErrorKind;
 use clementine_decide::retry::{AttemptCounts, AttemptEnd, AttemptLimits, RetryPriority};
 use clementine_decide::routing::RequestKind;
@@ -21,7 +21,9 @@
 use crate::buffered::BufferedResponse;
 use crate::callers::RequestError;
 use crate::crashes::{Run, is_quarantined, late_quarantine_error};
-use crate::shared::{PoolRun, RequestContext, SharedState, promise_return, wait_for_capacity};
+use crate::shared::{
+    PoolRun, RequestContext, RetryGrant, SharedState, promise_return, wait_for_capacity,
+};
 
 /// Silence after which a stream is no longer resumed, because callers give up on
 /// it.
@@ -87,8 +89,8 @@
     pub(super) lost_in_attempt: Vec<BackendId>,
     /// Last error response of a backend server.
     pub(super) last_error: Option<BufferedResponse>,
-    /// When the next attempt was taken from the budget. It may wait for capacity.
-    retry_taken_at: Option<Tick>,
+    /// Permission for the next attempt, which may wait for capacity.
+    granted: Option<RetryGrant>,
 }
 
 impl<'a> Supervisor<'a> {
@@ -102,7 +104,7 @@
             avoid: Vec::new(),
             lost_in_attempt: Vec::new(),
             last_error: None,
-            retry_taken_at: None,
+            granted: None,
         }
     }
 
@@ -211,8 +213,8 @@
             (route.path.len(), route.domain_crossings);
         self.progress.begin_attempt();
         self.lost_in_attempt.clear();
-        if let Some(taken_at) = self.retry_taken_at.take() {
-            self.shared.record_retry_sent(self.ctx, taken_at);
+        if let Some(grant) = self.granted.take() {
+            self.shared.record_retry_sent(self.ctx, grant);
         }
         self.shared.record_send(&route.first);
         let run = Run::start(self.shared, self.ctx, &route.first);
@@ -275,7 +277,7 @@
     /// Records the end of an attempt that began at `first`.
     pub(super) fn record_end(&mut self, first: &BackendId, end: AttemptEnd) {
         self.stats.attempts.record(end);
-        if end != AttemptEnd::NotExecuted {
+        if end.may_have_run() {
             self.record_executed_on(first);
         }
     }
@@ -346,17 +348,21 @@
     /// the budget do not allow it.
     fn try_retry(&mut self) -> bool {
         if self.is_retry_allowed() {
-            self.retry_taken_at = self.take_from_budget(&self.progress);
+            self.granted = self.take_from_budget(&self.progress, self.stats.attempts);
         }
-        self.retry_taken_at.is_some()
+        self.granted.is_some()
     }
 
-    /// Takes a retry from the budget. Returns when, or `None` if the budget does not
-    /// allow it.
-    pub(super) fn take_from_budget(&self, progress: &Progress) -> Option<Tick> {
+    /// Takes another attempt from the budget, unless the request has arrived nowhere in
+    /// the earlier ones. Returns `None` if the budget does not allow it.
+    pub(super) fn take_from_budget(
+        &self,
+        progress: &Progress,
+        earlier: AttemptCounts,
+    ) -> Option<RetryGrant> {
         let priority =
             if progress.headers_sent() { RetryPriority::High } else { RetryPriority::Low };
-        self.shared.take_retry(self.ctx, priority)
+        self.shared.take_retry(self.ctx, earlier, priority)
     }
 
     /// The outcome if no further attempt is made.
