A request that was never sent is refused at the end of a planned stop

What callers saw: 504 without Retry-After, which says that the request may have run, for requests that waited for a server when the grace period ended.

Cause: cut_short ends whatever is in progress and did not know whether an attempt had sent it. The context of a request now tells whether it may have run, from the hand-over to the connection until the attempt ends unexecuted.

--- a/crates/direct/src/buffered/attempt.rs
+++ b/crates/direct/src/buffered/attempt.rs
@@ -61,6 +61,7 @@
     if conn.queue(head, ctx.req.body.clone()).is_err() {
         return AttemptOutcome::NotSent;
     }
+    ctx.may_have_run.set(true);
     let response = read_response(&mut conn, shared, ctx, backend);
     timeout_at(deadline, response).await.unwrap_or(AttemptOutcome::TimedOut)
 }
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -202,6 +202,7 @@
             }
             AttemptOutcome::NotExecuted => {
                 self.counts.record(AttemptEnd::NotExecuted);
+                self.ctx.may_have_run.set(self.counts.executed > 0);
                 self.shared.record_failure(id, "refused", request_id);
             }
             AttemptOutcome::ResponseLost(reason) => {
--- a/crates/direct/src/callers/admit.rs
+++ b/crates/direct/src/callers/admit.rs
@@ -1,5 +1,6 @@
 //! Routes and authenticates requests.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,7 +46,7 @@
     };
     tokio::select! {
         served = serve(conn, shared, &ctx) => served,
-        () = shared.closing.wait_started() => cut_short(conn, &id).await,
+        () = shared.closing.wait_started() => cut_short(conn, &ctx).await,
     }
 }
 
@@ -60,15 +61,21 @@
     }
 }
 
-/// Ends a request that is in progress when the process is about to exit. It may have
-/// been executed. A response that has begun is aborted, so that it does not look
-/// complete.
-async fn cut_short(conn: &mut ServerConn, id: &str) -> io::Result<()> {
-    info!("request: id={} cut short by the exit", id);
+/// Ends a request that is in progress when the process is about to exit. The error tells
+/// whether it may have been executed. A response that has begun is aborted, so that it
+/// does not look complete.
+async fn cut_short(conn: &mut ServerConn, ctx: &RequestContext) -> io::Result<()> {
+    let (id, may_have_run) = (&ctx.req.id, ctx.may_have_run.get());
+    info!("request: id={} cut short by the exit may_have_run={}", id, may_have_run);
     if conn.has_begun_response() {
         return Err(io::ErrorKind::ConnectionAborted.into());
     }
-    send_error(conn, id, RequestError::new(ErrorKind::DeadlineWhileRunning), true).await
+    let error = if may_have_run {
+        RequestError::new(ErrorKind::DeadlineWhileRunning)
+    } else {
+        RequestError::with_retry_after(ErrorKind::ShuttingDown, RETRY_AFTER)
+    };
+    send_error(conn, id, error, true).await
 }
 
 /// Finds the route, workspace, pool and deadline of a request.
@@ -100,8 +107,18 @@
     let engine = table.pools.get(&pool).and_then(|spec| spec.engine.as_deref());
     let cost = request_cost(engine, req.prompt_size);
     let prefix = Rc::new(prefix(shared, &req, &rule));
-    let ctx =
-        RequestContext { req, rule, workspace, pool, cost, suspects, prefix, arrived, deadline };
+    let ctx = RequestContext {
+        req,
+        rule,
+        workspace,
+        pool,
+        cost,
+        suspects,
+        prefix,
+        arrived,
+        deadline,
+        may_have_run: Cell::new(false),
+    };
     shared.record_offered(&ctx);
     Ok(ctx)
 }
--- a/crates/direct/src/shared/request_context.rs
+++ b/crates/direct/src/shared/request_context.rs
@@ -1,5 +1,6 @@
 //! A caller's request with the routing decisions made for it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     /// The caller's deadline or the end of the route's timeout, whichever is
     /// earlier.
     pub(crate) deadline: Instant,
+    /// Whether the request may have been executed, in any attempt so far.
+    pub(crate) may_have_run: Cell<bool>,
 }
 
 impl RequestContext {
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -59,6 +59,7 @@
         return OpenOutcome::NotSent;
     }
     progress.set_sent();
+    ctx.may_have_run.set(true);
     let first = route.borrow().first.clone();
     let Ok(head) = conn.read_head().await else {
         return OpenOutcome::ResponseLost("no-answer");
--- a/crates/direct/src/streams/outcomes.rs
+++ b/crates/direct/src/streams/outcomes.rs
@@ -94,6 +94,7 @@
         reason: &'static str,
     ) -> NextStep {
         self.stats.attempts.record(end);
+        self.ctx.may_have_run.set(self.stats.attempts.executed > 0);
         self.record_backend_failure(failed, reason);
         NextStep::Retry(reason, None)
     }
--- a/crates/direct/tests/shutdown_under_load.rs
+++ b/crates/direct/tests/shutdown_under_load.rs
@@ -15,6 +15,7 @@
     Backend, EntryThread, Store, list_server, queue_request, send_request, settings, signed,
     start_configured_store, wait_until,
 };
+use futures::future::join_all;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -125,3 +126,34 @@
     wait_until("the entry exits", async || entry.has_exited()).await;
     assert!(stopped.elapsed() < Duration::from_millis(1_500 + 200), "{:?}", stopped.elapsed());
 }
+
+/// Guards against the claim that a request may have run which was never sent: it still
+/// waited for a server at the end of the grace period.
+#[test]
+async fn waiting_request_at_the_end_of_the_grace_period_is_refused() {
+    /// Less than the time for which a request waits for a server.
+    const INTERVAL: Duration = Duration::from_millis(10);
+    let store = start_configured_store(0).await;
+    let mut settings = settings("one", &store);
+    settings.bounds.grace = Millis(1_500);
+    let entry = EntryThread::start(settings).await;
+    sleep(Duration::from_millis(300)).await;
+    entry.stop();
+    let mut sent = Vec::new();
+    // The listener is closed at the end of the grace period.
+    while let Some(mut conn) = connect(entry.callers).await {
+        let path = ["/once/x", "/safe/x", "/stream/x"][sent.len() % 3];
+        sent.push(spawn_local(async move {
+            queue_request(&mut conn, path, "r-1", "x");
+            let head = conn.read_head().await.expect("a response");
+            (path, head.status.as_u16(), head.headers().contains_key("retry-after"))
+        }));
+        sleep(INTERVAL).await;
+    }
+    let responses: Vec<_> =
+        join_all(sent).await.into_iter().map(|sent| sent.expect("sent")).collect();
+    let claims: Vec<_> =
+        responses.iter().filter(|(_, status, later)| (*status, *later) != (503, true)).collect();
+    assert!(claims.is_empty(), "{} of {}: {claims:?}", claims.len(), responses.len());
+    wait_until("the entry exits", async || entry.has_exited()).await;
+}
