A log reader that stands still does not stop a process

What callers saw: no answer from an entry whose standard output nobody read, once the pipe was full (400 requests), nor a shutdown on SIGTERM.

Cause: blocking writes on the only thread. Lines now go to the pipe or socket without waiting; what is not taken waits in a queue of 1 MiB that a thread writes, further lines are dropped and counted, and one line tells how many.

entry_serves_while_its_log_is_not_read: requests time out after 400 before, 4,000 of 4,000 are answered now. The output itself: order, one gap, its size (pipe and socket).

--- a/crates/e2e/src/process/mod.rs
+++ b/crates/e2e/src/process/mod.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
@@ -13,6 +15,8 @@
 
 /// Timeout for a process to print an expected line.
 const OUTPUT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval at which it is checked whether output is to be read again.
+const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A running process; killed on drop.
 #[derive(Debug)]
@@ -20,6 +24,8 @@
     child: Child,
     /// Lines of standard output and standard error.
     lines: Receiver<String>,
+    /// Whether its output stays unread.
+    unread: Arc<AtomicBool>,
 }
 
 impl Process {
@@ -48,21 +54,30 @@
             .spawn()
             .unwrap_or_else(|error| panic!("{}: {error}", path.display()));
         let (tx, lines) = channel();
+        let unread = Arc::new(AtomicBool::new(false));
         let outputs: [Option<Box<dyn Read + Send>>; 2] = [
             child.stdout.take().map(|out| Box::new(out) as _),
             child.stderr.take().map(|out| Box::new(out) as _),
         ];
         for output in outputs.into_iter().flatten() {
-            let (tx, program) = (tx.clone(), program.to_owned());
+            let (tx, program, unread) = (tx.clone(), program.to_owned(), Arc::clone(&unread));
             std::thread::spawn(move || {
                 for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    while unread.load(Ordering::Relaxed) {
+                        std::thread::sleep(UNREAD_POLL_INTERVAL);
+                    }
                     // The test runner captures this output and shows it if the test fails.
                     println!("{program}: {line}");
                     let _ = tx.send(line);
                 }
             });
         }
-        Self { child, lines }
+        Self { child, lines, unread }
+    }
+
+    /// Leaves what the process prints unread, or reads it again.
+    pub fn set_unread(&self, unread: bool) {
+        self.unread.store(unread, Ordering::Relaxed);
     }
 
     /// Runs a program to completion and returns its standard output and standard error.
--- a/crates/process/src/logging/mod.rs
+++ b/crates/process/src/logging/mod.rs
@@ -3,8 +3,10 @@
 
 mod format;
 mod interval;
+mod pipe;
 mod start;
 
 pub use format::LogFormat;
 pub use interval::LogInterval;
+pub use pipe::PipeOutput;
 pub use start::{LogTarget, LoggingError, start_logging};
