An empty list of tenants lets no key in

What callers saw: a version whose list of tenants is empty, such as the one that removes the last tenant, let requests in with any key or none.

Cause: whether keys are required was derived from the number of tenants. Without the list, or with null, no key is required, as before.

--- a/crates/decide/src/routing/table.rs
+++ b/crates/decide/src/routing/table.rs
@@ -76,7 +76,7 @@
     routes: Vec<RouteRule>,
     pools: HashMap<PoolId, PoolSpec>,
     keys: HashMap<CompactString, Rc<WorkspaceRule>>,
-    has_workspaces: bool,
+    requires_api_key: bool,
 }
 
 impl RoutingTableBuilder {
@@ -95,14 +95,19 @@
         self.pools.insert(id, spec);
     }
 
-    /// Adds a workspace and its API keys.
+    /// Requires an API key on routes that are not public, also if there is no valid one.
+    pub const fn require_api_keys(&mut self) {
+        self.requires_api_key = true;
+    }
+
+    /// Adds a workspace and its API keys, one of which is then required.
     pub fn workspace(
         &mut self,
         rule: WorkspaceRule,
         keys: impl IntoIterator<Item = CompactString>,
     ) {
         let rule = Rc::new(rule);
-        self.has_workspaces = true;
+        self.require_api_keys();
         self.keys.extend(keys.into_iter().map(|key| (key, Rc::clone(&rule))));
     }
 
@@ -125,7 +130,7 @@
             hosts,
             pools: self.pools,
             keys: self.keys,
-            has_workspaces: self.has_workspaces,
+            requires_api_key: self.requires_api_key,
         })
     }
 }
@@ -156,7 +161,7 @@
     pub pools: HashMap<PoolId, PoolSpec>,
     hosts: HashMap<CompactString, HashMap<CompactString, Rc<RouteRule>>>,
     keys: HashMap<CompactString, Rc<WorkspaceRule>>,
-    has_workspaces: bool,
+    requires_api_key: bool,
 }
 
 impl RoutingTable {
@@ -174,7 +179,7 @@
 
     /// Whether routes that are not public require an API key.
     pub const fn requires_api_key(&self) -> bool {
-        self.has_workspaces
+        self.requires_api_key
     }
 
     /// Number of routes.
