--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -325,27 +325,16 @@
 
     /// Shuts down the write side of the connection, and drops it once the client has
     /// closed it too. If unread bytes were left, the system would reset the connection,
-    /// and the client might lose the last response. A client that is still sending the
-    /// body of a refused request goes on for a while.
+    /// and the client might lose the last response.
     pub async fn close(mut self) {
         /// Maximum time for which the client is waited for.
-        const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
-        /// Maximum time for which nothing is received from it.
-        const IDLE_TIMEOUT: Duration = Duration::from_millis(100);
-        /// Size of the buffer for what is discarded, in bytes.
-        const DISCARD_BYTES: usize = 16 * 1024;
+        const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
         // Shutdown fails if the client has already closed the connection, which
         // has the same effect.
         let _ = self.io.shutdown().await;
-        let mut discarded = BytesMut::with_capacity(DISCARD_BYTES);
+        let mut discarded = [0; 4096];
         let closed = async {
-            loop {
-                discarded.clear();
-                match timeout(IDLE_TIMEOUT, self.io.read_buf(&mut discarded)).await {
-                    Ok(Ok(received)) if received > 0 => {}
-                    _ => return,
-                }
-            }
+            while self.io.read(&mut discarded).await.is_ok_and(|received| received > 0) {}
         };
         let _ = timeout(LINGER_TIMEOUT, closed).await;
     }
