--- a/crates/decide/examples/path_search.rs
+++ b/crates/decide/benches/path_search.rs
@@ -1,23 +1,20 @@
-//! Time of one path search at different numbers of engines.
-//!
-//! Usage: `cargo run --release -p clementine-decide --example path_search`
+//! Time of one path decision at different numbers of engines.
 
 #[path = "../tests/engine_fixtures/mod.rs"]
 mod engine_fixtures;
 
 use std::hint::black_box;
-use std::time::{Duration, Instant};
 
 use clementine_decide::ids::Tick;
 use clementine_decide::paths::{
     Demand, LinkUsage, PathCandidate, PathPurpose, PathSearch, PathTargets,
 };
 use clementine_objects::Millis;
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use engine_fixtures::{LAYERS, candidate, range, spec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const SEARCHES: u32 = 2_000;
 const DEMAND: Demand = Demand { prompt_tokens: 760.0, output_tokens: 168.0 };
 const TARGETS: PathTargets = PathTargets {
     first_event: Some(Millis(600)),
@@ -36,14 +33,10 @@
     (0..count).map(engine).collect()
 }
 
-fn median(mut times: Vec<Duration>) -> Duration {
-    times.sort_unstable();
-    times[times.len() / 2]
-}
-
-fn main() {
+fn path_search(c: &mut Criterion) {
     let spec = spec();
     let links = LinkUsage::default();
+    let mut group = c.benchmark_group("path_search");
     for count in [40, 130, 1_300] {
         let candidates = engines(count);
         let search = PathSearch {
@@ -59,11 +52,12 @@
             now: Tick(0),
         };
         let mut rng = SmallRng::seed_from_u64(1);
-        let time = |_| {
-            let started = Instant::now();
-            black_box(search.choose_path(&mut rng));
-            started.elapsed()
-        };
-        println!("{count} engines: median {:?}", median((0..SEARCHES).map(time).collect()));
+        group.bench_with_input(BenchmarkId::from_parameter(count), &search, |b, search| {
+            b.iter(|| black_box(search.choose_path(&mut rng)));
+        });
     }
+    group.finish();
 }
+
+criterion_group!(benches, path_search);
+criterion_main!(benches);
