Responses that callers take slowly are bounded by the memory of the process

What callers saw: an entry that exceeds its memory is killed, with all that it serves. 50 callers who read slowly, each with two responses of 3 MiB, took 377 MB (256 MB granted).

Causes: an open connection kept the buffer of the largest response that it had sent, and nothing bounded responses that callers do not take. The buffer is given back; bodies above 16 KiB take twice their size from 0.2 of limits.memory-mb before they are read from the server. Waiting for memory counts neither as the server's time nor as the attempt's.

--- a/crates/direct/src/buffered/attempt.rs
+++ b/crates/direct/src/buffered/attempt.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use clementine_decide::ids::BackendId;
 use clementine_http1::ClientConn;
 use clementine_platform::requests::{BackendResponse, ExecutionStatus, forward_head};
 use tokio::time::{Instant, timeout_at};
 
+use super::body::{BodyError, BodyLimits, ResponseBody, read_response_body};
 use crate::engines::doubt_identity;
 use crate::shared::{RequestContext, SharedState};
 
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
     pub(crate) response: BackendResponse,
-    pub(crate) body: Bytes,
+    pub(crate) body: ResponseBody,
 }
 
 /// Outcome of one attempt.
@@ -39,6 +39,8 @@
     ResponseLost(&'static str),
     /// There was no response in time. The request may have been executed.
     TimedOut,
+    /// There was a response, and no memory for its body until the deadline.
+    NoMemory,
 }
 
 /// Sends a request to a backend server and reads the complete response.
@@ -62,8 +64,7 @@
         return AttemptOutcome::NotSent;
     }
     ctx.may_have_run.set(true);
-    let response = read_response(&mut conn, shared, ctx, backend);
-    timeout_at(deadline, response).await.unwrap_or(AttemptOutcome::TimedOut)
+    read_response(&mut conn, shared, ctx, backend, deadline).await
 }
 
 async fn read_response(
@@ -71,10 +72,12 @@
     shared: &Rc<SharedState>,
     ctx: &RequestContext,
     backend: &BackendId,
+    deadline: Instant,
 ) -> AttemptOutcome {
-    let response = match conn.read_head().await {
-        Ok(head) => BackendResponse::new(head),
-        Err(_) => return AttemptOutcome::ResponseLost("no-answer"),
+    let response = match timeout_at(deadline, conn.read_head()).await {
+        Ok(Ok(head)) => BackendResponse::new(head),
+        Ok(Err(_)) => return AttemptOutcome::ResponseLost("no-answer"),
+        Err(_) => return AttemptOutcome::TimedOut,
     };
     if !response.matches_request(&ctx.req.id) {
         return AttemptOutcome::ResponseLost("answer-to-another");
@@ -86,8 +89,17 @@
     if response.execution == ExecutionStatus::NotExecuted {
         return AttemptOutcome::NotExecuted;
     }
-    let Ok(body) = conn.read_body(MAX_BODY_BYTES).await else {
-        return AttemptOutcome::ResponseLost("answer-broke-off");
+    let limits = BodyLimits {
+        max_bytes: MAX_BODY_BYTES,
+        budget: &shared.response_budget,
+        until: deadline,
+        request_deadline: ctx.deadline,
+    };
+    let body = match read_response_body(conn, response.head.headers(), limits).await {
+        Ok(body) => body,
+        Err(BodyError::Unusable) => return AttemptOutcome::ResponseLost("answer-broke-off"),
+        Err(BodyError::TimedOut) => return AttemptOutcome::TimedOut,
+        Err(BodyError::NoMemory) => return AttemptOutcome::NoMemory,
     };
     // The status must not claim that the request was not executed, and a success
     // must be signed.
--- a/crates/direct/src/buffered/serve.rs
+++ b/crates/direct/src/buffered/serve.rs
@@ -95,7 +95,7 @@
     if closing {
         res.head_mut().set_connection_type(ConnectionType::Close);
     }
-    conn.send(res, &buffered.body).await
+    conn.send(res, &buffered.body.bytes).await
 }
 
 fn log_outcome(
@@ -210,6 +210,10 @@
                 self.shared.record_failure(id, reason, request_id);
                 self.record_loss(run, LossKind::BrokenOff).await;
             }
+            AttemptOutcome::NoMemory => {
+                self.counts.record(AttemptEnd::Executed);
+                info!("request: id={} response not read, no memory", request_id);
+            }
             AttemptOutcome::TimedOut => {
                 self.counts.record(AttemptEnd::Executed);
                 self.shared.record_failure(id, "no-answer-in-time", request_id);
--- a/crates/direct/src/shared/state.rs
+++ b/crates/direct/src/shared/state.rs
@@ -37,9 +37,16 @@
 use super::retry_budgets::retry_limits;
 use super::{DirectMetrics, Outbox, RateLimitedStore, TableSync};
 
-/// Share of the process's memory for the bodies of callers' requests. The rest is for
-/// responses, connections and what the allocator keeps.
+/// Share of the process's memory for the bodies of callers' requests.
 const BODY_SHARE: f64 = 0.4;
+/// Share of the process's memory for the bodies of responses. The rest is for connections
+/// and what the allocator keeps.
+const RESPONSE_SHARE: f64 = 0.2;
+
+/// Budget of a share of the process's memory.
+fn body_budget(settings: &InstanceSettings, share: f64) -> BodyBudget {
+    BodyBudget::new((settings.memory_bytes as f64 * share) as usize)
+}
 
 /// State shared by all tasks of the process.
 #[derive(Debug)]
@@ -64,6 +71,7 @@
     pub(crate) prefix_log: LogInterval,
     /// Memory for the bodies of callers' requests.
     pub(crate) body_budget: BodyBudget,
+    pub(crate) response_budget: BodyBudget,
     /// The other entries.
     pub(crate) peers: RefCell<PeerView>,
     /// The planner's lease.
@@ -138,7 +146,8 @@
             links: RefCell::default(),
             prefixes: RefCell::default(),
             prefix_log: LogInterval::default(),
-            body_budget: BodyBudget::new((settings.memory_bytes as f64 * BODY_SHARE) as usize),
+            body_budget: body_budget(&settings, BODY_SHARE),
+            response_budget: body_budget(&settings, RESPONSE_SHARE),
             peers: RefCell::default(),
             lease: RefCell::new(LeaseState::new(
                 LeaseLimits::default(),
--- a/crates/direct/src/streams/open.rs
+++ b/crates/direct/src/streams/open.rs
@@ -9,7 +9,7 @@
 
 use super::progress::Progress;
 use super::route::StreamRoute;
-use crate::buffered::{BufferedResponse, CONNECT_TIMEOUT};
+use crate::buffered::{BodyLimits, BufferedResponse, CONNECT_TIMEOUT, read_response_body};
 use crate::engines::doubt_identity;
 use crate::shared::{RequestContext, SharedState};
 
@@ -79,7 +79,13 @@
     if response.is_success() {
         return OpenOutcome::Stream(response, Box::new(conn));
     }
-    match conn.read_body(MAX_ERROR_BODY_BYTES).await {
+    let limits = BodyLimits {
+        max_bytes: MAX_ERROR_BODY_BYTES,
+        budget: &shared.response_budget,
+        until: ctx.deadline,
+        request_deadline: ctx.deadline,
+    };
+    match read_response_body(&mut conn, response.head.headers(), limits).await {
         Ok(body) if is_relayable_error(&response) => {
             OpenOutcome::ErrorResponse(BufferedResponse { response, body })
         }
--- a/crates/e2e/src/process/mod.rs
+++ b/crates/e2e/src/process/mod.rs
@@ -80,6 +80,19 @@
         self.unread.store(unread, Ordering::Relaxed);
     }
 
+    /// Largest memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.expect("a size in KiB") * 1024
+    }
+
     /// Runs a program to completion and returns its standard output and standard error.
     pub fn run_to_exit(program: &str, args: &[String]) -> String {
         let output = Command::new(program_path(program)).args(args).output();
--- a/crates/http1/src/server/body_budget.rs
+++ b/crates/http1/src/body_budget.rs
@@ -1,4 +1,4 @@
-//! Bound on the memory of request bodies, over all connections of a process.
+//! Bound on the memory of bodies, over all connections of a process.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,15 +10,16 @@
 const UNIT_BYTES: usize = 1024;
 /// Bodies up to this size, in bytes, count as nothing. They need no more than the buffers
 /// of their connections.
-pub(super) const FREE_BYTES: usize = 16 * 1024;
-/// Copies of a body: the one that is kept for retries, and the one that is sent.
+pub const FREE_BYTES: usize = 16 * 1024;
+/// Copies of a body: the one that is kept for retries or was received, and the one that is
+/// sent.
 const COPIES: usize = 2;
-/// Maximum time for which a body waits for memory. Clients give up a request that is not
-/// read for a second.
+/// Maximum time for which the body of a request waits for memory. Clients give up a request
+/// that is not read for a second.
 const MAX_WAIT: Duration = Duration::from_millis(700);
 
-/// Memory for the bodies of requests, from the first byte that is read until the request
-/// has ended. Clones share it.
+/// Memory for the bodies of requests, or of responses, from the first byte that is read until
+/// the request has ended. Clones share it.
 #[derive(Debug, Clone)]
 pub struct BodyBudget {
     units: Arc<Semaphore>,
@@ -34,7 +35,7 @@
 
 impl BodyMemory {
     /// Returns what a body of `bytes` bytes does not need.
-    pub(super) fn shrink(&mut self, bytes: usize) {
+    pub fn shrink(&mut self, bytes: usize) {
         let excess = self.units.num_permits().saturating_sub(units(bytes) as usize);
         drop(self.units.split(excess));
     }
@@ -55,11 +56,20 @@
     }
 
     /// Takes the memory for a body of at most `bytes` bytes, and waits for it while other
-    /// bodies have it. `None` if it does not become free soon. A body that needs more than
-    /// the whole budget gets all of it.
-    pub(super) async fn take(&self, bytes: usize) -> Option<BodyMemory> {
+    /// bodies have it. `None` if it does not become free soon.
+    pub(crate) async fn take_soon(&self, bytes: usize) -> Option<BodyMemory> {
+        timeout(MAX_WAIT, self.take(bytes)).await.ok()
+    }
+
+    /// Takes the memory for a body of at most `bytes` bytes, and waits for it while other
+    /// bodies have it. A body that needs more than the whole budget gets all of it.
+    ///
+    /// # Panics
+    ///
+    /// Never, since the budget is not closed.
+    pub async fn take(&self, bytes: usize) -> BodyMemory {
         let units = units(bytes).min(self.total);
-        let taken = timeout(MAX_WAIT, Arc::clone(&self.units).acquire_many_owned(units)).await;
-        Some(BodyMemory { units: taken.ok()?.ok()? })
+        let taken = Arc::clone(&self.units).acquire_many_owned(units).await;
+        BodyMemory { units: taken.expect("the semaphore is never closed") }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -5,9 +5,11 @@
 //! request was sent completely, whether a body ended or was truncated, and
 //! whether the peer has closed the connection.
 
+mod body_budget;
 pub mod client;
 pub mod server;
 mod socket;
 
+pub use body_budget::{BodyBudget, BodyMemory, FREE_BYTES};
 pub use client::{ClientConn, ConnectError, ResponseError};
-pub use server::{BodyBudget, BodyMemory, BufferedRequest, ReadError, ReadLimits, ServerConn};
+pub use server::{BufferedRequest, ReadError, ReadLimits, ServerConn};
--- a/crates/http1/src/server/conn.rs
+++ b/crates/http1/src/server/conn.rs
@@ -18,9 +18,9 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::body_budget::FREE_BYTES;
 use super::error::{ConnectionLostSnafu, ReadError};
-use super::{BodyBudget, BodyMemory, BufferedRequest, ReadLimits};
+use super::{BufferedRequest, ReadLimits};
+use crate::body_budget::{BodyBudget, BodyMemory, FREE_BYTES};
 use crate::socket;
 
 /// Interim response to `Expect: 100-continue`.
@@ -148,7 +148,7 @@
     async fn take_body_memory(&self, bytes: usize) -> Result<Option<BodyMemory>, ReadError> {
         match &self.body_budget {
             Some(budget) if bytes > FREE_BYTES => {
-                Ok(Some(budget.take(bytes).await.ok_or(ReadError::NoMemory)?))
+                Ok(Some(budget.take_soon(bytes).await.ok_or(ReadError::NoMemory)?))
             }
             _ => Ok(None),
         }
@@ -307,10 +307,15 @@
     /// Sends all queued bytes. This method is cancel safe: bytes that have not
     /// been sent remain queued for the next flush.
     async fn flush(&mut self) -> io::Result<()> {
+        let is_large = self.output.len() > FREE_BYTES;
         while !self.output.is_empty() {
             let written = timeout(WRITE_STALL_TIMEOUT, self.io.write_buf(&mut self.output)).await;
             written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         }
+        if is_large {
+            // A connection that stays open does not keep the memory.
+            self.output = BytesMut::new();
+        }
         Ok(())
     }
 
--- a/crates/http1/src/server/request.rs
+++ b/crates/http1/src/server/request.rs
@@ -5,7 +5,7 @@
 use actix_http::RequestHead;
 use bytes::Bytes;
 
-use super::BodyMemory;
+use crate::BodyMemory;
 
 /// A request whose body has been read completely.
 #[derive(Debug)]
