--- a/crates/direct/src/buffered/body.rs
+++ b/crates/direct/src/buffered/body.rs
@@ -48,11 +48,9 @@
     limits: BodyLimits<'_>,
 ) -> Result<ResponseBody, BodyError> {
     let mut limits = limits;
-    let length = content_length(headers).unwrap_or(0);
+    // A response to HEAD has no body, whatever its head says.
+    let length = content_length(headers).unwrap_or(0).min(limits.max_bytes);
     let mut memory = None;
-    if length > limits.max_bytes {
-        return Err(BodyError::Unusable);
-    }
     if length > FREE_BYTES {
         memory = Some(limits.take_memory(length).await?);
     }
