A test server that is down keeps its address

The entries relayed them (status=401 outcome=answered runs=1). plain-2 was down and had its row again 4.6 s after the first of them; a server that starts again tries to bind its address every 20 ms, so another process had it. Which process it was is not in the logs.

The address of a test server is now reserved by a second socket that never listens. server_that_is_down_keeps_its_address fails before ('another process took the address').

--- a/crates/direct/tests/common/backend.rs
+++ b/crates/direct/tests/common/backend.rs
@@ -2,6 +2,7 @@
 //! servers without layers.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use clementine_http1::{BufferedRequest, ReadLimits, ServerConn};
 use serde_json::{Value, json};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -78,6 +79,8 @@
 pub struct Backend {
     pub id: String,
     pub address: SocketAddr,
+    /// Keeps the address while the server is down.
+    _reserved: Rc<TcpSocket>,
     store: Store,
     pool: &'static str,
     pub behaviour: Rc<Cell<Behaviour>>,
@@ -171,16 +174,18 @@
     }
 
     /// Starts a backend server at an address, possibly one that another server had.
+    #[expect(clippy::unused_async, reason = "like the start of other servers")]
     pub async fn start_unlisted(
         id: &str,
         pool: &'static str,
         store: &Store,
         address: SocketAddr,
     ) -> Self {
-        let listener = TcpListener::bind(address).await.expect("bind loopback address");
+        let listener = listen(address).expect("bind loopback address");
         let backend = Self {
             id: id.into(),
             address: listener.local_addr().expect("local address"),
+            _reserved: Rc::new(reserve(&listener).expect("reserve the address")),
             store: store.clone(),
             pool,
             behaviour: Rc::new(Cell::new(Behaviour::Serve)),
@@ -245,7 +250,7 @@
             if !self.crashed.get() {
                 return;
             }
-            match TcpListener::bind(self.address).await {
+            match listen(self.address) {
                 Ok(listener) => break listener,
                 Err(_) => sleep(Duration::from_millis(20)).await,
             }
@@ -606,6 +611,25 @@
     parts.any(|entry| entry.split(':').next() == Some(part))
 }
 
+/// Listens on an address that [`reserve`] may hold.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    const BACKLOG: u32 = 1024;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Keeps the address of a listener from other processes, also when it is closed: the
+/// system then refuses connections.
+fn reserve(listener: &TcpListener) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(listener.local_addr()?)?;
+    Ok(socket)
+}
+
 /// Fills the backlog of a listener, so that no further connection is established,
 /// and holds it.
 async fn fill_backlog(listener: &TcpListener) {
--- a/crates/direct/tests/reused_addresses.rs
+++ b/crates/direct/tests/reused_addresses.rs
@@ -11,7 +11,7 @@
     start_entry, start_placed_engines, wait_until,
 };
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// Time in which the planner orders, and orders again what was lost.
@@ -23,6 +23,11 @@
     listener.local_addr().expect("local address")
 }
 
+async fn wait_until_refused(address: SocketAddr) {
+    wait_until("connections are refused", async || TcpStream::connect(address).await.is_err())
+        .await;
+}
+
 /// Lists an engine without layers.
 fn list_engine(store: &Store, id: &str, address: SocketAddr, born: u64) {
     let row = json!({"service": "model", "address": address.to_string(), "zone": "a",
@@ -57,7 +62,7 @@
     let lost = &engines[0];
     lost.crash();
     // Its health check says that it is draining: the engine is not.
-    wait_until("the address is free", async || TcpListener::bind(lost.address).await.is_ok()).await;
+    wait_until_refused(lost.address).await;
     let other = Backend::start_unlisted("plain-9", "plain", &store, lost.address).await;
     other.draining.set(true);
     for _ in 0..6 {
@@ -99,3 +104,17 @@
     let refused = new.misdirected.borrow();
     assert!(refused.iter().all(|path| path == "/health"), "{refused:?}");
 }
+
+/// Guards against test servers whose address goes to another process while they are down:
+/// callers of the soak (seed 9323) got its responses.
+#[test]
+async fn server_that_is_down_keeps_its_address() {
+    let store = start_configured_store(12).await;
+    let server = Backend::start("plain-1", "plain", &store).await;
+    assert!(TcpStream::connect(server.address).await.is_ok());
+    server.crash();
+    wait_until_refused(server.address).await;
+    assert!(TcpListener::bind(server.address).await.is_err(), "another process took the address");
+    server.restart().await;
+    assert!(TcpStream::connect(server.address).await.is_ok());
+}
