--- a/review/lab-2.rs
+++ b/review/lab-2.rs
@@ -725,7 +725,12 @@
 }
 
 /// The entry of a model replica that holds the layers `from..to`.
-pub fn engine_row(service: &str, address: SocketAddr, (from, to): (u32, u32), born: u128) -> String {
+pub fn engine_row(
+    service: &str,
+    address: SocketAddr,
+    (from, to): (u32, u32),
+    born: u128,
+) -> String {
     format!(
         r#"{{"service":"{service}","address":"{address}","zone":"za","version":1,"slots":192,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{born},"kind":"h100","stage":"unified","layers":{{"from":{from},"to":{to},"version":1}},"models":[{{"name":"m0","version":1,"adapters":[]}}]}}"#
     )
